Add the settings of the program with one usage text

Cause: every role needs settings that are checked before a port opens. Conclusion: the daemons and tools can be wired to one place.

--- /dev/null
+++ b/internal/option/check.go
@@ -0,0 +1,183 @@
+package option
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// UsageError lists every wrong setting.
+type UsageError struct {
+	Command Command
+	Faults  []string
+}
+
+// Error names each fault and its remedy, one a line.
+func (e *UsageError) Error() string {
+	return fmt.Sprintf("%d wrong setting(s):\n  %s", len(e.Faults), strings.Join(e.Faults, "\n  "))
+}
+
+func parseError(err error) error {
+	if errors.Is(err, flag.ErrHelp) {
+		return flag.ErrHelp
+	}
+	return &UsageError{Faults: []string{err.Error() + ": run jujubethread -h for the flags"}}
+}
+
+func known(c Command) bool {
+	switch c {
+	case Entry, Control, Leaf, Status, Preset, Upstream, Member, Filing, Dev, Demo, Load, Bench, Replay, Trace, Proxy, Keys:
+		return true
+	default:
+		return false
+	}
+}
+
+// fill turns the text of list flags into typed values and returns the faults.
+func (o *Options) fill(l *lists) []string {
+	var faults []string
+	o.Host, o.Domain = ident.HostID(l.host), ident.Domain(l.domain)
+	o.Index, o.Service = ident.Index(l.index), ident.Service(l.service)
+	o.Controls, o.Peers, o.Join = items(l.controls), items(l.peers), items(l.join)
+	o.Targets, o.From = items(l.targets), items(l.from)
+	for _, s := range items(l.shards) {
+		o.Shards = append(o.Shards, ident.Shard(s))
+	}
+	o.Bootstrap, faults = pairs("bootstrap", l.bootstrap, faults)
+	o.Hosts, faults = pairs("hosts", l.hosts, faults)
+	if l.expect != "" {
+		v, err := parseVersion(l.expect)
+		if err != nil {
+			faults = append(faults, err.Error())
+		}
+		o.Expect = &v
+	}
+	if o.Advertise == "" {
+		o.Advertise = o.LinkListen
+	}
+	return faults
+}
+
+func (o *Options) check() []string {
+	f := &faults{}
+	f.addresses("control", o.Controls)
+	f.addresses("peers", o.Peers)
+	f.addresses("join", o.Join)
+	f.require((o.Cert == "") == (o.Key == "") && (o.Cert == "" || o.CA != ""), "-ca, -cert and -key belong together: give all three or none")
+	f.require(o.LogLevel == "debug" || o.LogLevel == "info" || o.LogLevel == "warn" || o.LogLevel == "error",
+		"-log-level is "+strconv.Quote(o.LogLevel)+": use debug, info, warn or error")
+	switch o.Command {
+	case Entry:
+		o.checkHost(f)
+		f.require(len(o.Controls) > 0, "-control is empty: list the link addresses of the control hosts")
+		f.require(o.TraceRatio >= 0 && o.TraceRatio <= 1, "-trace-ratio is out of range: use 0 to 1")
+		f.require(o.Grace >= 0, "-grace is negative: use 0s or more")
+	case Control:
+		o.checkHost(f)
+		f.require(o.Data != "", "-data is empty: name the data folder")
+		f.require(len(o.Bootstrap) == 0 || len(o.Join) == 0, "-bootstrap and -join exclude each other: use -bootstrap only for a new deployment")
+	case Leaf:
+		o.checkLeaf(f)
+	case Dev, Demo, Load, Bench:
+		o.checkTools(f)
+	case Proxy:
+		f.address("listen", o.Listen)
+		f.address("to", o.To)
+	case Keys:
+		f.require(o.Out != "", "-out is empty: name the folder for the certificates")
+		f.require(len(o.Hosts) > 0, "-hosts is empty: list the hosts as ID=IP")
+	case Replay:
+		f.require(len(o.Args) > 0, "replay needs at least one FILE")
+	case Status, Preset, Upstream, Member, Filing, Trace:
+	}
+	return f.list
+}
+
+func (o *Options) checkHost(f *faults) {
+	f.require(o.Host != "", "-host is empty: name this host")
+	f.require(o.Domain != "", "-domain is empty: name the failure domain of this host")
+	f.address("listen", o.Listen)
+	f.address("link-listen", o.LinkListen)
+	f.require(o.Cert != "" || o.AllowPlaintext || (loopback(o.Listen) && loopback(o.LinkListen)),
+		"addresses other than loopback need TLS: give -ca, -cert and -key, or -allow-plaintext")
+}
+
+func (o *Options) checkLeaf(f *faults) {
+	f.require(o.Host != "", "-host is empty: name this upstream")
+	f.address("listen", o.Listen)
+	f.require(o.Index != "" && o.Service != "" && len(o.Shards) > 0, "-index, -service and -shards are needed: say what the upstream holds")
+	f.require(o.Slots > 0, "-slots is below 1: use 1 or more")
+	f.require(o.ConnLimit > 0, "-conn-limit is below 1: use 1 or more")
+}
+
+func (o *Options) checkTools(f *faults) {
+	f.require(o.Shape == "thesiswell" || o.Shape == "hanbit", "-shape is "+strconv.Quote(o.Shape)+": use thesiswell or hanbit")
+	f.require(o.Entries >= 1 && o.Entries <= maxEntries, fmt.Sprintf("-entries is %d: use 1 to %d", o.Entries, maxEntries))
+	f.require(o.ControlHosts >= 1 && o.ControlHosts <= maxControlHosts, fmt.Sprintf("-controls is %d: use 1 to %d", o.ControlHosts, maxControlHosts))
+	f.require(o.Rate > 0 && o.Rate <= maxRate, fmt.Sprintf("-rate is %v: use more than 0, at most %v", o.Rate, maxRate))
+	f.require(o.Duration > 0, "-duration is not positive: use for example 10s")
+}
+
+// faults collects every wrong setting, so that all are reported at once.
+type faults struct{ list []string }
+
+func (f *faults) require(ok bool, text string) {
+	if !ok {
+		f.list = append(f.list, text)
+	}
+}
+
+func (f *faults) address(flagName, value string) {
+	_, err := netip.ParseAddrPort(value)
+	f.require(err == nil, fmt.Sprintf("-%s is %q: use IP:PORT, host names are not resolved", flagName, value))
+}
+
+func (f *faults) addresses(flagName string, values []string) {
+	for _, v := range values {
+		f.address(flagName, v)
+	}
+}
+
+func loopback(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Addr().IsLoopback()
+}
+
+func items(list string) []string {
+	var out []string
+	for _, s := range strings.Split(list, ",") {
+		if s = strings.TrimSpace(s); s != "" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func pairs(flagName, list string, faults []string) ([]Pair, []string) {
+	var out []Pair
+	for _, s := range items(list) {
+		name, address, ok := strings.Cut(s, "=")
+		if !ok || name == "" || address == "" {
+			faults = append(faults, fmt.Sprintf("-%s has %q: use NAME=ADDRESS", flagName, s))
+			continue
+		}
+		out = append(out, Pair{
+			Name:    name,
+			Address: address,
+		})
+	}
+	return out, faults
+}
+
+func parseVersion(text string) (ident.ConfigVersion, error) {
+	var v ident.ConfigVersion
+	if _, err := fmt.Sscanf(text, "%d.%d", &v.Epoch, &v.Number); err != nil {
+		return v, fmt.Errorf("-expect is %q: use EPOCH.NUMBER as the status command prints it", text)
+	}
+	return v, nil
+}
