Add the query reducer: pin, fan-out, coverage, merge, deadline

Cause: the daemon needs an engine to run queries against.

Change: NewEngine and Step handle every event. A query waits until its index has reported versions, is pinned to the version that most shards can serve, sends one attempt per shard and ends with exactly one Reply. Answers are correlated by request, attempt, shard and version.

Conclusion: enough for the daemon to answer queries on a healthy deployment.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -4,3 +4,111 @@
 // Step takes one event and returns effects; it has no clock, does no I/O and
 // is used by one goroutine.
 package engine
+
+import (
+	"math/rand/v2"
+
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+// Policy selects how attempts are made.
+type Policy uint8
+
+// The policies. PolicyPlain and PolicyNaiveRetry are baselines for measurement.
+const (
+	// PolicyTolerant hedges, retries within budgets, limits and queues.
+	PolicyTolerant Policy = iota
+	// PolicyPlain sends one attempt per shard at once: no hedge, retry or queue.
+	PolicyPlain
+	// PolicyNaiveRetry is PolicyPlain with up to 3 tries and no budget.
+	PolicyNaiveRetry
+)
+
+// Config sets up an Engine.
+type Config struct {
+	Host   ident.HostID
+	Domain ident.Domain
+	// Seed makes all random choices reproducible.
+	Seed   uint64
+	Policy Policy
+}
+
+// Engine is the query reducer of one entry host. It is used by one goroutine.
+type Engine struct {
+	cfg      Config
+	rng      *rand.Rand
+	state    *config.State
+	preset   *preset.Preset
+	seat     Seat
+	draining bool
+
+	upstreams map[ident.Upstream]*upstream
+	shards    map[shardKey]*shard
+	indexes   map[ident.Index]*index
+	emptied   []*shard
+
+	queries  map[ident.QueryID]*query
+	attempts map[ident.AttemptID]*attempt
+	last     ident.AttemptID
+
+	timers timers
+	wakeAt ident.Instant // earliest Wake that has not come yet; 0 is none
+	out    []Effect
+}
+
+// NewEngine returns an engine without configuration and without a seat.
+func NewEngine(cfg Config) *Engine {
+	return &Engine{
+		cfg:       cfg,
+		rng:       rand.New(rand.NewPCG(cfg.Seed, 0)),
+		state:     config.NewState(),
+		preset:    &preset.Preset{},
+		seat:      SeatNone,
+		upstreams: map[ident.Upstream]*upstream{},
+		shards:    map[shardKey]*shard{},
+		indexes:   map[ident.Index]*index{},
+		queries:   map[ident.QueryID]*query{},
+		attempts:  map[ident.AttemptID]*attempt{},
+	}
+}
+
+// Step handles one event and returns what the runtime has to do, in order.
+// The time must not go backwards. The caller owns the returned slice.
+func (e *Engine) Step(now ident.Instant, ev Event) []Effect {
+	e.out = nil
+	if e.wakeAt <= now {
+		e.wakeAt = 0
+	}
+	e.handle(now, ev)
+	e.fire(now)
+	e.wake()
+	return e.out
+}
+
+func (e *Engine) handle(now ident.Instant, ev Event) {
+	switch ev := ev.(type) {
+	case QueryArrived:
+		e.arrived(now, ev)
+	case QueryCancelled:
+		e.callerGone(now, ev.Query)
+	case AttemptAnswered:
+		e.answered(now, ev)
+	case AttemptFailed:
+		e.failed(now, ev)
+	case UpstreamReported:
+		e.reported(now, ev)
+	case ProbeFailed:
+		e.probeFailed(now, ev.Upstream)
+	case ConfigApplied:
+		e.applied(now, ev.State)
+	case SeatChanged:
+		e.seated(now, ev.Seat)
+	case DrainStarted:
+		e.draining = true
+	case Ticked:
+	}
+}
+
+func (e *Engine) emit(eff Effect) { e.out = append(e.out, eff) }
--- /dev/null
+++ b/pkg/engine/query.go
@@ -0,0 +1,110 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+// query is one search in flight.
+type query struct {
+	ask      QueryArrived
+	preset   *preset.Preset
+	timer    timer
+	arrival  ident.Instant
+	deadline ident.Instant
+	index    *index
+	version  ident.IndexVersion
+	plans    int
+	tasks    []task // sorted by shard; empty until the first plan
+	open     int    // tasks that run
+	queued   bool
+}
+
+// task is one shard of a query.
+type task struct {
+	shard   *shard
+	state   taskState
+	reason  MissingReason // while missing
+	docs    []Document
+	running []*attempt
+	tried   []*upstream
+}
+
+type taskState uint8
+
+const (
+	taskRunning taskState = iota
+	taskAnswered
+	taskMissing
+)
+
+// attempt is one request to one upstream. It lives until its result arrives,
+// also after it was cancelled, since it occupies a connection.
+type attempt struct {
+	id      ident.AttemptID
+	query   *query // nil once cancelled
+	task    int
+	replica *replica
+	up      *upstream
+	reason  Reason
+	sentAt  ident.Instant
+}
+
+func (e *Engine) arrived(now ident.Instant, ev QueryArrived) {
+	if e.queries[ev.Query] != nil {
+		return // the runtime numbers queries; a second one would get the same answer
+	}
+	q := &query{
+		ask:     ev,
+		preset:  e.preset,
+		arrival: now,
+		index:   e.indexes[ev.Index],
+	}
+	q.timer.query = q
+	budget := q.preset.Limits(ev.Class).DeadlineMillis.Duration()
+	if ev.Budget > 0 {
+		budget = min(budget, ev.Budget)
+	}
+	q.deadline = now.Add(budget - min(replyMargin, budget/replyMarginShare))
+	e.queries[ev.Query] = q
+	switch {
+	case e.draining:
+		e.refuse(q, "this host is shutting down: send the request to another entry host")
+	case e.seat == SeatNone:
+		e.refuse(q, "this host has no connection seat: send the request to another entry host")
+	case q.index == nil || len(q.index.shards) == 0:
+		e.refuse(q, "index "+string(ev.Index)+" has no shard in the configuration: name one that exists")
+	case budget <= 0:
+		e.refuse(q, "the deadline has passed: give the request more time")
+	default:
+		e.arm(&q.timer, q.deadline)
+		e.enqueue(now, q)
+	}
+}
+
+func (e *Engine) callerGone(now ident.Instant, id ident.QueryID) {
+	q := e.queries[id]
+	switch {
+	case q == nil:
+	case q.plans == 0:
+		e.refuse(q, "the caller went away before anything was sent")
+	default:
+		e.finish(now, q, MissingTimedOut, "the caller went away: send the request again")
+	}
+}
+
+// queryDue handles the timer of a query.
+func (e *Engine) queryDue(now ident.Instant, q *query) {
+	switch {
+	case now < q.deadline:
+		e.arm(&q.timer, q.deadline)
+	case q.plans == 0:
+		e.refuse(q, "nothing was sent before the deadline: send the request again later or give it more time")
+	default:
+		e.finish(now, q, MissingTimedOut, "")
+	}
+}
+
+func (q *query) remaining(now ident.Instant) time.Duration { return q.deadline.Sub(now) }
