Add the link between processes and its messages

Change: internal/link serves and makes unary calls and server streams over drpc with a CBOR encoding, connection reuse, deadlines that reach the handler, bounded messages and connections, mutual TLS with reload, and plaintext only on loopback unless allowed.

Before: no package.

--- /dev/null
+++ b/internal/keys/load.go
@@ -0,0 +1,173 @@
+// Package keys loads and checks the certificates of hosts and makes test
+// certificates. All files are PEM.
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Files names the files of one host. The zero value means plaintext.
+type Files struct {
+	// Cert is the host's certificate, followed by intermediate ones if any.
+	Cert string
+	// Key is the private key of the host's certificate.
+	Key string
+	// CA is the certificate of the authority that peers are checked with.
+	CA string
+}
+
+// Set reports whether any file is named.
+func (f Files) Set() bool { return f != Files{} }
+
+// Kind is the kind of fault of a certificate.
+type Kind string
+
+// The kinds of fault of a certificate.
+const (
+	Missing Kind = "Missing"
+	Wrong   Kind = "Wrong"
+	Expired Kind = "Expired"
+)
+
+// Error is a fault of a certificate or key.
+type Error struct {
+	Kind Kind
+	// Item is the file or the peer that the fault is about.
+	Item   string
+	Remedy string
+	cause  error
+}
+
+// Error names the fault and its remedy.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("certificate of %s is %s: %s", e.Item, kindText[e.Kind], e.Remedy)
+	if e.cause != nil {
+		text += " (" + e.cause.Error() + ")"
+	}
+	return text
+}
+
+// Unwrap returns the cause, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+var kindText = map[Kind]string{
+	Missing: "missing",
+	Wrong:   "wrong",
+	Expired: "expired or not yet valid",
+}
+
+// NewError returns an *Error. The cause may be nil.
+func NewError(kind Kind, item, remedy string, cause error) *Error {
+	return &Error{
+		Kind:   kind,
+		Item:   item,
+		Remedy: remedy,
+		cause:  cause,
+	}
+}
+
+// Loaded is a checked certificate with its key and the authority for peers.
+type Loaded struct {
+	Cert tls.Certificate
+	CA   *x509.CertPool
+}
+
+// Load reads and checks the files of a host at time now. Errors are of type *Error.
+func Load(f Files, now time.Time) (*Loaded, error) {
+	for _, item := range []struct{ name, file string }{{"Cert", f.Cert}, {"Key", f.Key}, {"CA", f.CA}} {
+		if item.file == "" {
+			return nil, NewError(Missing, "setting "+item.name, "name all of the certificate, key and CA files, or none for plaintext", nil)
+		}
+	}
+	certPEM, err := read(f.Cert)
+	if err != nil {
+		return nil, err
+	}
+	keyPEM, err := read(f.Key)
+	if err != nil {
+		return nil, err
+	}
+	caPEM, err := read(f.CA)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := tls.X509KeyPair(certPEM, keyPEM)
+	if err != nil {
+		return nil, NewError(Wrong, f.Cert, "make the certificate again together with its key", err)
+	}
+	authority, err := parseCA(f.CA, caPEM, now)
+	if err != nil {
+		return nil, err
+	}
+	loaded := &Loaded{
+		Cert: cert,
+		CA:   x509.NewCertPool(),
+	}
+	loaded.CA.AddCert(authority)
+	return loaded, loaded.check(f, now)
+}
+
+// Expiry returns the time after which the certificate is not valid.
+func (l *Loaded) Expiry() time.Time { return l.Cert.Leaf.NotAfter }
+
+func (l *Loaded) check(f Files, now time.Time) error {
+	leaf := l.Cert.Leaf
+	if now.After(leaf.NotAfter) || now.Before(leaf.NotBefore) {
+		return NewError(Expired, f.Cert, "issue a new certificate and check the clock",
+			errors.Errorf("valid from %s to %s", leaf.NotBefore.Format(time.RFC3339), leaf.NotAfter.Format(time.RFC3339)))
+	}
+	between := x509.NewCertPool()
+	for _, der := range l.Cert.Certificate[1:] {
+		if c, err := x509.ParseCertificate(der); err == nil {
+			between.AddCert(c)
+		}
+	}
+	for _, usage := range []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth} {
+		_, err := leaf.Verify(x509.VerifyOptions{
+			Roots:         l.CA,
+			Intermediates: between,
+			CurrentTime:   now,
+			KeyUsages:     []x509.ExtKeyUsage{usage},
+		})
+		if err != nil {
+			return NewError(Wrong, f.Cert, "issue it by the authority in "+f.CA+" for servers and clients", err)
+		}
+	}
+	return nil
+}
+
+func parseCA(file string, data []byte, now time.Time) (*x509.Certificate, error) {
+	block, _ := pem.Decode(data)
+	if block == nil || block.Type != "CERTIFICATE" {
+		return nil, NewError(Wrong, file, "give a PEM file with the certificate of the authority", nil)
+	}
+	ca, err := x509.ParseCertificate(block.Bytes)
+	if err != nil {
+		return nil, NewError(Wrong, file, "give a PEM file with the certificate of the authority", err)
+	}
+	if !ca.IsCA {
+		return nil, NewError(Wrong, file, "give the certificate of the authority, not that of a host", nil)
+	}
+	if now.After(ca.NotAfter) || now.Before(ca.NotBefore) {
+		return nil, NewError(Expired, file, "make a new authority and issue all certificates again", nil)
+	}
+	return ca, nil
+}
+
+func read(file string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	switch {
+	case os.IsNotExist(err):
+		return nil, NewError(Missing, file, "create it with the keys command or correct the setting", err)
+	case err != nil:
+		return nil, NewError(Wrong, file, "make it readable for this process", err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,163 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcerr"
+	"storj.io/drpc/drpcmetadata"
+	"storj.io/drpc/drpcserver"
+)
+
+// remainingKey is the metadata key for the microseconds left to the caller's deadline.
+const remainingKey = "remaining-micros"
+
+// Server serves calls and streams.
+type Server struct {
+	cfg     Config
+	ring    *ring
+	methods map[string]method
+	stats   Stats
+}
+
+type method func(drpc.Stream, encoding) error
+
+// NewServer returns a server without methods. With certificates configured
+// the error is a *keys.Error.
+func NewServer(cfg Config) (*Server, error) {
+	cfg = cfg.withDefaults()
+	r, err := newRing(cfg)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{
+		cfg:     cfg,
+		ring:    r,
+		methods: make(map[string]method),
+	}, nil
+}
+
+// Stats returns the counters of the server's traffic.
+func (s *Server) Stats() *Stats { return &s.stats }
+
+// Handle registers fn for unary calls of name. It is called before Serve.
+// The context ends at the caller's deadline or when the connection breaks.
+func Handle[In, Out any](s *Server, name string, fn func(context.Context, *In) (*Out, error)) {
+	s.methods[name] = func(stream drpc.Stream, enc encoding) error {
+		in := new(In)
+		if err := stream.MsgRecv(in, enc); err != nil {
+			return drpcerr.WithCode(err, codeMalformed)
+		}
+		ctx, cancel := withRemaining(stream.Context())
+		defer cancel()
+		out, err := fn(ctx, in)
+		if err != nil {
+			return handlerError(ctx, err)
+		}
+		return send(stream, enc, out)
+	}
+}
+
+// HandleStream registers fn for streams of name. It is called before Serve.
+// The stream ends when fn returns; send fails when the connection is broken.
+func HandleStream[In, Out any](s *Server, name string, fn func(ctx context.Context, in *In, send func(*Out) error) error) {
+	s.methods[name] = func(stream drpc.Stream, enc encoding) error {
+		in := new(In)
+		if err := stream.MsgRecv(in, enc); err != nil {
+			return drpcerr.WithCode(err, codeMalformed)
+		}
+		ctx, cancel := withRemaining(stream.Context())
+		defer cancel()
+		return handlerError(ctx, fn(ctx, in, func(out *Out) error { return send(stream, enc, out) }))
+	}
+}
+
+func handlerError(ctx context.Context, err error) error {
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return drpcerr.WithCode(err, codeTimedOut)
+	}
+	return err
+}
+
+func send(stream drpc.Stream, enc encoding, out any) error {
+	err := stream.MsgSend(out, enc)
+	if errors.Is(err, errTooLarge) {
+		return drpcerr.WithCode(err, codeAnswerTooBig)
+	}
+	return err
+}
+
+func withRemaining(ctx context.Context) (context.Context, context.CancelFunc) {
+	meta, _ := drpcmetadata.Get(ctx)
+	micros, err := strconv.ParseInt(meta[remainingKey], 10, 64)
+	if err != nil || micros <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(micros)*time.Microsecond)
+}
+
+// Serve serves connections of lis until ctx ends, then closes all connections
+// and waits for the handlers. It closes lis.
+func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
+	if s.ring == nil && !s.cfg.AllowPlain && !isLoopback(lis.Addr().String()) {
+		_ = lis.Close()
+		return call{address: lis.Addr().String(), method: "listen"}.fail(Insecure, nil)
+	}
+	opts := s.cfg.manager()
+	opts.InactivityTimeout = serverIdle
+	srv := drpcserver.NewWithOptions(handler{s}, drpcserver.Options{
+		Manager: opts,
+		Log:     func(err error) { s.cfg.Log.Debug("connection ended", "error", err) },
+	})
+	return errors.Wrap(srv.Serve(ctx, &listener{
+		Listener: lis,
+		server:   s,
+		slots:    make(chan struct{}, s.cfg.MaxConns),
+	}), "link server stopped: restart the process")
+}
+
+type handler struct{ s *Server }
+
+// HandleRPC implements drpc.Handler.
+func (h handler) HandleRPC(stream drpc.Stream, rpc string) error {
+	fn, ok := h.s.methods[rpc]
+	if !ok {
+		return drpcerr.WithCode(errors.Errorf("method %q is not served", rpc), codeUnimplemented)
+	}
+	return fn(stream, encoding{max: h.s.cfg.MaxMessage})
+}
+
+// Peer describes the caller of a handler.
+type Peer struct {
+	// Address is the remote IP:port of the connection.
+	Address string
+	// Host and Role are the common name and organizational unit of the
+	// caller's certificate; empty in plaintext.
+	Host string
+	Role string
+}
+
+// PeerOf returns the caller of the handler that got ctx.
+func PeerOf(ctx context.Context) Peer {
+	tr, _ := drpcctx.Transport(ctx)
+	conn, ok := tr.(*slotConn)
+	if !ok {
+		return Peer{}
+	}
+	p := Peer{Address: conn.RemoteAddr().String()}
+	if t, ok := conn.Conn.(*tls.Conn); ok {
+		if certs := t.ConnectionState().PeerCertificates; len(certs) > 0 {
+			p.Host = certs[0].Subject.CommonName
+			if units := certs[0].Subject.OrganizationalUnit; len(units) > 0 {
+				p.Role = units[0]
+			}
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/proto/message.go
@@ -0,0 +1,154 @@
+package proto
+
+import (
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+	"github.com/jujubethread/jujubethread/pkg/spread"
+)
+
+// Peer is a message between control hosts. Its payload is opaque to the link.
+type Peer struct {
+	From    ident.HostID `json:"From"`
+	Payload []byte       `json:"Payload"`
+}
+
+// PeerAnswer is the answer to a Peer message; the payload may be empty.
+type PeerAnswer struct {
+	Payload []byte `json:"Payload,omitempty"`
+}
+
+// Watch subscribes to the configuration after version Have.
+type Watch struct {
+	From ident.HostID        `json:"From"`
+	Have ident.ConfigVersion `json:"Have"`
+	// Digest is the digest of the state at Have; zero asks for a full copy.
+	Digest uint64 `json:"Digest"`
+}
+
+// Pull asks once for the configuration after version Have.
+type Pull struct {
+	From   ident.HostID        `json:"From"`
+	Have   ident.ConfigVersion `json:"Have"`
+	Digest uint64              `json:"Digest"`
+}
+
+// Update is one message of a watch or pull stream. Without Deltas and Part it
+// only shows that the source is alive and at Version.
+type Update struct {
+	// Version is the newest version of the source.
+	Version ident.ConfigVersion `json:"Version"`
+	Deltas  []spread.Delta      `json:"Deltas,omitempty"`
+	Part    *CopyPart           `json:"Part,omitempty"`
+}
+
+// CopyPart is one part of a full copy. The parts of a copy follow each other
+// in a stream without another message between them.
+type CopyPart struct {
+	Version ident.ConfigVersion `json:"Version"`
+	Digest  uint64              `json:"Digest"`
+	// InForce, Presets and Seats are set in the first part only.
+	InForce   preset.Name       `json:"InForce,omitempty"`
+	Presets   []preset.Preset   `json:"Presets,omitempty"`
+	Seats     int               `json:"Seats,omitempty"`
+	Upstreams []config.Upstream `json:"Upstreams,omitempty"`
+	First     bool              `json:"First,omitempty"`
+	Last      bool              `json:"Last,omitempty"`
+}
+
+// VersionQuery asks for the version of the configuration in force.
+type VersionQuery struct{}
+
+// VersionAnswer is the version of the configuration in force.
+type VersionAnswer struct {
+	Version ident.ConfigVersion `json:"Version"`
+	Digest  uint64              `json:"Digest"`
+}
+
+// Heartbeat tells the control leader that an entry host is alive.
+type Heartbeat struct {
+	Host   ident.HostID `json:"Host"`
+	Domain ident.Domain `json:"Domain"`
+	// Boot differs between two processes of the same host.
+	Boot uint64 `json:"Boot"`
+	// Address is where the host serves the configuration to its peers.
+	Address string              `json:"Address"`
+	Version ident.ConfigVersion `json:"Version"`
+	// Holds tells that the host's lease of seat Seat still runs.
+	Holds bool `json:"Holds,omitempty"`
+	Seat  int  `json:"Seat,omitempty"`
+	// Leaving gives the seat back.
+	Leaving bool `json:"Leaving,omitempty"`
+	// PeersDigest is that of the last list of peers received.
+	PeersDigest uint64 `json:"PeersDigest,omitempty"`
+}
+
+// HeartbeatAnswer is the leader's answer to a Heartbeat.
+type HeartbeatAnswer struct {
+	// Leader is the address of the leader when the asked host is not the
+	// leader; empty when the heartbeat was taken.
+	Leader string `json:"Leader,omitempty"`
+	// Taken is false when the asked host is not the leader.
+	Taken bool `json:"Taken"`
+	// Granted tells that the host holds Seat for LeaseMillis from the time at
+	// which it sent the heartbeat.
+	Granted     bool                `json:"Granted,omitempty"`
+	Seat        int                 `json:"Seat,omitempty"`
+	LeaseMillis ident.Millis        `json:"LeaseMillis,omitempty"`
+	Version     ident.ConfigVersion `json:"Version"`
+	// Peers is a bounded list of live peers; sent when PeersDigest differs.
+	Peers       []PeerHost `json:"Peers,omitempty"`
+	PeersDigest uint64     `json:"PeersDigest,omitempty"`
+}
+
+// PeerHost names an entry host that serves the configuration.
+type PeerHost struct {
+	Host    ident.HostID `json:"Host"`
+	Domain  ident.Domain `json:"Domain"`
+	Address string       `json:"Address"`
+}
+
+// Reserve asks for the right to send a filing once; see ledger.Reserve.
+type Reserve struct {
+	Request  ident.RequestID `json:"Request"`
+	BodyHash ledger.BodyHash `json:"BodyHash"`
+	Host     ident.HostID    `json:"Host"`
+	Attempt  uint64          `json:"Attempt"`
+}
+
+// Complete records the outcome of a filing; see ledger.Complete.
+type Complete struct {
+	Request ident.RequestID `json:"Request"`
+	Fence   uint64          `json:"Fence"`
+	Receipt string          `json:"Receipt,omitempty"`
+}
+
+// Release gives a reservation back; see ledger.Release.
+type Release struct {
+	Request ident.RequestID `json:"Request"`
+	Fence   uint64          `json:"Fence"`
+}
+
+// FilingAnswer is the answer to Reserve, Complete and Release.
+type FilingAnswer struct {
+	// Kind says whether Result counts.
+	Kind   FilingKind    `json:"Kind"`
+	Result ledger.Result `json:"Result"`
+	// Leader is the address of the leader, if known and not the asked host.
+	Leader string `json:"Leader,omitempty"`
+	Remedy string `json:"Remedy,omitempty"`
+}
+
+// FilingKind says how far a filing command got.
+type FilingKind string
+
+// The kinds of answer to a filing command.
+const (
+	// FilingApplied says that the command is in the replicated log and applied.
+	FilingApplied FilingKind = "Applied"
+	// FilingNotRun says that the command will never be applied.
+	FilingNotRun FilingKind = "NotRun"
+	// FilingUnknown says that the command may or may not be applied; send it again.
+	FilingUnknown FilingKind = "Unknown"
+)
