--- /dev/null
+++ b/internal/wire/error.go
@@ -0,0 +1,68 @@
+package wire
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// ErrorKind says what is wrong with a body or header.
+type ErrorKind string
+
+// The kinds of decoding errors.
+const (
+	TooLarge     ErrorKind = "TooLarge"
+	BadSyntax    ErrorKind = "BadSyntax"
+	UnknownField ErrorKind = "UnknownField"
+	BadValue     ErrorKind = "BadValue"
+	ReadFailed   ErrorKind = "ReadFailed" // the connection failed before the body was complete
+)
+
+// Error is the error of every decoder of this package.
+type Error struct {
+	Kind ErrorKind
+	// Body is the name of the type that was decoded.
+	Body string
+	// Field is the field or header at fault; empty when the whole body is.
+	Field string
+	// Problem says what is wrong, Remedy what to do.
+	Problem string
+	Remedy  string
+	Cause   error
+}
+
+// Error names the body, the field, the problem and the remedy.
+func (e *Error) Error() string {
+	at := e.Body
+	if e.Field != "" {
+		at += "." + e.Field
+	}
+	return fmt.Sprintf("%s %s: %s", at, e.Problem, e.Remedy)
+}
+
+// Unwrap returns the underlying error, if any.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Status returns the HTTP status that tells the sender of the fault.
+func (e *Error) Status() int {
+	if e.Kind == TooLarge {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+func badValue(body, field, problem, remedy string) *Error {
+	return &Error{
+		Kind:    BadValue,
+		Body:    body,
+		Field:   field,
+		Problem: problem,
+		Remedy:  remedy,
+	}
+}
+
+func shown(value string) string {
+	if len(value) > maxShownBytes {
+		value = value[:maxShownBytes] + "..."
+	}
+	return fmt.Sprintf("%q", value)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -70,7 +70,7 @@
 }
 
 // LeafError is the body of every upstream answer that is not 200. With any
-// Kind the upstream did not run the request.
+// Kind a filing did not run; a search with the kind TimedOut may have started.
 type LeafError struct {
 	Kind   engine.FailKind `json:"Kind"`
 	Remedy string          `json:"Remedy"`
