leaf, synth, shape: add stand-in upstreams and example deployments

Cause: no path could be tried without upstreams to ask. Conclusion: a whole path from caller to upstream can be built on these.

--- /dev/null
+++ b/internal/leaf/control.go
@@ -0,0 +1,88 @@
+package leaf
+
+import (
+	"net/http"
+
+	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// Paths of the control listener. Each POST answers the Stats after the change.
+const (
+	PathStats    = "/control/stats"    // GET, answers Stats
+	PathFilings  = "/control/filings"  // GET, answers a list of Filed
+	PathFaults   = "/control/faults"   // GET and POST Faults
+	PathDrain    = "/control/drain"    // POST Switch
+	PathCold     = "/control/cold"     // POST Switch; On starts a cold start
+	PathVersions = "/control/versions" // POST VersionChange
+	PathShards   = "/control/shards"   // POST ShardChange
+)
+
+// Switch turns something on or off.
+type Switch struct {
+	On bool `json:"On"`
+}
+
+// VersionChange adds and drops index versions; zero means none.
+type VersionChange struct {
+	Add  ident.IndexVersion `json:"Add,omitempty"`
+	Drop ident.IndexVersion `json:"Drop,omitempty"`
+}
+
+// ShardChange adds and drops shards; empty means none.
+type ShardChange struct {
+	Hold ident.Shard `json:"Hold,omitempty"`
+	Drop ident.Shard `json:"Drop,omitempty"`
+}
+
+const maxControlBytes = 64 << 10
+
+func (l *Leaf) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathStats, func(w http.ResponseWriter, _ *http.Request) {
+		_ = wire.Reply(w, http.StatusOK, l.Stats())
+	})
+	mux.HandleFunc("GET "+PathFilings, func(w http.ResponseWriter, _ *http.Request) {
+		_ = wire.Reply(w, http.StatusOK, l.Filings())
+	})
+	mux.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) {
+		_ = wire.Reply(w, http.StatusOK, l.Faults())
+	})
+	mux.HandleFunc("POST "+PathFaults, change(l, l.SetFaults))
+	mux.HandleFunc("POST "+PathDrain, change(l, func(s Switch) { l.Drain(s.On) }))
+	mux.HandleFunc("POST "+PathCold, change(l, func(s Switch) {
+		if s.On {
+			l.Chill()
+		}
+	}))
+	mux.HandleFunc("POST "+PathVersions, change(l, func(v VersionChange) {
+		if v.Add != 0 {
+			l.AddVersion(v.Add)
+		}
+		if v.Drop != 0 {
+			l.DropVersion(v.Drop)
+		}
+	}))
+	mux.HandleFunc("POST "+PathShards, change(l, func(s ShardChange) {
+		if s.Hold != "" {
+			l.HoldShard(s.Hold)
+		}
+		if s.Drop != "" {
+			l.DropShard(s.Drop)
+		}
+	}))
+	return mux
+}
+
+// change decodes a body strictly, applies it and answers the stats.
+func change[T any](l *Leaf, apply func(T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body T
+		if err := wire.Strict(r.Body, maxControlBytes, &body); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		apply(body)
+		_ = wire.Reply(w, http.StatusOK, l.Stats())
+	}
+}
--- /dev/null
+++ b/internal/leaf/leaf_test.go
@@ -0,0 +1,346 @@
+package leaf_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/jujubethread/jujubethread/internal/leaf"
+	"github.com/jujubethread/jujubethread/internal/synth"
+	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type rig struct {
+	*leaf.Leaf
+	t      *testing.T
+	client *http.Client
+	stop   func()
+}
+
+// start runs an upstream until the test ends; edit may change its settings.
+func start(t *testing.T, edit func(*leaf.Config)) *rig {
+	t.Helper()
+	cfg := leaf.Config{
+		Upstream: config.Upstream{
+			ID:        "a-1-1",
+			Address:   "127.0.0.1:0",
+			Index:     "a",
+			Service:   "a-1",
+			Shards:    []ident.Shard{"a/1"},
+			Slots:     2,
+			ConnLimit: 20,
+			Phase:     config.Active,
+		},
+		Control:  "127.0.0.1:0",
+		Seed:     1,
+		Versions: []ident.IndexVersion{1, 2},
+		Waiting:  2,
+	}
+	if edit != nil {
+		edit(&cfg)
+	}
+	l, err := leaf.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	r := &rig{
+		Leaf:   l,
+		t:      t,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50}},
+	}
+	r.stop = func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("Run returned %v", err)
+		}
+		ended <- nil
+	}
+	t.Cleanup(func() {
+		r.client.CloseIdleConnections()
+		r.stop()
+	})
+	return r
+}
+
+func ask() wire.LeafSearch {
+	return wire.LeafSearch{
+		Request: "r-1",
+		Attempt: 9,
+		Index:   "a",
+		Shard:   "a/1",
+		Version: 2,
+		Terms:   "candidate 17",
+		Class:   preset.Critical,
+	}
+}
+
+// post sends a body and returns the status and the body of the answer. Status
+// 0 stands for a connection that broke.
+func (r *rig) post(ctx context.Context, path string, body any) (int, []byte) {
+	doc, err := wire.Encode(body)
+	if err != nil {
+		r.t.Error(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address()+path, bytes.NewReader(doc))
+	if err != nil {
+		r.t.Error(err)
+	}
+	res, err := r.client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer res.Body.Close()
+	got, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	if err != nil {
+		return 0, got
+	}
+	return res.StatusCode, got
+}
+
+func (r *rig) search(s wire.LeafSearch) (int, []byte) {
+	return r.post(context.Background(), wire.PathLeafSearch, s)
+}
+
+func kindOf(t *testing.T, doc []byte) engine.FailKind {
+	t.Helper()
+	e, err := wire.DecodeLeafError(bytes.NewReader(doc))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e.Kind
+}
+
+// until waits for a state that the upstream reaches on its own.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not happen within 10 s", what)
+		}
+	}
+}
+
+// Guards against answers that differ from the document function and against
+// versions or shards served that are not held.
+func TestAnswersFollowHeldVersions(t *testing.T) {
+	is := is.New(t)
+	r := start(t, nil)
+	status, doc := r.search(ask())
+	is.Equal(status, http.StatusOK)
+	a, err := wire.DecodeAnswer(bytes.NewReader(doc))
+	is.NoErr(err)
+	is.Equal(a.Request, ident.RequestID("r-1"))
+	is.Equal(a.Attempt, ident.AttemptID(9))
+	is.Equal(a.Documents, synth.Documents(1, "a/1", 2, "candidate 17", 0))
+	is.Equal(a.Held, []engine.Held{{Shard: "a/1", Versions: []ident.IndexVersion{1, 2}}})
+
+	r.AddVersion(3)
+	r.DropVersion(2)
+	status, doc = r.search(ask())
+	is.Equal(status, http.StatusConflict)
+	e, err := wire.DecodeLeafError(bytes.NewReader(doc))
+	is.NoErr(err)
+	is.Equal(e.Kind, engine.VersionGone)
+	is.Equal(e.Held[0].Versions, []ident.IndexVersion{1, 3})
+
+	r.HoldShard("a/2")
+	r.DropShard("a/1")
+	_, doc = r.search(ask())
+	is.Equal(kindOf(t, doc), engine.WrongShard)
+}
+
+// Guards against a queue without bound, and against requests that run although
+// their sender left or their deadline passed.
+func TestSlotsQueueAndCancellation(t *testing.T) {
+	is := is.New(t)
+	r := start(t, func(c *leaf.Config) { c.Service.Median = time.Hour })
+	ended := make(chan int, 4)
+	// two sends two searches and returns a function that cancels them.
+	two := func() func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		for range 2 {
+			go func() {
+				status, _ := r.post(ctx, wire.PathLeafSearch, ask())
+				ended <- status
+			}()
+		}
+		return cancel
+	}
+	cancelRunning := two()
+	until(t, "two runs", func() bool { return r.Stats().Running == 2 })
+	cancelWaiting := two()
+	until(t, "full queue", func() bool { return r.Stats().Waiting == 2 })
+	status, doc := r.search(ask())
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(kindOf(t, doc), engine.Shed)
+	cancelWaiting()
+	until(t, "cancellation of those that wait", func() bool { return r.Stats().Cancelled == 2 })
+	is.Equal(r.Stats().Runs, uint64(2)) // those that waited never ran
+	cancelRunning()
+	until(t, "cancellation of those that run", func() bool { return r.Stats().Cancelled == 4 })
+	for range 4 {
+		<-ended
+	}
+	is.Equal(r.Stats().Running+r.Stats().Waiting, 0)
+	late := ask()
+	late.RemainingMicros = 1_000
+	status, doc = r.search(late)
+	is.Equal(status, http.StatusGatewayTimeout)
+	is.Equal(kindOf(t, doc), engine.TimedOut)
+}
+
+// Guards against a connection limit that is not enforced or not counted.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	r := start(t, func(c *leaf.Config) { c.Upstream.ConnLimit = 2 })
+	var open []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", r.Address())
+		is.NoErr(err)
+		open = append(open, c)
+	}
+	until(t, "two connections", func() bool { return r.Stats().OpenConns == 2 })
+	c, err := net.Dial("tcp", r.Address())
+	if err == nil {
+		_, err = c.Read(make([]byte, 1))
+		c.Close()
+	}
+	is.True(err != nil && !errors.Is(err, io.EOF)) // reset, not closed in order
+	s := r.Stats()
+	is.Equal(s.RefusedConns, uint64(1))
+	is.Equal(s.PeakConns, 3)
+	for _, c := range open {
+		c.Close()
+	}
+	until(t, "closed connections", func() bool { return r.Stats().OpenConns == 0 })
+}
+
+// Guards against a drain that starts new work or breaks what runs.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	r := start(t, func(c *leaf.Config) { c.Service.Median = 100 * time.Millisecond })
+	ended := make(chan int, 1)
+	go func() {
+		status, _ := r.search(ask())
+		ended <- status
+	}()
+	until(t, "a run", func() bool { return r.Stats().Running == 1 })
+	r.Drain(true)
+	_, doc := r.search(ask())
+	is.Equal(kindOf(t, doc), engine.Draining)
+	r.client.CloseIdleConnections()
+	r.stop()
+	is.Equal(<-ended, http.StatusOK)
+}
+
+// Guards against filings that are cancelled in the middle or counted wrongly.
+func TestFilingsRunToTheEnd(t *testing.T) {
+	is := is.New(t)
+	r := start(t, func(c *leaf.Config) { c.Service.Median = 20 * time.Millisecond })
+	file := wire.LeafFile{
+		Request: "f-1",
+		Fence:   4,
+		Shard:   "a/1",
+		Body:    "letter",
+	}
+	status, doc := r.post(context.Background(), wire.PathLeafFile, file)
+	is.Equal(status, http.StatusOK)
+	got, err := wire.DecodeLeafFiled(bytes.NewReader(doc))
+	is.NoErr(err)
+	is.Equal(got.Fence, uint64(4))
+	r.SetFaults(leaf.Faults{LostAnswer: 1})
+	status, _ = r.post(context.Background(), wire.PathLeafFile, file)
+	is.Equal(status, 0)
+	is.Equal(r.Filings()[0], leaf.Filed{Request: "f-1", Runs: 2})
+}
+
+// Guards against faults that do not show at the sender: each must give an
+// answer that differs from the right one.
+func TestFaultsShow(t *testing.T) {
+	r := start(t, nil)
+	right := engine.Answer{
+		Request:   "r-1",
+		Attempt:   9,
+		Shard:     "a/1",
+		Version:   2,
+		Documents: synth.Documents(1, "a/1", 2, "candidate 17", 0),
+	}
+	for _, f := range []leaf.Faults{
+		{ShedFraction: 1},
+		{WrongID: 1},
+		{WrongAttempt: 1},
+		{WrongVersion: 1},
+		{WrongShard: 1},
+		{SilentLie: 1},
+		{Malformed: 1},
+		{Endless: 1},
+		{Drip: 1},
+		{Lost: true},
+		{LostAnswer: 1},
+		{Killed: true},
+	} {
+		is := is.New(t)
+		r.SetFaults(f)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		_, doc := r.post(ctx, wire.PathLeafSearch, ask())
+		cancel()
+		got, err := wire.DecodeAnswer(bytes.NewReader(doc))
+		got.Held = nil
+		same, _ := wire.Encode(got)
+		want, _ := wire.Encode(right)
+		if err == nil && bytes.Equal(same, want) {
+			t.Errorf("faults %+v do not show", f)
+		}
+		r.SetFaults(leaf.Faults{})
+		status, _ := r.search(ask())
+		is.Equal(status, http.StatusOK) // faults end when they are taken back
+	}
+}
+
+// Guards against a control path that takes a field it does not know, or that
+// does not act.
+func TestControlPath(t *testing.T) {
+	is := is.New(t)
+	r := start(t, func(c *leaf.Config) { c.Cold = time.Hour })
+	send := func(path, body string) int {
+		res, err := r.client.Post("http://"+r.ControlAddress()+path, "application/json", bytes.NewBufferString(body))
+		is.NoErr(err)
+		defer res.Body.Close()
+		return res.StatusCode
+	}
+	is.Equal(send(leaf.PathFaults, `{"Slow":1}`), http.StatusBadRequest)
+	is.Equal(send(leaf.PathFaults, `{"ShedFraction":0.5}`), http.StatusOK)
+	is.Equal(r.Faults(), leaf.Faults{ShedFraction: 0.5})
+	is.Equal(send(leaf.PathVersions, `{"Add":5,"Drop":1}`), http.StatusOK)
+	health := func() wire.LeafHealth {
+		res, err := r.client.Get("http://" + r.Address() + wire.PathLeafHealth)
+		is.NoErr(err)
+		defer res.Body.Close()
+		h, err := wire.DecodeLeafHealth(res.Body)
+		is.NoErr(err)
+		return h
+	}
+	is.Equal(health().Held[0].Versions, []ident.IndexVersion{2, 5})
+	is.Equal(health().Health, engine.HealthCold)
+	is.Equal(send(leaf.PathDrain, `{"On":true}`), http.StatusOK)
+	is.Equal(health().Health, engine.HealthDraining)
+	r.SetFaults(leaf.Faults{Misleading: true})
+	is.Equal(health().Health, engine.HealthReady)
+}
