Add route, hedge and limit: the decisions behind each attempt

Cause: the engine sends one attempt per shard without regard to latency, failures, load or connection shares.

Change: route chooses by own latency, outstanding requests and outcomes, ejects after 3 failures in a row for a doubling time, has a panic rule, prefers the own domain and warms up cold upstreams over 10 s. hedge learns a delay per service from a decaying logarithmic histogram. limit has the adaptive limit, the token buckets and the class queues. Each has an Example test and property tests.

Conclusion: the three packages are usable on their own.

--- /dev/null
+++ b/pkg/hedge/hedge.go
@@ -0,0 +1,85 @@
+// Package hedge decides when a slow attempt is sent to a second upstream: a
+// delay learned from recent latencies, a token budget that bounds the extra
+// calls, and suppression while most shards are late at once.
+package hedge
+
+import (
+	"time"
+
+	"github.com/jujubethread/jujubethread/pkg/limit"
+)
+
+const (
+	// floor is the lowest hedge delay. Below it the delay is within the jitter
+	// of one network round trip.
+	floor = time.Millisecond
+
+	// initial is the delay until enough latencies are known.
+	initial = 50 * time.Millisecond
+
+	// minSamples is the number of latencies before the estimate is used.
+	minSamples = 20
+
+	// leastQuantile and mostQuantile bound the quantile that is learned.
+	leastQuantile = 0.95
+	mostQuantile  = 0.995
+
+	// spend is the part of the budget that lateness alone may use up. At the
+	// full budget the bucket would be empty half of the time.
+	spend = 0.8
+
+	// burst is the number of unused hedges that are kept for later.
+	burst = 50
+)
+
+// NewBudget returns a budget of percent hedges per 100 first attempts. It
+// starts empty, so the bound holds from the first attempt on.
+func NewBudget(percent float64) *limit.Bucket { return limit.NewBucket(percent, burst, 0) }
+
+// Delay learns after which time an attempt to one service is late.
+type Delay struct {
+	latencies quantile
+	wanted    float64
+	current   time.Duration
+	stale     int // samples since current was computed
+}
+
+// NewDelay returns a delay for a budget of percent hedges per 100 attempts.
+func NewDelay(percent float64) *Delay {
+	d := &Delay{current: initial}
+	d.SetPercent(percent)
+	return d
+}
+
+// SetPercent sets the hedge budget. The smaller it is, the higher is the
+// quantile that is learned: 0.95 at least, so that hedges stay affordable.
+func (d *Delay) SetPercent(percent float64) {
+	d.wanted = min(mostQuantile, max(leastQuantile, 1-spend*percent/100))
+	d.compute()
+}
+
+// Observe notes a latency. An attempt that was cancelled counts with the time
+// it had taken until then.
+func (d *Delay) Observe(latency time.Duration) {
+	d.latencies.add(latency)
+	if d.stale++; d.stale >= minSamples {
+		d.compute()
+	}
+}
+
+// After returns the time after which an attempt is late.
+func (d *Delay) After() time.Duration { return d.current }
+
+func (d *Delay) compute() {
+	d.stale = 0
+	if d.latencies.total >= minSamples {
+		d.current = max(floor, d.latencies.at(d.wanted))
+	}
+}
+
+// Suppressed reports whether so many of a query's shards are late at once
+// that the cause is overload, which hedges would make worse. A single late
+// shard never suppresses, as an index may have only one.
+func Suppressed(late, shards int, percent float64) bool {
+	return late > 1 && float64(late)*100 > percent*float64(shards)
+}
--- /dev/null
+++ b/pkg/limit/limit_test.go
@@ -0,0 +1,187 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/limit"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+func ExampleAdaptive() {
+	a := limit.NewAdaptive(8)
+	now := ident.Instant(1)
+	a.Overloaded(now)
+	fmt.Println("after shedding:", a.Limit())
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		a.Answered(now, 5*time.Millisecond, a.Limit())
+	}
+	fmt.Println("after answers:", a.Limit())
+	// Output:
+	// after shedding: 5
+	// after answers: 8
+}
+
+func ExampleBucket() {
+	b := limit.NewBucket(10, 5, 0)
+	paid := 0
+	for range 100 {
+		b.Deposit()
+		if b.Take() {
+			paid++
+		}
+	}
+	fmt.Println("extra attempts:", paid)
+	// Output: extra attempts: 10
+}
+
+func ExampleQueue() {
+	q := limit.NewQueue[string](&limit.Counts{})
+	for _, c := range []preset.Class{preset.Tolerant, preset.Critical} {
+		q.Offer(1, &limit.Waiter[string]{
+			Item:     c.String(),
+			Class:    c,
+			Deadline: ident.Instant(time.Second),
+		}, 10, 0)
+	}
+	for w := q.Head(); w != nil; w = q.Head() {
+		q.Admit(2, w)
+		fmt.Println(w.Item)
+	}
+	// Output:
+	// Critical
+	// Tolerant
+}
+
+// Guards against a limit that leaves its bounds after any order of events.
+func TestLimitStaysInBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ceiling := rapid.IntRange(-1, 9).Draw(t, "ceiling")
+		a := limit.NewAdaptive(ceiling)
+		now := ident.Instant(0)
+		for range rapid.IntRange(0, 200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				a.Overloaded(now)
+			case 1:
+				ceiling = rapid.IntRange(-1, 9).Draw(t, "ceiling")
+				a.SetCeiling(ceiling)
+			default:
+				a.Answered(now, time.Duration(rapid.IntRange(0, 100).Draw(t, "ms"))*time.Millisecond, rapid.IntRange(0, 9).Draw(t, "out"))
+			}
+			if n := a.Limit(); n < 1 || n > max(1, ceiling) {
+				t.Fatalf("limit is %d, ceiling %d", n, ceiling)
+			}
+		}
+	})
+}
+
+// Guards against more extra attempts than the budget allows.
+func TestBucketNeverOverspends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		percent := float64(rapid.IntRange(0, 20).Draw(t, "percent"))
+		start := rapid.IntRange(0, 5).Draw(t, "start")
+		b := limit.NewBucket(percent, rapid.IntRange(1, 20).Draw(t, "burst"), start)
+		deposits, takes := 0, 0
+		for range rapid.IntRange(0, 500).Draw(t, "events") {
+			if rapid.IntRange(0, 2).Draw(t, "take") == 0 {
+				if b.Take() {
+					takes++
+				}
+			} else {
+				b.Deposit()
+				deposits++
+			}
+			if float64(takes) > float64(start)+float64(deposits)*percent/100+1e-9 {
+				t.Fatalf("%d takes after %d deposits at %v%%", takes, deposits, percent)
+			}
+		}
+	})
+}
+
+// Guards against a class that overtakes a more important one, an unbounded
+// queue and counts that drift.
+func TestQueueOrderAndBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		counts := &limit.Counts{}
+		q := limit.NewQueue[int](counts)
+		var waiting []*limit.Waiter[int]
+		for i := range rapid.IntRange(1, 100).Draw(t, "events") {
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				if w := q.Head(); w != nil {
+					for _, o := range waiting {
+						if o.Class < w.Class || (o.Class == w.Class && o.Item < w.Item) {
+							t.Fatalf("%v %d overtook %v %d", w.Class, w.Item, o.Class, o.Item)
+						}
+					}
+					q.Admit(ident.Instant(i), w)
+					waiting = without(waiting, w)
+				}
+			case 1:
+				if len(waiting) > 0 {
+					w := waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "which")]
+					q.Remove(w)
+					q.Remove(w)
+					waiting = without(waiting, w)
+				}
+			default:
+				w := &limit.Waiter[int]{
+					Item:     i,
+					Class:    preset.Class(rapid.IntRange(0, 2).Draw(t, "class")),
+					Deadline: ident.Instant(time.Hour),
+				}
+				full := counts[w.Class] >= 4
+				if got := q.Offer(ident.Instant(i), w, 4, 0); (got == limit.Full) != full {
+					t.Fatalf("verdict %v with %d waiting", got, counts[w.Class])
+				}
+				if !full {
+					waiting = append(waiting, w)
+				}
+			}
+			if q.Len() != len(waiting) || counts[0]+counts[1]+counts[2] != len(waiting) {
+				t.Fatalf("length %d, counts %v, want %d", q.Len(), counts, len(waiting))
+			}
+		}
+	})
+}
+
+// Guards against queueing a query that cannot be served in time.
+func TestQueueShedsLate(t *testing.T) {
+	is := is.New(t)
+	q := limit.NewQueue[int](&limit.Counts{})
+	now := ident.Instant(1)
+	offer := func(c preset.Class, left time.Duration) limit.Verdict {
+		return q.Offer(now, &limit.Waiter[int]{
+			Class:    c,
+			Deadline: now.Add(left),
+		}, 1000, 5*time.Millisecond)
+	}
+	for range 60 {
+		is.Equal(offer(preset.Standard, time.Minute), limit.Queued)
+	}
+	for range 50 {
+		now = now.Add(10 * time.Millisecond)
+		q.Admit(now, q.Head())
+	}
+	is.Equal(offer(preset.Standard, 50*time.Millisecond), limit.Late)
+	is.Equal(offer(preset.Tolerant, 50*time.Millisecond), limit.Late)
+	is.Equal(offer(preset.Critical, 50*time.Millisecond), limit.Queued)
+}
+
+func without(list []*limit.Waiter[int], w *limit.Waiter[int]) []*limit.Waiter[int] {
+	var rest []*limit.Waiter[int]
+	for _, o := range list {
+		if o != w {
+			rest = append(rest, o)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/pkg/route/route_test.go
@@ -0,0 +1,195 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/route"
+)
+
+func candidates(n int) []route.Candidate {
+	cands := make([]route.Candidate, n)
+	for i := range cands {
+		cands[i] = route.Candidate{
+			Peer:  &route.Peer{},
+			Limit: 4,
+		}
+	}
+	return cands
+}
+
+func at(d time.Duration) ident.Instant { return ident.Instant(d) }
+
+func ExamplePicker_Pick() {
+	cands := candidates(2)
+	cands[0].Peer.Answered(1, 40*time.Millisecond)
+	cands[1].Peer.Answered(1, 4*time.Millisecond)
+	p := route.NewPicker(1)
+	fmt.Println("fast:", p.Pick(2, cands))
+	for range 3 {
+		cands[1].Peer.Failed(3)
+	}
+	fmt.Println("fast one ejected:", p.Pick(4, cands))
+	cands[0].Peer.Failed(5)
+	cands[0].Peer.Failed(5)
+	cands[0].Peer.Failed(5)
+	fmt.Println("both ejected:", p.Pick(6, cands) >= 0)
+	// Output:
+	// fast: 1
+	// fast one ejected: 0
+	// both ejected: true
+}
+
+// share returns how often each candidate is chosen while nothing else changes.
+func share(now ident.Instant, cands []route.Candidate) []int {
+	p := route.NewPicker(7)
+	counts := make([]int, len(cands))
+	for range 1000 {
+		if i := p.Pick(now, cands); i >= 0 {
+			counts[i]++
+		}
+	}
+	return counts
+}
+
+// Guards against ejections that do not end, do not double, or that doubled
+// for ever.
+func TestEjectionDoublesAndResets(t *testing.T) {
+	is := is.New(t)
+	p := &route.Peer{}
+	now := at(time.Minute)
+	eject := func() time.Duration {
+		for range 3 {
+			p.Failed(now)
+		}
+		return p.Until().Sub(now)
+	}
+	for _, want := range []time.Duration{1, 2, 4, 8, 16, 32, 32} {
+		is.Equal(eject(), want*time.Second)
+		now = p.Until()
+		is.True(!p.Ejected(now))
+	}
+	now = now.Add(2 * time.Minute)
+	is.Equal(eject(), time.Second)
+}
+
+// Guards against failures that are far apart adding up to an ejection.
+func TestFailureWindowResets(t *testing.T) {
+	is := is.New(t)
+	p := &route.Peer{}
+	now := at(time.Minute)
+	for range 10 {
+		p.Failed(now)
+		p.Failed(now)
+		is.True(!p.Ejected(now))
+		now = now.Add(11 * time.Second)
+	}
+}
+
+// Guards against a reported load that outweighs own measurements or is used
+// after it expired.
+func TestLoadBreaksTiesOnly(t *testing.T) {
+	is := is.New(t)
+	cands := candidates(2)
+	now := at(time.Second)
+	for i := range cands {
+		cands[i].Peer.Answered(now, 5*time.Millisecond)
+	}
+	cands[0].Peer.Reported(now, 9)
+	cands[1].Peer.Reported(now, 1)
+	is.Equal(share(now, cands), []int{0, 1000})
+	late := share(now.Add(2*time.Second), cands)
+	is.True(late[0] > 400 && late[1] > 400) // expired: chance decides
+	cands[1].Peer.Sent()
+	is.Equal(share(now, cands), []int{1000, 0}) // own outstanding counts first
+}
+
+// Guards against traffic that leaves its domain without need, and that stays
+// when its domain is full, ejected or much slower.
+func TestOwnDomainFirst(t *testing.T) {
+	is := is.New(t)
+	now := at(time.Second)
+	fresh := func() []route.Candidate {
+		cands := candidates(2)
+		cands[0].Own = true
+		cands[0].Peer.Answered(now, 6*time.Millisecond)
+		cands[1].Peer.Answered(now, 4*time.Millisecond)
+		return cands
+	}
+	is.Equal(share(now, fresh()), []int{1000, 0})
+	full := fresh()
+	for range 4 {
+		full[0].Peer.Sent()
+	}
+	is.Equal(share(now, full), []int{0, 1000})
+	slow := fresh()
+	slow[0].Peer = &route.Peer{}
+	slow[0].Peer.Answered(now, 9*time.Millisecond)
+	is.Equal(share(now, slow), []int{0, 1000})
+	ejected := fresh()
+	for range 3 {
+		ejected[0].Peer.Failed(now)
+	}
+	is.Equal(share(now, ejected), []int{0, 1000})
+}
+
+// Guards against a cold upstream that gets its full share at once, or never.
+func TestSlowStart(t *testing.T) {
+	is := is.New(t)
+	cands := candidates(2)
+	now := at(time.Second)
+	cands[0].Peer.Cold(now)
+	is.True(share(now, cands)[0] < 100)
+	last := 0
+	for s := range 11 {
+		got := share(now.Add(time.Duration(s)*time.Second), cands)[0]
+		is.True(got > last-60) // rises, apart from chance
+		last = got
+	}
+	is.True(last > 400)
+	cands[1].Tried = true
+	is.Equal(share(now, cands)[0], 1000) // nothing else is left
+}
+
+// Guards against a choice that is full or tried, and against no choice while
+// an untried replica has room and no good one is merely full.
+func TestPickIsAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cands := candidates(rapid.IntRange(0, 5).Draw(t, "n"))
+		now := at(time.Minute)
+		free, goodFull := 0, false
+		for i := range cands {
+			c := &cands[i]
+			c.Tried = rapid.Bool().Draw(t, "tried")
+			c.Own = rapid.Bool().Draw(t, "own")
+			for range rapid.IntRange(0, 4).Draw(t, "out") {
+				c.Peer.Sent()
+			}
+			for range rapid.IntRange(0, 4).Draw(t, "fails") {
+				c.Peer.Failed(now)
+			}
+			switch {
+			case c.Tried:
+			case c.Peer.Outstanding() < c.Limit:
+				free++
+			case !c.Peer.Ejected(now):
+				goodFull = true
+			}
+		}
+		i := route.NewPicker(rapid.Uint64().Draw(t, "seed")).Pick(now, cands)
+		if i < 0 {
+			if free > 0 && !goodFull {
+				t.Fatalf("no choice among %d free candidates", free)
+			}
+			return
+		}
+		if c := cands[i]; c.Tried || c.Peer.Outstanding() >= c.Limit {
+			t.Fatalf("candidate %d is tried or full", i)
+		}
+	})
+}
