Add the control tier: log reducer, store and a control host of one member

Cause: nothing replicated or stored the configuration. Conclusion: one member works end to end. Groups of several members are not tested yet.

--- /dev/null
+++ b/internal/ctrl/effect.go
@@ -0,0 +1,189 @@
+package ctrl
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/store"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
+)
+
+// step gives the reducer one event and carries out the effects.
+func (o *owner) step(ev quorum.Event) {
+	for _, e := range o.node.Step(ev) {
+		switch e := e.(type) {
+		case quorum.Send:
+			o.send(e.Message)
+		case quorum.Append:
+			o.jobs = append(o.jobs, job{
+				seq:     e.Seq,
+				hard:    e.Hard,
+				entries: e.Entries,
+			})
+		case quorum.SaveSnapshot:
+			o.jobs = append(o.jobs, job{
+				seq:     e.Seq,
+				hard:    e.Hard,
+				install: &e.Snapshot,
+			})
+		case quorum.Restore:
+			if err := o.parts.restore(e.Snapshot.Data); err != nil {
+				o.fatal = err
+			}
+		case quorum.Apply:
+			o.apply(e)
+		case quorum.Reply:
+			o.reply(e)
+		}
+	}
+	o.compact()
+}
+
+func (o *owner) send(m quorum.Message) {
+	for _, member := range o.node.Status(o.host.now()).Members {
+		if member.ID == m.To {
+			o.host.cfg.Transport.Send(member, m)
+			return
+		}
+	}
+	o.host.cfg.Transport.Send(quorum.Member{ID: m.To}, m)
+}
+
+func (o *owner) apply(a quorum.Apply) {
+	if a.Entry.Kind != quorum.Command {
+		return
+	}
+	data, err := o.parts.apply(a.Entry.Data)
+	if err != nil {
+		o.fatal = errors.Wrapf(err, "entry %d cannot be applied", a.Entry.Index)
+		return
+	}
+	o.answer(a.Proposal, Answer{
+		Kind: config.Accepted,
+		Data: data,
+	})
+}
+
+func (o *owner) reply(r quorum.Reply) {
+	a := Answer{
+		Remedy: r.Reason,
+		Retry:  r.Kind == quorum.NotRun,
+	}
+	switch r.Kind {
+	case quorum.Committed:
+		a.Kind = config.Accepted
+	case quorum.NotRun:
+		a.Kind = config.NotRun
+	case quorum.Unknown:
+		a.Kind = config.Unknown
+	}
+	o.answer(r.Proposal, a)
+}
+
+// compact asks for a snapshot when the log has outgrown the last one.
+func (o *owner) compact() {
+	meta := o.node.Meta()
+	limit := max(o.host.cfg.SnapshotBytes, o.snapSize)
+	if o.freezing || o.fault != nil || o.logBytes < limit || meta.Index <= o.node.Status(o.host.now()).Snapshot {
+		return
+	}
+	o.freezing = true
+	o.jobs = append(o.jobs, job{
+		freeze: o.parts.freeze(),
+		meta:   meta,
+	})
+}
+
+func (o *owner) onDisk(res diskResult) {
+	o.busy = false
+	o.logBytes, o.snapSize = res.logBytes, res.snapSize
+	if res.slow != nil {
+		o.slow = res.slow
+		o.host.log.Warn("disk is slow", "error", res.slow)
+	}
+	if res.err != nil {
+		o.onFault(res.err)
+		return
+	}
+	if res.snapshot != nil {
+		o.freezing = false
+		o.step(quorum.Compacted{
+			Now:      o.host.now(),
+			Snapshot: *res.snapshot,
+		})
+	}
+	o.step(quorum.Synced{
+		Now: o.host.now(),
+		Seq: res.seq,
+	})
+}
+
+// onFault stops taking part until the data folder can be opened again.
+func (o *owner) onFault(err error) {
+	var f *store.Error
+	if !errors.As(err, &f) {
+		o.fatal = err
+		return
+	}
+	o.host.log.Error("disk failed", "error", f)
+	o.fault = f
+	o.reopenAt = o.host.now().Add(reopenPause)
+	o.jobs = nil
+	o.step(quorum.DiskFailed{Now: o.host.now()})
+}
+
+// reopen tries to open the data folder again after a fault. A corrupt folder
+// is beyond repair.
+func (o *owner) reopen() {
+	if o.fault == nil || o.host.now().Before(o.reopenAt) {
+		return
+	}
+	o.reopenAt = o.host.now().Add(reopenPause)
+	_ = o.store.Close()
+	err := o.open()
+	if err == nil {
+		o.host.log.Info("data folder is in use again")
+		o.fault = nil
+		o.startDisk()
+		return
+	}
+	var f *store.Error
+	if !errors.As(err, &f) || f.Kind == store.Corrupt {
+		o.fatal = err
+		return
+	}
+	o.fault = f
+}
+
+func (o *owner) view() view {
+	v := view{
+		quorum:  o.node.Status(o.host.now()),
+		config:  o.parts.config.machine.State,
+		waiting: len(o.waiting),
+		log:     o.logBytes,
+		snap:    o.snapSize,
+	}
+	for _, f := range []*store.Error{o.fault, o.slow} {
+		if f != nil {
+			v.faults = append(v.faults, f)
+		}
+	}
+	return v
+}
+
+func leaderOf(s quorum.Status) (quorum.Member, bool) {
+	if s.Leader == "" || s.Leader == s.ID {
+		return quorum.Member{}, false
+	}
+	return memberOf(s.Members, s.Leader)
+}
+
+func memberOf(members []quorum.Member, id ident.HostID) (quorum.Member, bool) {
+	for _, m := range members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return quorum.Member{}, false
+}
--- /dev/null
+++ b/internal/ctrl/http.go
@@ -0,0 +1,118 @@
+package ctrl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/jujubethread/jujubethread/pkg/config"
+)
+
+// Paths of the operator API.
+const (
+	PathCommands = "/v1/commands" // POST a command, answers config.Outcome
+	PathConfig   = "/v1/config"   // GET, answers config.State
+	PathStatus   = "/v1/status"   // GET, answers Status
+	PathMembers  = "/v1/members"  // POST MembersRequest, answers config.Outcome
+)
+
+func typeName(v any) string { return fmt.Sprintf("%T", v) }
+
+func (h *Host) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathCommands, h.serveCommand)
+	mux.HandleFunc("POST "+PathMembers, h.serveMembers)
+	mux.HandleFunc("GET "+PathConfig, h.serveConfig)
+	mux.HandleFunc("GET "+PathStatus, h.serveStatus)
+	return mux
+}
+
+func (h *Host) serveCommand(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	c, err := ParseCommand(body)
+	if err != nil {
+		writeRefusal(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	writeOutcome(w, h.Command(r.Context(), c))
+}
+
+func (h *Host) serveMembers(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	var m MembersRequest
+	if err := parseStrict(body, &m); err != nil {
+		writeRefusal(w, http.StatusBadRequest, "request cannot be decoded: name one of Add, Remove and Replace: "+err.Error())
+		return
+	}
+	if _, ok := m.change(); !ok {
+		writeRefusal(w, http.StatusBadRequest, "name exactly one of Add, Remove and Replace")
+		return
+	}
+	a := h.Submit(r.Context(), Request{Members: &m})
+	writeOutcome(w, config.Outcome{
+		Kind:   a.Kind,
+		Remedy: a.Remedy,
+	})
+}
+
+func (h *Host) serveConfig(w http.ResponseWriter, r *http.Request) {
+	s, err := h.Config(r.Context())
+	if err != nil {
+		writeRefusal(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, s)
+}
+
+func (h *Host) serveStatus(w http.ResponseWriter, r *http.Request) {
+	s, err := h.Status(r.Context())
+	if err != nil {
+		writeRefusal(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, s)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		writeRefusal(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("body cannot be read or is over %d bytes: %v", maxBody, err))
+		return nil, false
+	}
+	return body, true
+}
+
+func writeRefusal(w http.ResponseWriter, status int, remedy string) {
+	writeJSON(w, status, config.Outcome{
+		Kind:   config.NotRun,
+		Remedy: remedy,
+	})
+}
+
+func writeOutcome(w http.ResponseWriter, out config.Outcome) {
+	status := http.StatusOK
+	switch out.Kind {
+	case config.Accepted:
+	case config.Conflict:
+		status = http.StatusConflict
+	case config.NotRun:
+		status = http.StatusServiceUnavailable
+	case config.Unknown:
+		status = http.StatusGatewayTimeout
+	}
+	writeJSON(w, status, out)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A write error means that the operator has gone; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/ctrl/request.go
@@ -0,0 +1,143 @@
+package ctrl
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/pkg/config"
+)
+
+// Command runs an operator command through the leader and returns its
+// outcome. It waits up to 3 s for a leader.
+func (h *Host) Command(ctx context.Context, c config.Command) config.Outcome {
+	data, err := encoding.Marshal(c)
+	if err != nil {
+		return config.Outcome{
+			Kind:   config.NotRun,
+			Remedy: err.Error(),
+		}
+	}
+	a := h.Submit(ctx, Request{Command: &PartCommand{
+		Part: configName,
+		Data: data,
+	}})
+	if a.Kind != config.Accepted {
+		return config.Outcome{
+			Kind:   a.Kind,
+			Remedy: a.Remedy,
+		}
+	}
+	var out config.Outcome
+	if err := decoding.Unmarshal(a.Data, &out); err != nil {
+		return unknown("the outcome cannot be decoded: " + err.Error())
+	}
+	return out
+}
+
+func unknown(why string) config.Outcome {
+	return config.Outcome{
+		Kind:   config.Unknown,
+		Remedy: why + ": resend the same id",
+	}
+}
+
+// Submit runs a request here or on the leader. A request that did not run is
+// tried again while an election may be under way.
+func (h *Host) Submit(ctx context.Context, r Request) Answer {
+	ctx, cancel := context.WithTimeout(ctx, commandWait)
+	defer cancel()
+	for {
+		a := h.route(ctx, r)
+		if a.Kind != config.NotRun || !a.Retry {
+			return a
+		}
+		pause := time.NewTimer(leaderPoll)
+		select {
+		case <-ctx.Done():
+			pause.Stop()
+			return a
+		case <-pause.C:
+		}
+	}
+}
+
+// route runs a request here if this member leads, else on the leader.
+func (h *Host) route(ctx context.Context, r Request) Answer {
+	v, err := h.view(ctx)
+	if err != nil {
+		return notRun(err.Error())
+	}
+	leader, ok := leaderOf(v.quorum)
+	if !ok {
+		return h.Local(ctx, r)
+	}
+	a, err := h.cfg.Transport.Forward(ctx, leader, r)
+	var unsent *NotSentError
+	switch {
+	case errors.As(err, &unsent):
+		return notRun(err.Error())
+	case err != nil:
+		return Answer{
+			Kind:   config.Unknown,
+			Remedy: "the answer of the leader was lost: resend the same id: " + err.Error(),
+		}
+	}
+	return a
+}
+
+// Local runs a request on this member only; it is what Transport.Forward
+// calls on the receiving side.
+func (h *Host) Local(ctx context.Context, r Request) Answer {
+	answer := make(chan Answer, 1)
+	select {
+	case h.requests <- request{
+		Request: r,
+		answer:  answer,
+	}:
+	case <-ctx.Done():
+		return notRun("this host is busy: send it again later")
+	case <-h.done:
+		return notRun("this host stops: send it to another member")
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		return Answer{
+			Kind:   config.Unknown,
+			Remedy: "no outcome in time: resend the same id",
+		}
+	case <-h.done:
+	}
+	select {
+	case a := <-answer:
+		return a
+	default:
+		return Answer{
+			Kind:   config.Unknown,
+			Remedy: "this host stopped: resend the same id to another member",
+		}
+	}
+}
+
+func notRun(why string) Answer {
+	return Answer{
+		Kind:   config.NotRun,
+		Remedy: why,
+		Retry:  true,
+	}
+}
+
+func (h *Host) view(ctx context.Context) (view, error) {
+	reply := make(chan view, 1)
+	select {
+	case h.views <- reply:
+		return <-reply, nil
+	case <-ctx.Done():
+		return view{}, errors.New("this host is busy: send it again later")
+	case <-h.done:
+		return view{}, errors.New("this host stops: send it to another member")
+	}
+}
--- /dev/null
+++ b/internal/ctrl/single_test.go
@@ -0,0 +1,108 @@
+package ctrl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/jujubethread/jujubethread/internal/ctrl"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start runs a host until the returned function is called.
+func start(t *testing.T, cfg ctrl.Config) (h *ctrl.Host, stop func()) {
+	t.Helper()
+	is := is.New(t)
+	h, err := ctrl.New(cfg)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(ctx) }()
+	stopped := false
+	stop = func() {
+		if !stopped {
+			stopped = true
+			cancel()
+			is.NoErr(<-ended)
+			http.DefaultClient.CloseIdleConnections()
+		}
+	}
+	t.Cleanup(stop)
+	return h, stop
+}
+
+func post(t *testing.T, url, body string) (int, config.Outcome) {
+	t.Helper()
+	is := is.New(t)
+	resp, err := http.Post(url, "application/json", bytes.NewBufferString(body))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var out config.Outcome
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&out))
+	return resp.StatusCode, out
+}
+
+// Guards against an accepted command that is lost or runs again after a restart.
+func TestSingleHostKeepsCommandsOverRestart(t *testing.T) {
+	is := is.New(t)
+	cfg := ctrl.Config{
+		Folder:   t.TempDir(),
+		Listen:   "127.0.0.1:0",
+		Address:  "127.0.0.1:1",
+		NewGroup: true,
+	}
+	h, stop := start(t, cfg)
+	id := h.ID()
+	body, err := ctrl.FormatCommand(config.Command{
+		ID:     "c1",
+		Change: config.SwitchPreset{Name: preset.Peak},
+	})
+	is.NoErr(err)
+	code, first := post(t, "http://"+h.Addr()+ctrl.PathCommands, string(body))
+	is.Equal(code, http.StatusOK)
+	is.Equal(first.Kind, config.Accepted)
+	is.Equal(first.Version, ident.ConfigVersion{Number: 1})
+	stop()
+
+	h, _ = start(t, cfg)
+	is.Equal(h.ID(), id)
+	_, again := post(t, "http://"+h.Addr()+ctrl.PathCommands, string(body))
+	is.Equal(again, first)
+	s, err := h.Config(context.Background())
+	is.NoErr(err)
+	is.Equal(s.InForce, preset.Peak)
+	is.Equal(s.Version.Number, uint64(1))
+}
+
+// Guards against requests that are half understood: every refusal names the
+// field or change at fault.
+func TestBadCommandsAreRefusedByName(t *testing.T) {
+	is := is.New(t)
+	h, _ := start(t, ctrl.Config{
+		Folder:   t.TempDir(),
+		Listen:   "127.0.0.1:0",
+		Address:  "127.0.0.1:1",
+		NewGroup: true,
+	})
+	for body, named := range map[string]string{
+		`{"ID":"x","Expect":{},"Change":{"SwitchPreset":{"Name":"peak","Extra":1}}}`:      "Extra",
+		`{"ID":"x","Expect":{},"Change":{"Reboot":{}}}`:                                   "Reboot",
+		`{"ID":"x","Change":{"SetSeats":{"Seats":1}},"Wish":2}`:                           "Wish",
+		`{"Change":{"SetSeats":{"Seats":1}}}`:                                             "ID",
+		`{"ID":"x","Change":{"SetSeats":{"Seats":1},"SwitchPreset":{"Name":"ordinary"}}}`: "exactly one",
+	} {
+		code, out := post(t, "http://"+h.Addr()+ctrl.PathCommands, body)
+		is.Equal(code, http.StatusBadRequest)
+		is.Equal(out.Kind, config.NotRun)
+		is.True(bytes.Contains([]byte(out.Remedy), []byte(named))) // the refusal names the fault
+	}
+}
--- /dev/null
+++ b/pkg/quorum/event.go
@@ -0,0 +1,82 @@
+package quorum
+
+import "github.com/jujubethread/jujubethread/pkg/ident"
+
+// Event is one input of Node.Step. Now never goes back.
+//
+//sumtype:decl
+type Event interface{ isEvent() }
+
+// Tick tells the time. It must come several times per heartbeat interval.
+type Tick struct{ Now ident.Instant }
+
+// Receive delivers a message of another member.
+type Receive struct {
+	Now     ident.Instant
+	Message Message
+}
+
+// Synced reports that all disk writes up to Seq are durable.
+type Synced struct {
+	Now ident.Instant
+	Seq Seq
+}
+
+// DiskFailed reports that a disk write failed. The node then sends and
+// accepts nothing until it is built anew from the disk.
+type DiskFailed struct{ Now ident.Instant }
+
+// Propose asks the leader to replicate commands, in order.
+type Propose struct {
+	Now       ident.Instant
+	Proposals []Proposal
+}
+
+// Proposal is one command with the caller's handle.
+type Proposal struct {
+	ID   ProposalID
+	Data []byte
+}
+
+// ChangeMember asks the leader for one change of the member list.
+type ChangeMember struct {
+	Now    ident.Instant
+	ID     ProposalID
+	Change MemberChange
+}
+
+// MemberChange is one change of the member list.
+//
+//sumtype:decl
+type MemberChange interface{ isMemberChange() }
+
+// AddMember adds a learner, which the leader makes a voter once it has
+// caught up. If Member.Replaces is set, that member is removed afterwards.
+// For a known id only the address changes.
+type AddMember struct{ Member Member }
+
+// RemoveMember removes a voter or learner.
+type RemoveMember struct{ ID ident.HostID }
+
+// Transfer asks a leader to hand over to the most advanced voter, for
+// example before a shutdown.
+type Transfer struct{ Now ident.Instant }
+
+// Compacted reports that a snapshot of applied state is durable, so that the
+// log before it can be dropped.
+type Compacted struct {
+	Now      ident.Instant
+	Snapshot Snapshot
+}
+
+func (Tick) isEvent()         {}
+func (Receive) isEvent()      {}
+func (Synced) isEvent()       {}
+func (DiskFailed) isEvent()   {}
+func (Propose) isEvent()      {}
+func (ChangeMember) isEvent() {}
+func (Transfer) isEvent()     {}
+func (Compacted) isEvent()    {}
+
+func (AddMember) isMemberChange()    {}
+func (RemoveMember) isMemberChange() {}
--- /dev/null
+++ b/pkg/quorum/message.go
@@ -0,0 +1,88 @@
+package quorum
+
+import "github.com/jujubethread/jujubethread/pkg/ident"
+
+// Message is sent from one member to another. Delivery may fail, repeat or
+// reorder; none of this breaks safety.
+type Message struct {
+	From ident.HostID
+	To   ident.HostID
+	// Term is the sender's term.
+	Term Term
+	Body Body
+}
+
+// Body is the content of a message.
+//
+//sumtype:decl
+type Body interface{ isBody() }
+
+// VoteRequest asks for a vote in Message.Term or, if Pre is set, whether a
+// vote in the term after it would be granted.
+type VoteRequest struct {
+	Pre       bool
+	LastIndex Index
+	LastTerm  Term
+	// Transfer is set when the leader asked for this election; voters then
+	// do not wait for the leader's silence.
+	Transfer bool
+}
+
+// VoteReply answers a VoteRequest.
+type VoteReply struct {
+	Pre     bool
+	Granted bool
+	// For is the sender's term of the request that is answered.
+	For Term
+}
+
+// AppendRequest replicates entries after PrevIndex; without entries it is a
+// heartbeat.
+type AppendRequest struct {
+	PrevIndex Index
+	PrevTerm  Term
+	Entries   []Entry
+	Commit    Index
+	// Sent is the leader's time, echoed in the reply.
+	Sent ident.Instant
+}
+
+// AppendReply answers an AppendRequest.
+type AppendReply struct {
+	OK bool
+	// Match is the last index that is durable and equal to the leader's log.
+	Match Index
+	// Prev and Hint are set on refusal: the refused PrevIndex and the last
+	// index at which the logs may agree.
+	Prev Index
+	Hint Index
+	Sent ident.Instant
+}
+
+// SnapshotRequest carries one chunk of a snapshot.
+type SnapshotRequest struct {
+	Meta   Meta
+	Offset int
+	Total  int
+	Chunk  []byte
+	Sent   ident.Instant
+}
+
+// SnapshotReply asks for the next chunk.
+type SnapshotReply struct {
+	Index Index
+	// Next is the offset of the chunk that the follower needs.
+	Next int
+	Sent ident.Instant
+}
+
+// TimeoutNow asks the receiver to start an election at once.
+type TimeoutNow struct{}
+
+func (VoteRequest) isBody()     {}
+func (VoteReply) isBody()       {}
+func (AppendRequest) isBody()   {}
+func (AppendReply) isBody()     {}
+func (SnapshotRequest) isBody() {}
+func (SnapshotReply) isBody()   {}
+func (TimeoutNow) isBody()      {}
