--- a/internal/keys/load.go
+++ b/internal/keys/load.go
@@ -19,7 +19,7 @@
 	Cert string
 	// Key is the private key of the host's certificate.
 	Key string
-	// CA is the certificate of the authority that peers are checked with.
+	// CA holds the certificates of the authorities that peers are checked with.
 	CA string
 }
 
@@ -102,7 +102,7 @@
 	if err != nil {
 		return nil, NewError(Wrong, f.Cert, "make the certificate again together with its key", err)
 	}
-	authority, err := parseCA(f.CA, caPEM, now)
+	authorities, err := parseCA(f.CA, caPEM, now)
 	if err != nil {
 		return nil, err
 	}
@@ -110,7 +110,9 @@
 		Cert: cert,
 		CA:   x509.NewCertPool(),
 	}
-	loaded.CA.AddCert(authority)
+	for _, ca := range authorities {
+		loaded.CA.AddCert(ca)
+	}
 	return loaded, loaded.check(f, now)
 }
 
@@ -143,22 +145,33 @@
 	return nil
 }
 
-func parseCA(file string, data []byte, now time.Time) (*x509.Certificate, error) {
-	block, _ := pem.Decode(data)
-	if block == nil || block.Type != "CERTIFICATE" {
-		return nil, NewError(Wrong, file, "give a PEM file with the certificate of the authority", nil)
-	}
-	ca, err := x509.ParseCertificate(block.Bytes)
-	if err != nil {
-		return nil, NewError(Wrong, file, "give a PEM file with the certificate of the authority", err)
-	}
-	if !ca.IsCA {
-		return nil, NewError(Wrong, file, "give the certificate of the authority, not that of a host", nil)
+// parseCA returns the authorities in a PEM file. Several may be given, so that
+// hosts accept the old and the new one while an authority is replaced.
+func parseCA(file string, data []byte, now time.Time) ([]*x509.Certificate, error) {
+	var (
+		list    []*x509.Certificate
+		expired bool
+	)
+	for block, rest := pem.Decode(data); block != nil; block, rest = pem.Decode(rest) {
+		ca, err := x509.ParseCertificate(block.Bytes)
+		switch {
+		case err != nil:
+			return nil, NewError(Wrong, file, "give a PEM file with the certificate of the authority", err)
+		case !ca.IsCA:
+			return nil, NewError(Wrong, file, "give the certificate of the authority, not that of a host", nil)
+		case now.Before(ca.NotBefore) || now.After(ca.NotAfter):
+			expired = true
+		default:
+			list = append(list, ca)
+		}
 	}
-	if now.After(ca.NotAfter) || now.Before(ca.NotBefore) {
+	switch {
+	case len(list) == 0 && expired:
 		return nil, NewError(Expired, file, "make a new authority and issue all certificates again", nil)
+	case len(list) == 0:
+		return nil, NewError(Wrong, file, "give a PEM file with the certificate of the authority", nil)
 	}
-	return ca, nil
+	return list, nil
 }
 
 func read(file string) ([]byte, error) {
--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -4,6 +4,8 @@
 	"crypto/tls"
 	"net"
 	"sync"
+
+	"github.com/pkg/errors"
 )
 
 // listener bounds the number of connections and adds TLS. Connections over
@@ -40,6 +42,8 @@
 		}
 		if l.server.ring != nil {
 			c = tls.Server(c, l.server.ring.serverConfig())
+		} else {
+			c = &plainConn{Conn: c}
 		}
 		return &slotConn{
 			Conn:  c,
@@ -60,3 +64,26 @@
 	c.once.Do(func() { <-c.slots })
 	return c.Conn.Close()
 }
+
+// tlsHandshake is the first byte of a TLS client hello. No frame of drpc that
+// starts a call begins with it.
+const tlsHandshake = 0x16
+
+// plainConn ends a connection on which the peer speaks TLS. Without it the
+// server would take the hello for part of a frame and both sides would wait.
+type plainConn struct {
+	net.Conn
+	started bool
+}
+
+// Read implements net.Conn.
+func (c *plainConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.started {
+		c.started = true
+		if p[0] == tlsHandshake {
+			return 0, errors.New("peer speaks TLS to a plaintext server: configure certificates here")
+		}
+	}
+	return n, err
+}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -13,6 +13,8 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmetadata"
 	"storj.io/drpc/drpcpool"
+
+	"github.com/jujubethread/jujubethread/internal/keys"
 )
 
 // Client makes calls and streams. It is safe for concurrent use.
@@ -183,6 +185,9 @@
 		if fault := tlsFault(id.address, err); fault != nil {
 			return nil, id.fail(Untrusted, fault)
 		}
+		if ctx.Err() == nil {
+			return nil, id.fail(Untrusted, keys.NewError(keys.Missing, id.address, "the peer ended the handshake: configure its certificates", err))
+		}
 		return nil, id.fail(Unreachable, err)
 	}
 	return conn, nil
--- /dev/null
+++ b/internal/link/tls_test.go
@@ -0,0 +1,142 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/internal/keys"
+	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/proto"
+)
+
+func authority(t *testing.T, dir string) *keys.Authority {
+	t.Helper()
+	a, err := keys.MakeAuthority(dir, time.Hour, time.Now())
+	is.New(t).NoErr(err)
+	return a
+}
+
+func issue(t *testing.T, a *keys.Authority, dir, host string, life time.Duration, ip net.IP) keys.Files {
+	t.Helper()
+	f, err := a.Issue(dir, keys.Spec{
+		Host:      host,
+		Role:      "control",
+		Addresses: []net.IP{ip},
+		Life:      life,
+		Now:       time.Now(),
+	})
+	is.New(t).NoErr(err)
+	return f
+}
+
+var loopback = net.IPv4(127, 0, 0, 1)
+
+// Guards against traffic with a peer that has no certificate, one of another
+// authority or one for another address, and against untyped handshake errors.
+func TestMutualTLS(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	a, foreign := authority(t, filepath.Join(dir, "a")), authority(t, filepath.Join(dir, "f"))
+	serverKeys := issue(t, a, dir, "server", time.Hour, loopback)
+	peers := make(chan link.Peer, 1)
+	addr := serve(t, link.Config{Keys: serverKeys}, func(s *link.Server) {
+		link.Handle(s, proto.MethodPeer, func(ctx context.Context, _ *proto.Peer) (*proto.PeerAnswer, error) {
+			peers <- link.PeerOf(ctx)
+			return &proto.PeerAnswer{}, nil
+		})
+	})
+	mine := issue(t, a, dir, "h1", time.Hour, loopback)
+	is.NoErr(client(t, link.Config{Keys: mine}).Call(t.Context(), addr, proto.MethodPeer, &proto.Peer{}, &proto.PeerAnswer{}))
+	p := <-peers
+	is.Equal(p.Host, "h1")
+	is.Equal(p.Role, "control")
+
+	elsewhere := serve(t, link.Config{Keys: issue(t, a, dir, "far", time.Hour, net.IPv4(192, 0, 2, 1))}, echo)
+	plain := serve(t, link.Config{}, echo)
+	theirs := issue(t, foreign, filepath.Join(dir, "f"), "h2", time.Hour, loopback)
+	for _, row := range []struct {
+		keys keys.Files
+		addr string
+		kind keys.Kind
+	}{
+		{theirs, addr, keys.Wrong},
+		{mine, elsewhere, keys.Wrong},
+		{mine, plain, keys.Missing},
+	} {
+		err := client(t, link.Config{Keys: row.keys}).Call(t.Context(), row.addr, proto.MethodPeer, &proto.Peer{}, &proto.PeerAnswer{})
+		is.Equal(link.KindOf(err), link.Untrusted)
+		is.True(link.NotRun(err))
+		var fault *keys.Error
+		is.True(errors.As(err, &fault))
+		is.Equal(fault.Kind, row.kind)
+	}
+	err := client(t, link.Config{}).Call(t.Context(), addr, proto.MethodPeer, &proto.Peer{}, &proto.PeerAnswer{})
+	is.True(err != nil) // plaintext client at a TLS server
+	_, err = link.NewServer(link.Config{Keys: keys.Files{Cert: mine.Cert}})
+	var fault *keys.Error
+	is.True(errors.As(err, &fault))
+	is.Equal(fault.Kind, keys.Missing)
+	is.Equal(len(peers), 0)
+}
+
+// Guards against a client whose rejected certificate shows as a broken
+// connection: the server checks it after the client's handshake has ended.
+func TestServerRejectsClientCertificate(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	a, foreign := authority(t, filepath.Join(dir, "a")), authority(t, filepath.Join(dir, "f"))
+	addr := serve(t, link.Config{Keys: issue(t, a, dir, "server", time.Hour, loopback)}, echo)
+	theirs := issue(t, foreign, filepath.Join(dir, "f"), "h2", time.Hour, loopback)
+	var bundle []byte
+	for _, ca := range []string{theirs.CA, filepath.Join(dir, "a", "ca.pem")} {
+		pem, err := os.ReadFile(ca)
+		is.NoErr(err)
+		bundle = append(bundle, pem...)
+	}
+	theirs.CA = filepath.Join(dir, "both.pem")
+	is.NoErr(os.WriteFile(theirs.CA, bundle, 0o600))
+	c := client(t, link.Config{Keys: theirs})
+	err := c.Call(t.Context(), addr, proto.MethodPeer, &proto.Peer{}, &proto.PeerAnswer{})
+	is.Equal(link.KindOf(err), link.Untrusted)
+	is.True(link.NotRun(err))
+}
+
+// Guards against expired certificates that stay in use and against renewed
+// ones that need a restart.
+func TestExpiryAndReload(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	a := authority(t, filepath.Join(dir, "a"))
+	addr := serve(t, link.Config{Keys: issue(t, a, dir, "server", time.Hour, loopback)}, echo)
+	files := issue(t, a, dir, "h1", 1500*time.Millisecond, loopback)
+	c := client(t, link.Config{Keys: files})
+	call := func() error {
+		is.NoErr(c.Close()) // a new connection for each call
+		return c.Call(t.Context(), addr, proto.MethodPeer, &proto.Peer{}, &proto.PeerAnswer{})
+	}
+	is.True(within(func() bool { return call() != nil }))
+	var fault *keys.Error
+	is.True(errors.As(call(), &fault))
+	is.Equal(fault.Kind, keys.Expired)
+	issue(t, a, dir, "h1", time.Hour, loopback)
+	is.True(within(func() bool { return call() == nil }))
+}
+
+// within polls ok until it holds or 10 s have passed.
+func within(ok func() bool) bool {
+	until := time.Now().Add(10 * time.Second)
+	for !ok() {
+		if time.Now().After(until) {
+			return false
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return true
+}
