Hedge, retry within budgets, limit and queue by class in the engine

Cause: the first engine sent one attempt per shard and gave up on any failure.

Change: the engine composes route, hedge and limit. Queries wait in class queues until every shard has room, late attempts are hedged from a token bucket per index, failed ones are retried from a bucket per service, a version that vanished leads to a new plan, upstreams whose probes fail get one trial a second. internal/drive runs the engine against fake upstreams in virtual time and checks every answer against what the fakes hold.

--- /dev/null
+++ b/internal/drive/scene_test.go
@@ -0,0 +1,63 @@
+package drive_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/internal/drive"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+)
+
+func noFaults(t *testing.T, s *drive.Stats) {
+	t.Helper()
+	if s.FaultCount > 0 {
+		t.Fatalf("%d faults: %q", s.FaultCount, s.Faults)
+	}
+}
+
+// Guards against hedges that come too late, cost too much or lose shards.
+func TestStragglers(t *testing.T) {
+	is := is.New(t)
+	plain := drive.StragglerRun(1, engine.PolicyPlain, 60*time.Second)
+	tolerant := drive.StragglerRun(1, engine.PolicyTolerant, 60*time.Second)
+	noFaults(t, plain.Stats)
+	noFaults(t, tolerant.Stats)
+	t.Logf("plain p50 %v p99 %v; tolerant p50 %v p99 %v, extra %.2f%%, coverage %.3f%%, asked %d",
+		plain.P50, plain.P99, tolerant.P50, tolerant.P99, tolerant.ExtraPercent, tolerant.CoveragePercent, tolerant.Stats.Asked)
+	is.True(float64(tolerant.P99) <= 0.40*float64(plain.P99))
+	is.True(tolerant.ExtraPercent <= 5)
+	is.Equal(tolerant.CoveragePercent, 100.0)
+}
+
+// Guards against a retry storm, a slow recovery and a wrong missing shard
+// while a service is out.
+func TestOutage(t *testing.T) {
+	for name, how := range map[string]drive.Mode{"refusing": drive.Refusing, "silent": drive.Silent, "misleading": drive.Misleading} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			out := drive.OutageRun(1, engine.PolicyTolerant, how)
+			naive := drive.OutageRun(1, engine.PolicyNaiveRetry, how)
+			t.Logf("calls/query %.3f (naive %.3f), worst %d, recovery %v (naive %v), bad answers %d, %+v",
+				out.CallsPerQuery, naive.CallsPerQuery, out.WorstCalls, out.Recovery, naive.Recovery, out.BadAnswers, out.Stats.Class[0])
+			noFaults(t, out.Stats)
+			is.True(out.CallsPerQuery <= 1.2)
+			is.True(out.Recovery <= 3*time.Second)
+			is.Equal(out.BadAnswers, 0)
+		})
+	}
+}
+
+// Guards against errors that last after one replica of every service is lost.
+func TestLoss(t *testing.T) {
+	for name, how := range map[string]drive.Mode{"refusing": drive.Refusing, "silent": drive.Silent, "draining": drive.Draining, "misleading": drive.Misleading} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			out := drive.LossRun(1, engine.PolicyTolerant, how)
+			t.Logf("errors early %d, late %d of %d, hedges %d retries %d", out.ErrorsEarly, out.ErrorsLate, out.Late, out.Stats.Hedges, out.Stats.Retries)
+			noFaults(t, out.Stats)
+			is.Equal(out.ErrorsLate, 0)
+		})
+	}
+}
--- a/pkg/engine/admit.go
+++ b/pkg/engine/admit.go
@@ -1,26 +1,41 @@
 package engine
 
 import (
-	"slices"
-
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/limit"
+	"github.com/jujubethread/jujubethread/pkg/route"
 )
 
-// enqueue admits q at once if nothing waits, else lets it wait.
+// enqueue lets q wait for admission, which may come at once.
 func (e *Engine) enqueue(now ident.Instant, q *query) {
 	ix := q.index
-	q.queued = true
-	ix.queue = append(ix.queue, q)
-	e.pump(now, ix)
-}
-
-func (e *Engine) dequeue(q *query) {
-	if q.queued {
-		q.queued = false
-		q.index.queue = slices.DeleteFunc(q.index.queue, func(o *query) bool { return o == q })
+	q.waiter = limit.Waiter[*query]{
+		Item:     q,
+		Class:    q.ask.Class,
+		Deadline: q.deadline,
+	}
+	if ix.queue.Len() == 0 {
+		switch e.admission(now, ix) {
+		case admitNow:
+			e.plan(now, q)
+			return
+		case admitNever:
+			e.refuse(q, unserved)
+			return
+		}
+	}
+	switch ix.queue.Offer(now, &q.waiter, q.limits.QueueBound, ix.run) {
+	case limit.Full:
+		e.refuse(q, "the queue of class "+q.ask.Class.String()+" is full: send the request again later")
+	case limit.Late:
+		e.refuse(q, "the wait would pass the deadline: send the request again later or give it more time")
+	case limit.Queued:
+		e.pump(now, ix)
 	}
 }
 
+const unserved = "no upstream that holds a shard of the index can be reached: check the upstreams"
+
 func (e *Engine) pumpAll(now ident.Instant) {
 	for i := range e.state.Upstreams {
 		e.pump(now, e.indexes[e.state.Upstreams[i].Index])
@@ -29,14 +44,86 @@
 
 // pump admits waiting queries while all their shards can be sent at once.
 func (e *Engine) pump(now ident.Instant, ix *index) {
-	for len(ix.queue) > 0 && e.admissible(ix) {
-		q := ix.queue[0]
-		e.dequeue(q)
-		e.plan(now, q)
+	for w := ix.queue.Head(); w != nil; w = ix.queue.Head() {
+		q := w.Item
+		if q.remaining(now) < ix.run {
+			e.refuse(q, "too little time was left after the wait: send the request again later or give it more time")
+			continue
+		}
+		switch e.admission(now, ix) {
+		case admitNow:
+			ix.queue.Admit(now, w)
+			e.plan(now, q)
+		case admitNever:
+			e.refuse(q, unserved)
+		case admitLater:
+			e.arm(&ix.timer, now.Add(pumpEvery))
+			return
+		}
 	}
+	e.disarm(&ix.timer)
 }
 
-func (e *Engine) admissible(ix *index) bool {
+type admission uint8
+
+const (
+	admitNow admission = iota
+	admitLater
+	admitNever
+)
+
+// admission tells whether one attempt for every shard of ix can be sent now.
+// Shards that no upstream can serve do not hold a query back.
+func (e *Engine) admission(now ident.Instant, ix *index) admission {
 	p := e.pinned(ix)
-	return p.version != 0 && !p.waiting
+	if p.waiting {
+		return admitLater
+	}
+	if p.version == 0 {
+		return admitNever
+	}
+	if e.cfg.Policy != PolicyTolerant {
+		return admitNow
+	}
+	if ix.blocked != nil && e.room(now, ix.blocked, p.version) == route.RoomFull {
+		return admitLater
+	}
+	ix.blocked = nil
+	free := false
+	for _, s := range ix.shards {
+		switch e.room(now, s, p.version) {
+		case route.RoomFull:
+			ix.blocked = s
+			return admitLater
+		case route.RoomFree:
+			free = true
+		}
+	}
+	if !free {
+		return admitLater // every upstream is bad and full
+	}
+	return admitNow
+}
+
+func (e *Engine) room(now ident.Instant, s *shard, v ident.IndexVersion) route.Room {
+	e.gather(now, s, v, nil)
+	return route.Free(now, e.cands)
+}
+
+// freed looks at the queue after a request to u ended.
+func (e *Engine) freed(now ident.Instant, u *upstream) {
+	ix := u.index
+	if ix.queue.Len() == 0 {
+		return
+	}
+	if ix.blocked != nil {
+		for _, r := range u.replicas {
+			if r.shard == ix.blocked {
+				e.pump(now, ix)
+				return
+			}
+		}
+		return
+	}
+	e.pump(now, ix)
 }
--- a/pkg/engine/attempt.go
+++ b/pkg/engine/attempt.go
@@ -4,72 +4,174 @@
 	"slices"
 
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/route"
 )
 
-// plan pins q to a version and sends one attempt per shard.
+// plan pins q to a version and sends one attempt per shard. A new plan drops
+// everything an earlier one got.
 func (e *Engine) plan(now ident.Instant, q *query) {
-	q.version = e.pinned(q.index).version
+	if q.plans == 0 {
+		q.began = now
+	}
 	q.plans++
+	q.version = e.pinned(q.index).version
+	for i := range q.tasks {
+		e.cancel(now, &q.tasks[i])
+	}
 	q.tasks = make([]task, len(q.index.shards))
 	q.open = len(q.tasks)
+	if e.out == nil {
+		e.out = make([]Effect, 0, len(q.tasks)+2)
+	}
 	for i, s := range q.index.shards {
-		q.tasks[i].shard = s
+		t := &q.tasks[i]
+		t.shard = s
+		t.tried = t.tried0[:0]
 	}
 	for i := range q.tasks {
-		e.try(now, q, i, First)
+		e.try(now, q, i, First, "")
 	}
 	e.settle(now, q)
+	e.schedule(q)
 }
 
-// try sends one attempt for a task, or marks it missing if no upstream is left.
-func (e *Engine) try(now ident.Instant, q *query, i int, why Reason) {
+// try sends one attempt for a task. If there is no room the task waits, and if
+// no upstream is left it is missing; last is the failure that led here, if any.
+func (e *Engine) try(now ident.Instant, q *query, i int, why Reason, last FailKind) {
 	t := &q.tasks[i]
-	r := e.choose(q, t)
-	if r == nil {
-		if len(t.running) == 0 {
-			e.miss(q, i, e.whyMissing(q, t))
+	r, room := e.choose(now, q, t, why != First || q.plans > 1)
+	switch {
+	case r != nil && !q.worthwhile(now, r.up):
+		e.miss(q, i, MissingTimedOut)
+	case r != nil:
+		e.send(now, q, i, r, why)
+	case room == route.RoomFull:
+		t.wait(now, why)
+	default:
+		e.miss(q, i, e.whyMissing(q, t, last))
+	}
+}
+
+// wait lets a task look again after a pause.
+func (t *task) wait(now ident.Instant, why Reason) {
+	t.waiting = why
+	t.check = now.Add(retryPause)
+}
+
+// gather fills e.cands and e.holders with the upstreams that may serve s at v.
+func (e *Engine) gather(now ident.Instant, s *shard, v ident.IndexVersion, tried []*upstream) {
+	e.cands, e.holders = e.cands[:0], e.holders[:0]
+	for _, r := range s.replicas {
+		u := r.up
+		if !e.eligible(u) || !r.holds(v) || (u.unreachable && now < u.trial) {
+			continue
 		}
-		return
+		e.cands = append(e.cands, route.Candidate{
+			Peer:  &u.peer,
+			Own:   u.conf.Domain == e.cfg.Domain,
+			Limit: u.limit.Limit(),
+			Tried: slices.Contains(tried, u),
+		})
+		e.holders = append(e.holders, r)
 	}
-	e.send(now, q, i, r, why)
 }
 
-// choose returns the replica for the next attempt, or nil.
-func (e *Engine) choose(q *query, t *task) *replica {
-	var best *replica
-	for _, r := range t.shard.replicas {
-		if !e.eligible(r.up) || !r.holds(q.version) || slices.Contains(t.tried, r.up) {
+// choose returns the replica for the next attempt, or nil and why there is
+// none. A retry may use the whole connection share, since the query holds
+// what other shards answered.
+func (e *Engine) choose(now ident.Instant, q *query, t *task, whole bool) (*replica, route.Room) {
+	e.gather(now, t.shard, q.version, t.tried)
+	if e.cfg.Policy != PolicyTolerant {
+		return e.chance(), route.RoomNone
+	}
+	if whole {
+		for i := range e.cands {
+			e.cands[i].Limit = e.holders[i].up.limit.Ceiling()
+		}
+	}
+	if i := e.picker.Pick(now, e.cands); i >= 0 {
+		return e.holders[i], route.RoomFree
+	}
+	e.cands = slices.DeleteFunc(e.cands, func(c route.Candidate) bool { return c.Tried })
+	return nil, route.Free(now, e.cands)
+}
+
+// chance returns a random holder that was not tried, or any if all were. The
+// baselines use it: they learn nothing about upstreams.
+func (e *Engine) chance() *replica {
+	untried := 0
+	for i := range e.cands {
+		if !e.cands[i].Tried {
+			untried++
+		}
+	}
+	if len(e.cands) == 0 {
+		return nil
+	}
+	if untried == 0 {
+		return e.holders[e.rng.IntN(len(e.holders))]
+	}
+	n := e.rng.IntN(untried)
+	for i := range e.cands {
+		if e.cands[i].Tried {
 			continue
 		}
-		if best == nil || r.up.outstanding < best.up.outstanding {
-			best = r
+		if n == 0 {
+			return e.holders[i]
 		}
+		n--
 	}
-	return best
+	return nil
+}
+
+// worthwhile reports whether u can be expected to answer before the deadline.
+func (q *query) worthwhile(now ident.Instant, u *upstream) bool {
+	return q.remaining(now) > u.service.delay.After()/2
 }
 
 func (e *Engine) send(now ident.Instant, q *query, i int, r *replica, why Reason) {
 	t := &q.tasks[i]
-	e.last++
-	a := &attempt{
-		id:      e.last,
+	u := r.up
+	a := e.newAttempt()
+	*a = attempt{
+		id:      a.id,
 		query:   q,
 		task:    i,
 		replica: r,
-		up:      r.up,
+		up:      u,
 		reason:  why,
 		sentAt:  now,
 	}
 	e.attempts[a.id] = a
-	t.running = append(t.running, a)
-	t.tried = append(t.tried, r.up)
-	r.up.outstanding++
+	slot := 0
+	if t.running[0] != nil {
+		slot = 1
+	}
+	t.running[slot] = a
+	t.tried = append(t.tried, u)
+	t.tries++
+	q.sent = true
+	if why == First {
+		q.index.hedges.Deposit()
+		u.service.retries.Deposit()
+	}
+	if why != Hedge {
+		t.late = now.Add(u.service.delay.After())
+		t.check = 0
+		if q.limits.Hedge && !t.hedged && e.cfg.Policy == PolicyTolerant {
+			t.check = t.late
+		}
+	}
+	if u.unreachable {
+		u.trial = now.Add(trialEvery)
+	}
+	u.peer.Sent(now)
 	e.emit(Send{
 		Attempt:   a.id,
 		Query:     q.ask.Query,
 		Request:   q.ask.Request,
-		Upstream:  r.up.conf.ID,
-		Address:   r.up.conf.Address,
+		Upstream:  u.conf.ID,
+		Address:   u.conf.Address,
 		Index:     q.ask.Index,
 		Shard:     t.shard.name,
 		Version:   q.version,
@@ -81,49 +183,73 @@
 	})
 }
 
-// whyMissing says why no upstream can serve the shard of t.
-func (e *Engine) whyMissing(q *query, t *task) MissingReason {
-	cutOff, gone := false, false
-	for _, r := range t.shard.replicas {
-		switch {
-		case !e.reachable(r.up):
-			cutOff = true
-		case e.eligible(r.up) && r.known && len(r.versions) > 0 && !r.holds(q.version):
-			gone = true
-		}
-	}
-	switch {
-	case gone:
-		return MissingVersionGone
-	case cutOff:
-		return MissingCutOff
-	default:
-		return MissingLost
+// newAttempt returns a free attempt with a new id.
+func (e *Engine) newAttempt() *attempt {
+	a := &attempt{}
+	if n := len(e.spare); n > 0 {
+		a = e.spare[n-1]
+		e.spare = e.spare[:n-1]
 	}
+	e.last++
+	a.id = e.last
+	return a
 }
 
-// release ends the attempt with the given id. It returns nil if the attempt
-// is unknown, or if it was cancelled and its result does not matter.
-func (e *Engine) release(id ident.AttemptID) *attempt {
+// release ends the attempt with the given id and frees its place. It returns
+// false if the attempt is unknown, or if it was cancelled and its result does
+// not matter.
+func (e *Engine) release(now ident.Instant, id ident.AttemptID) (attempt, bool) {
 	a := e.attempts[id]
 	if a == nil {
-		return nil
+		return attempt{}, false
 	}
 	delete(e.attempts, id)
-	a.up.outstanding--
-	if a.query == nil {
-		return nil
+	ended := *a
+	a.up.peer.Released()
+	if q := ended.query; q != nil {
+		t := &q.tasks[ended.task]
+		if t.running[0] == a {
+			t.running[0] = t.running[1]
+		}
+		t.running[1] = nil
 	}
-	t := &a.query.tasks[a.task]
-	t.running = slices.DeleteFunc(t.running, func(o *attempt) bool { return o == a })
-	return a
+	*a = attempt{}
+	e.spare = append(e.spare, a)
+	if ended.query == nil {
+		e.freed(now, ended.up)
+		return attempt{}, false
+	}
+	return ended, true
 }
 
 // cancel stops the running attempts of a task.
-func (e *Engine) cancel(t *task) {
-	for _, a := range t.running {
+func (e *Engine) cancel(now ident.Instant, t *task) {
+	for i, a := range t.running {
+		if a == nil {
+			continue
+		}
+		t.running[i] = nil
 		a.query = nil
 		e.emit(Cancel{Attempt: a.id})
+		if now >= t.late && a.reason != Hedge && t.state == taskAnswered {
+			a.up.peer.Outrun(now, now.Sub(a.sentAt))
+			a.up.service.delay.Observe(now.Sub(a.sentAt))
+		}
+	}
+}
+
+// expire notes that the deadline cuts off the running attempts of a task.
+func (e *Engine) expire(now ident.Instant, t *task) {
+	for _, a := range t.running {
+		if a == nil {
+			continue
+		}
+		elapsed := now.Sub(a.sentAt)
+		if elapsed >= lateFactor*a.up.service.delay.After() {
+			a.up.peer.Failed(now)
+			a.up.limit.Overloaded(now)
+			a.up.service.delay.Observe(elapsed)
+		}
 	}
-	t.running = nil
+	e.cancel(now, t)
 }
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -10,7 +10,9 @@
 
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/limit"
 	"github.com/jujubethread/jujubethread/pkg/preset"
+	"github.com/jujubethread/jujubethread/pkg/route"
 )
 
 // Policy selects how attempts are made.
@@ -39,6 +41,7 @@
 type Engine struct {
 	cfg      Config
 	rng      *rand.Rand
+	picker   *route.Picker
 	state    *config.State
 	preset   *preset.Preset
 	seat     Seat
@@ -47,15 +50,21 @@
 	upstreams map[ident.Upstream]*upstream
 	shards    map[shardKey]*shard
 	indexes   map[ident.Index]*index
+	services  map[serviceKey]*service
 	emptied   []*shard
 
 	queries  map[ident.QueryID]*query
 	attempts map[ident.AttemptID]*attempt
 	last     ident.AttemptID
+	waiting  limit.Counts
 
-	timers timers
-	wakeAt ident.Instant // earliest Wake that has not come yet; 0 is none
-	out    []Effect
+	// cands and holders are scratch space of the choice of upstream.
+	cands   []route.Candidate
+	holders []*replica
+	spare   []*attempt
+	timers  timers
+	wakeAt  ident.Instant // earliest Wake that has not come yet; 0 is none
+	out     []Effect
 }
 
 // NewEngine returns an engine without configuration and without a seat.
@@ -63,12 +72,14 @@
 	return &Engine{
 		cfg:       cfg,
 		rng:       rand.New(rand.NewPCG(cfg.Seed, 0)),
+		picker:    route.NewPicker(cfg.Seed),
 		state:     config.NewState(),
 		preset:    &preset.Preset{},
 		seat:      SeatNone,
 		upstreams: map[ident.Upstream]*upstream{},
 		shards:    map[shardKey]*shard{},
 		indexes:   map[ident.Index]*index{},
+		services:  map[serviceKey]*service{},
 		queries:   map[ident.QueryID]*query{},
 		attempts:  map[ident.AttemptID]*attempt{},
 	}
--- /dev/null
+++ b/pkg/engine/late.go
@@ -0,0 +1,56 @@
+package engine
+
+import (
+	"github.com/jujubethread/jujubethread/pkg/hedge"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// checkTasks looks at every task of q that is due: a waiting one looks for
+// room again, a late one is hedged.
+func (e *Engine) checkTasks(now ident.Instant, q *query) {
+	suppressed := hedge.Suppressed(e.lateTasks(now, q), len(q.tasks), q.preset.SuppressPercent)
+	for i := range q.tasks {
+		t := &q.tasks[i]
+		if t.state != taskRunning || t.check == 0 || now < t.check {
+			continue
+		}
+		t.check = 0
+		switch {
+		case t.waiting != "":
+			why := t.waiting
+			t.waiting = ""
+			e.try(now, q, i, why, "")
+		case suppressed || !e.hedge(now, q, i):
+			// The attempt may outlast the overload, or a token may come in.
+			t.check = now.Add(max(retryPause, t.late.Sub(t.running[0].sentAt)/2))
+		}
+	}
+	e.settle(now, q)
+	e.schedule(q)
+}
+
+// lateTasks counts the tasks whose first attempt is late. Upstreams that fail
+// do not count, since their lateness does not come from overload.
+func (e *Engine) lateTasks(now ident.Instant, q *query) int {
+	n := 0
+	for i := range q.tasks {
+		t := &q.tasks[i]
+		if t.state == taskRunning && t.running[0] != nil && now >= t.late &&
+			!t.running[0].up.peer.Failing(now) && !t.running[0].up.peer.Bad(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// hedge sends a second attempt for a late task and reports whether it did.
+func (e *Engine) hedge(now ident.Instant, q *query, i int) bool {
+	t := &q.tasks[i]
+	r, _ := e.choose(now, q, t, false)
+	if r == nil || r.up.peer.Bad(now) || !q.worthwhile(now, r.up) || !q.index.hedges.Take() {
+		return false
+	}
+	t.hedged = true
+	e.send(now, q, i, r, Hedge)
+	return true
+}
--- a/pkg/engine/place.go
+++ b/pkg/engine/place.go
@@ -3,9 +3,13 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/hedge"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/limit"
+	"github.com/jujubethread/jujubethread/pkg/preset"
 )
 
 // shard is one shard with the upstreams that hold it. It stays the same object
@@ -35,7 +39,58 @@
 	name   ident.Index
 	shards []*shard
 	pin    pin
-	queue  []*query
+	queue  *limit.Queue[*query]
+	timer  timer // next look at a blocked queue
+	// blocked is the shard without room that the queue waits for.
+	blocked *shard
+	hedges  *limit.Bucket
+	run     time.Duration // mean time from the first attempt to the answer
+}
+
+type serviceKey struct {
+	index   ident.Index
+	service ident.Service
+}
+
+// service is what is learned per service.
+type service struct {
+	delay   *hedge.Delay
+	retries *limit.Bucket
+}
+
+func (e *Engine) newIndex(name ident.Index) *index {
+	ix := &index{
+		name:   name,
+		queue:  limit.NewQueue[*query](&e.waiting),
+		hedges: hedge.NewBudget(e.preset.HedgePercent),
+	}
+	ix.queue.SetOrder(limit.Order(*e.preset))
+	ix.timer.index = ix
+	e.indexes[name] = ix
+	return ix
+}
+
+func (e *Engine) newService(key serviceKey) *service {
+	s := &service{
+		delay:   hedge.NewDelay(e.preset.HedgePercent),
+		retries: limit.NewBucket(e.preset.RetryPercent, retryBurst, retryStart),
+	}
+	e.services[key] = s
+	return s
+}
+
+// applyPreset sets the budgets and the order of classes for new attempts.
+// Queries in flight keep the deadline and the hedging of their own preset.
+func (e *Engine) applyPreset(p preset.Preset) {
+	e.preset = &p
+	for _, ix := range e.indexes {
+		ix.hedges.SetPercent(p.HedgePercent)
+		ix.queue.SetOrder(limit.Order(p))
+	}
+	for _, s := range e.services {
+		s.delay.SetPercent(p.HedgePercent)
+		s.retries.SetPercent(p.RetryPercent)
+	}
 }
 
 func (r *replica) holds(v ident.IndexVersion) bool {
@@ -50,8 +105,9 @@
 	}
 	old := e.state
 	e.state = next
-	p := next.Preset()
-	e.preset = &p
+	if p := next.Preset(); p != *e.preset {
+		e.applyPreset(p)
+	}
 	i, j := 0, 0
 	for i < len(old.Upstreams) || j < len(next.Upstreams) {
 		order := 0
@@ -98,7 +154,7 @@
 }
 
 func (e *Engine) add(now ident.Instant, conf config.Upstream) {
-	u := newUpstream(conf)
+	u := e.newUpstream(conf)
 	e.upstreams[conf.ID] = u
 	for _, s := range conf.Shards {
 		e.place(u, s)
@@ -111,6 +167,7 @@
 	u := e.upstreams[id]
 	delete(e.upstreams, id)
 	e.disarm(&u.timer)
+	u.conf.Phase = config.Retiring // queries in flight may still refer to it
 	for _, s := range u.conf.Shards {
 		e.unplace(u, s)
 	}
@@ -135,6 +192,7 @@
 		return
 	}
 	u.conf = conf
+	e.describe(u)
 	for _, s := range old.Shards {
 		if !slices.Contains(conf.Shards, s) {
 			e.unplace(u, s)
@@ -156,8 +214,7 @@
 func (e *Engine) place(u *upstream, name ident.Shard) {
 	ix := e.indexes[u.conf.Index]
 	if ix == nil {
-		ix = &index{name: u.conf.Index}
-		e.indexes[u.conf.Index] = ix
+		ix = e.newIndex(u.conf.Index)
 	}
 	s := e.shards[shardKey{ix.name, name}]
 	if s == nil {
@@ -180,7 +237,7 @@
 }
 
 func (e *Engine) unplace(u *upstream, name ident.Shard) {
-	s := e.shards[shardKey{u.index, name}]
+	s := e.shards[shardKey{u.index.name, name}]
 	u.replicas = slices.DeleteFunc(u.replicas, func(r *replica) bool { return r.shard == s })
 	s.replicas = slices.DeleteFunc(s.replicas, func(r *replica) bool { return r.up == u })
 	s.index.pin.dirty = true
--- a/pkg/engine/query.go
+++ b/pkg/engine/query.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/limit"
 	"github.com/jujubethread/jujubethread/pkg/preset"
 )
 
@@ -11,15 +12,17 @@
 type query struct {
 	ask      QueryArrived
 	preset   *preset.Preset
+	limits   preset.Limits
 	timer    timer
-	arrival  ident.Instant
+	waiter   limit.Waiter[*query]
 	deadline ident.Instant
+	began    ident.Instant // first attempts sent
 	index    *index
 	version  ident.IndexVersion
 	plans    int
 	tasks    []task // sorted by shard; empty until the first plan
-	open     int    // tasks that run
-	queued   bool
+	open     int    // tasks without an end
+	sent     bool
 }
 
 // task is one shard of a query.
@@ -28,8 +31,18 @@
 	state   taskState
 	reason  MissingReason // while missing
 	docs    []Document
-	running []*attempt
-	tried   []*upstream
+	running [2]*attempt
+	// tried lists the upstreams that get no further attempt in this round.
+	tried  []*upstream
+	tried0 [3]*upstream
+	tries  int // attempts that may have run
+	// late is when the first attempt is late; check is the next time to look
+	// at the task, 0 for never.
+	late   ident.Instant
+	check  ident.Instant
+	hedged bool
+	// waiting is the reason of the attempt that has to wait, empty if none.
+	waiting Reason
 }
 
 type taskState uint8
@@ -57,13 +70,13 @@
 		return // the runtime numbers queries; a second one would get the same answer
 	}
 	q := &query{
-		ask:     ev,
-		preset:  e.preset,
-		arrival: now,
-		index:   e.indexes[ev.Index],
+		ask:    ev,
+		preset: e.preset,
+		limits: e.preset.Limits(ev.Class),
+		index:  e.indexes[ev.Index],
 	}
 	q.timer.query = q
-	budget := q.preset.Limits(ev.Class).DeadlineMillis.Duration()
+	budget := q.limits.DeadlineMillis.Duration()
 	if ev.Budget > 0 {
 		budget = min(budget, ev.Budget)
 	}
@@ -76,7 +89,7 @@
 		e.refuse(q, "this host has no connection seat: send the request to another entry host")
 	case q.index == nil || len(q.index.shards) == 0:
 		e.refuse(q, "index "+string(ev.Index)+" has no shard in the configuration: name one that exists")
-	case budget <= 0:
+	case q.deadline <= now:
 		e.refuse(q, "the deadline has passed: give the request more time")
 	default:
 		e.arm(&q.timer, q.deadline)
@@ -91,7 +104,7 @@
 	case q.plans == 0:
 		e.refuse(q, "the caller went away before anything was sent")
 	default:
-		e.finish(now, q, MissingTimedOut, "the caller went away: send the request again")
+		e.finish(now, q, "the caller went away: send the request again")
 	}
 }
 
@@ -99,12 +112,29 @@
 func (e *Engine) queryDue(now ident.Instant, q *query) {
 	switch {
 	case now < q.deadline:
-		e.arm(&q.timer, q.deadline)
+		e.checkTasks(now, q)
 	case q.plans == 0:
 		e.refuse(q, "nothing was sent before the deadline: send the request again later or give it more time")
 	default:
-		e.finish(now, q, MissingTimedOut, "")
+		e.finish(now, q, "")
+	}
+}
+
+// schedule sets the timer of q to the next check of a task or the deadline.
+func (e *Engine) schedule(q *query) {
+	if !e.live(q) {
+		return
+	}
+	at := q.deadline
+	for i := range q.tasks {
+		if t := &q.tasks[i]; t.state == taskRunning && t.check != 0 && t.check < at {
+			at = t.check
+		}
 	}
+	e.arm(&q.timer, at)
 }
 
 func (q *query) remaining(now ident.Instant) time.Duration { return q.deadline.Sub(now) }
+
+// live reports whether q has not been answered.
+func (e *Engine) live(q *query) bool { return e.queries[q.ask.Query] == q }
--- a/pkg/engine/reply.go
+++ b/pkg/engine/reply.go
@@ -4,11 +4,12 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
-// refuse ends a query for which nothing was sent.
+// refuse ends a query for which nothing was sent to any upstream.
 func (e *Engine) refuse(q *query, remedy string) {
 	e.drop(q)
 	e.emit(Reply{
@@ -20,9 +21,12 @@
 	})
 }
 
-// finish ends a query that was sent. Tasks that still run are missing for
-// the given reason.
-func (e *Engine) finish(_ ident.Instant, q *query, why MissingReason, remedy string) {
+// finish ends a query that was sent. Tasks that still run are missing.
+func (e *Engine) finish(now ident.Instant, q *query, remedy string) {
+	if !q.sent {
+		e.refuse(q, cmp.Or(remedy, unserved))
+		return
+	}
 	e.drop(q)
 	rep := Reply{
 		Query:    q.ask.Query,
@@ -39,8 +43,12 @@
 			rep.Coverage.Answered++
 			continue
 		case taskRunning:
-			t.reason = why
-			e.cancel(t)
+			t.reason = MissingTimedOut
+			if remedy == "" {
+				e.expire(now, t)
+			} else {
+				e.cancel(now, t)
+			}
 		}
 		rep.Coverage.Missing = append(rep.Coverage.Missing, Missing{
 			Shard:  t.shard.name,
@@ -55,12 +63,25 @@
 			rep.Remedy = shortfall(q, rep.Coverage)
 		}
 	}
+	if rep.Outcome == Done {
+		q.index.ran(now.Sub(q.began))
+	}
 	e.emit(rep)
 }
 
+// ran notes the run time of a whole answer.
+func (ix *index) ran(d time.Duration) {
+	if ix.run == 0 {
+		ix.run = d
+	}
+	ix.run += time.Duration(runShare * float64(d-ix.run))
+}
+
 // drop forgets a query.
 func (e *Engine) drop(q *query) {
-	e.dequeue(q)
+	if q.index != nil {
+		q.index.queue.Remove(&q.waiter)
+	}
 	e.disarm(&q.timer)
 	delete(e.queries, q.ask.Query)
 }
--- a/pkg/engine/timer.go
+++ b/pkg/engine/timer.go
@@ -6,13 +6,14 @@
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
-// timer is the next time a query or an upstream wants attention. Exactly one
-// of query and up is set. at is 0 while the timer is not armed.
+// timer is the next time a query, an upstream or the queue of an index wants
+// attention. Exactly one of the pointers is set. at is 0 while not armed.
 type timer struct {
 	at    ident.Instant
 	pos   int
 	query *query
 	up    *upstream
+	index *index
 }
 
 // timers is a heap ordered by time, so that finished queries leave at once.
@@ -67,10 +68,13 @@
 	for len(e.timers) > 0 && e.timers[0].at <= now {
 		t := e.timers[0]
 		e.disarm(t)
-		if t.query != nil {
+		switch {
+		case t.query != nil:
 			e.queryDue(now, t.query)
-		} else {
+		case t.up != nil:
 			e.probeDue(now, t.up)
+		default:
+			e.pump(now, t.index)
 		}
 	}
 }
--- a/pkg/engine/upstream.go
+++ b/pkg/engine/upstream.go
@@ -6,32 +6,52 @@
 
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/limit"
+	"github.com/jujubethread/jujubethread/pkg/route"
 )
 
 // upstream is what the host knows about one upstream.
 type upstream struct {
 	conf     config.Upstream
-	index    ident.Index // the index under which the shards are placed
+	index    *index // under which the shards are placed
+	service  *service
 	replicas []*replica
+	peer     route.Peer
+	limit    *limit.Adaptive
 	timer    timer // next probe
 	heard    ident.Instant
 	// probing is set while a probe is out.
-	probing     bool
-	draining    bool
+	probing  bool
+	draining bool
+	// unreachable is set after a failed probe until the upstream is heard again.
 	unreachable bool
-	outstanding int
+	trial       ident.Instant // no attempt before this time while unreachable
+	reported    bool
 	warmed      int
 }
 
-func newUpstream(conf config.Upstream) *upstream {
-	u := &upstream{
-		conf:  conf,
-		index: conf.Index,
-	}
+func (e *Engine) newUpstream(conf config.Upstream) *upstream {
+	u := &upstream{conf: conf}
 	u.timer.up = u
+	u.limit = limit.NewAdaptive(e.connections(u))
+	e.describe(u)
 	return u
 }
 
+// describe takes over what follows from the configuration of u.
+func (e *Engine) describe(u *upstream) {
+	u.index = e.indexes[u.conf.Index]
+	if u.index == nil {
+		u.index = e.newIndex(u.conf.Index)
+	}
+	key := serviceKey{u.conf.Index, u.conf.Service}
+	u.service = e.services[key]
+	if u.service == nil {
+		u.service = e.newService(key)
+	}
+	u.limit.SetCeiling(e.connections(u))
+}
+
 // connections returns the host's share of the connections of u. It is at
 // least 1, so an upstream with fewer connections than seats can be exceeded.
 func (e *Engine) connections(u *upstream) int {
@@ -69,8 +89,9 @@
 func (e *Engine) share() {
 	for i := range e.state.Upstreams {
 		u := e.upstreams[e.state.Upstreams[i].ID]
+		u.limit.SetCeiling(e.connections(u))
 		e.warm(u)
-		e.indexes[u.index].pin.dirty = true
+		u.index.pin.dirty = true
 	}
 }
 
@@ -90,11 +111,15 @@
 
 // probeDue probes an upstream that was silent for probeAfter.
 func (e *Engine) probeDue(now ident.Instant, u *upstream) {
-	if !e.reachable(u) {
+	if u.probing {
+		e.silent(now, u)
+	}
+	if !e.reachable(u) || u.conf.Phase != config.Active {
+		u.probing = false
 		return // armed again when the seat changes
 	}
-	if silent := u.heard.Add(probeAfter); u.heard != 0 && now < silent {
-		e.arm(&u.timer, silent)
+	if next := u.heard.Add(probeAfter); u.heard != 0 && now < next {
+		e.arm(&u.timer, next)
 		return
 	}
 	u.probing = true
@@ -119,10 +144,25 @@
 	if u == nil {
 		return
 	}
-	u.unreachable = true
-	e.indexes[u.index].pin.dirty = true
+	e.silent(now, u)
 	e.probed(now, u)
-	e.pump(now, e.indexes[u.index])
+	e.pump(now, u.index)
+}
+
+// silent notes that u did not answer a probe.
+func (e *Engine) silent(now ident.Instant, u *upstream) {
+	u.unreachable = e.cfg.Policy == PolicyTolerant || !u.reported
+	u.peer.Unreachable(now)
+	u.index.pin.dirty = true
+}
+
+// hear notes that u answered.
+func (e *Engine) hear(now ident.Instant, u *upstream) {
+	u.heard = now
+	if u.unreachable {
+		u.unreachable = false
+		u.index.pin.dirty = true
+	}
 }
 
 func (e *Engine) reported(now ident.Instant, ev UpstreamReported) {
@@ -130,46 +170,58 @@
 	if u == nil {
 		return
 	}
-	u.heard = now
-	u.unreachable = false
-	u.draining = ev.Health == HealthDraining
+	e.hear(now, u)
+	u.peer.Reachable(now)
+	if ev.Health == HealthCold && !u.reported {
+		u.peer.Cold(now)
+	}
+	u.reported = true
+	u.peer.Reported(now, ev.Load.Running+ev.Load.Waiting)
+	if draining := ev.Health == HealthDraining; draining != u.draining {
+		u.draining = draining
+		u.index.pin.dirty = true
+	}
 	for _, r := range u.replicas {
-		r.learn(nil)
+		var vs []ident.IndexVersion
+		for i := range ev.Held {
+			if ev.Held[i].Shard == r.shard.name {
+				vs = ev.Held[i].Versions
+				break
+			}
+		}
+		r.learn(vs)
 	}
-	e.learn(u, ev.Held)
-	e.indexes[u.index].pin.dirty = true
 	e.probed(now, u)
-	e.pump(now, e.indexes[u.index])
+	e.pump(now, u.index)
 }
 
 // learn takes over what u says it holds of the shards that are named.
-func (e *Engine) learn(u *upstream, held []Held) {
-	for _, h := range held {
+func (u *upstream) learn(held []Held) {
+	for i := range held {
 		for _, r := range u.replicas {
-			if r.shard.name == h.Shard && r.learn(h.Versions) {
-				e.indexes[u.index].pin.dirty = true
+			if r.shard.name == held[i].Shard {
+				r.learn(held[i].Versions)
 			}
 		}
 	}
 }
 
-// learn replaces the known versions by the newest of vs and reports whether
-// they differ.
-func (r *replica) learn(vs []ident.IndexVersion) bool {
+// learn replaces the known versions by the newest of vs.
+func (r *replica) learn(vs []ident.IndexVersion) {
 	if r.known && slices.Equal(r.versions, vs) {
-		return false
+		return
 	}
 	r.known = true
 	r.versions = append(r.versions[:0], vs...)
 	slices.Sort(r.versions)
 	r.versions = slices.Compact(r.versions)
 	if n := len(r.versions) - maxHeld; n > 0 {
-		r.versions = slices.Delete(r.versions, 0, n)
+		r.versions = slices.Clone(r.versions[n:])
 	}
 	if len(r.versions) > 0 && r.versions[0] == 0 {
-		r.versions = slices.Delete(r.versions, 0, 1) // zero means unknown
+		r.versions = r.versions[1:] // zero means unknown
 	}
-	return true
+	r.shard.index.pin.dirty = true
 }
 
 // forget notes that the upstream does not hold version v.
--- a/pkg/engine/version.go
+++ b/pkg/engine/version.go
@@ -18,7 +18,8 @@
 	if !ix.pin.dirty {
 		return ix.pin
 	}
-	var counts []versionCount
+	var space [8]versionCount
+	counts := space[:0]
 	waiting := false
 	for _, s := range ix.shards {
 		known, unknown := false, false
@@ -26,10 +27,10 @@
 			if !e.eligible(r.up) {
 				continue
 			}
-			if !r.known {
-				unknown = unknown || !r.up.unreachable
+			if r.up.unreachable {
 				continue
 			}
+			unknown = unknown || !r.known
 			for _, v := range r.versions {
 				known = true
 				if !e.servedBefore(s.replicas[:i], v) {
@@ -73,7 +74,7 @@
 
 func (e *Engine) servedBefore(earlier []*replica, v ident.IndexVersion) bool {
 	for _, r := range earlier {
-		if e.eligible(r.up) && r.holds(v) {
+		if e.eligible(r.up) && !r.up.unreachable && r.holds(v) {
 			return true
 		}
 	}
--- a/pkg/route/const.go
+++ b/pkg/route/const.go
@@ -37,6 +37,11 @@
 	ejectMost  = 32 * time.Second
 	calmAfter  = 60 * time.Second
 
+	// hangLeast and hangFactor (times the usual latency) bound the time without
+	// any result after which the requests of an upstream hang.
+	hangLeast  = 100 * time.Millisecond
+	hangFactor = 10
+
 	// warmUp is the time over which a cold upstream's share of requests rises
 	// from warmLeast to the full share.
 	warmUp    = 10 * time.Second
--- a/pkg/route/peer.go
+++ b/pkg/route/peer.go
@@ -14,8 +14,10 @@
 // upstream without measurements.
 type Peer struct {
 	outstanding int
-	latency     float64 // mean, ns; 0 is unmeasured
+	progress    ident.Instant // last result, or the send that ended idleness
+	latency     float64       // mean, ns; 0 is unmeasured
 	measured    ident.Instant
+	lost        bool // the last health probe failed
 
 	streak  int // failures in a row
 	failed  ident.Instant
@@ -33,7 +35,12 @@
 func (p *Peer) Outstanding() int { return p.outstanding }
 
 // Sent notes a new request.
-func (p *Peer) Sent() { p.outstanding++ }
+func (p *Peer) Sent(now ident.Instant) {
+	if p.outstanding == 0 {
+		p.progress = now
+	}
+	p.outstanding++
+}
 
 // Released notes the end of a request, before its outcome is noted.
 func (p *Peer) Released() { p.outstanding-- }
@@ -41,8 +48,12 @@
 // Answered notes a good answer.
 func (p *Peer) Answered(now ident.Instant, latency time.Duration) {
 	p.measure(now, latency)
+	p.progress = now
 	p.streak = 0
-	p.ejected = 0
+	p.lost = false
+	if p.Ejected(now) {
+		p.ejected = now
+	}
 }
 
 // Outrun notes that a request was cancelled after the given time because
@@ -57,11 +68,18 @@
 // Failed notes a request without a good answer.
 func (p *Peer) Failed(now ident.Instant) { p.fail(now, true) }
 
+// Unreachable notes a failed health probe.
+func (p *Peer) Unreachable(now ident.Instant) {
+	p.lost = true
+	p.fail(now, true)
+}
+
 // Shed notes that the upstream refused a request because of load. It makes
 // the upstream less attractive but does not eject it.
 func (p *Peer) Shed(now ident.Instant) {
 	p.streak = min(p.streak+1, ejectAfter-1)
 	p.failed = now
+	p.progress = now
 }
 
 // Cold begins the slow start.
@@ -78,14 +96,35 @@
 // Until returns the end of the ejection, zero if there was none.
 func (p *Peer) Until() ident.Instant { return p.ejected }
 
-// Readmit ends an ejection with a slow start, for example when an upstream
-// that could not be reached reports again.
-func (p *Peer) Readmit(now ident.Instant) {
+// Reachable notes a health report. After failed probes it ends an ejection
+// with a slow start; otherwise it changes nothing, since an upstream can
+// report well and still fail.
+func (p *Peer) Reachable(now ident.Instant) {
+	if !p.lost {
+		return
+	}
+	p.lost = false
+	p.streak = 0
 	if p.Ejected(now) {
 		p.ejected = now
-		p.streak = 0
-		p.Cold(now)
 	}
+	p.Cold(now)
+}
+
+// Bad reports whether the upstream is to be avoided: it is ejected, its last
+// probe failed, or its requests hang.
+func (p *Peer) Bad(now ident.Instant) bool {
+	return p.lost || p.Ejected(now) || p.hangs(now)
+}
+
+// hangs reports whether requests have been out far longer than usual without
+// any result. It finds a silent upstream before the first timeout.
+func (p *Peer) hangs(now ident.Instant) bool {
+	if p.outstanding == 0 {
+		return false
+	}
+	silent := now.Sub(p.progress)
+	return silent > hangLeast && float64(silent) > hangFactor*p.latency
 }
 
 // Failing reports whether the latest outcomes were failures.
@@ -117,6 +156,7 @@
 	}
 	p.streak++
 	p.failed = now
+	p.progress = now
 	if p.streak < ejectAfter || p.Ejected(now) {
 		return
 	}
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -26,12 +26,12 @@
 func NewPicker(seed uint64) *Picker { return &Picker{rng: rand.New(rand.NewPCG(seed, 1))} }
 
 // Pick returns the index of the best candidate, or -1 if all are tried or
-// full. Ejected candidates are used only if more than half of all are ejected
-// (panic rule), or if nothing else is left (never eject the last replica).
+// full. Bad candidates are used only if more than half of all are bad (panic
+// rule), or if nothing else is left (the last replica is never ejected).
 func (p *Picker) Pick(now ident.Instant, cands []Candidate) int {
 	out := 0
 	for i := range cands {
-		if cands[i].Peer.Ejected(now) {
+		if cands[i].Peer.Bad(now) {
 			out++
 		}
 	}
@@ -40,21 +40,61 @@
 		return i
 	}
 	for i := range cands {
-		if c := &cands[i]; !c.Tried && !c.Peer.Ejected(now) {
+		if c := &cands[i]; !c.Tried && !c.Peer.Bad(now) {
 			return -1 // a good candidate is only full
 		}
 	}
 	return p.pick(now, cands, true)
 }
 
-func (p *Picker) pick(now ident.Instant, cands []Candidate, ejected bool) int {
+// Room tells whether an attempt could be sent now.
+type Room uint8
+
+// The answers of Free. RoomBad means that every candidate is bad and full, so
+// that waiting for one would wait for an upstream that does not answer.
+const (
+	RoomNone Room = iota // no candidate
+	RoomFree
+	RoomFull
+	RoomBad
+)
+
+// Free tells whether Pick would find a candidate. It makes no random choice.
+func Free(now ident.Instant, cands []Candidate) Room {
+	bad, badFree, goodFull := 0, false, false
+	for i := range cands {
+		c := &cands[i]
+		free := c.Peer.outstanding < c.Limit
+		switch {
+		case c.Peer.Bad(now):
+			bad++
+			badFree = badFree || free
+		case free:
+			return RoomFree
+		default:
+			goodFull = true
+		}
+	}
+	switch {
+	case len(cands) == 0:
+		return RoomNone
+	case badFree && (!goodFull || 2*bad > len(cands)):
+		return RoomFree
+	case goodFull:
+		return RoomFull
+	default:
+		return RoomBad
+	}
+}
+
+func (p *Picker) pick(now ident.Instant, cands []Candidate, bad bool) int {
 	fallback := p.fallback(now, cands)
 	own, other := -1, -1
 	var ownWait, otherWait float64
 	skipped := -1
 	for i := range cands {
 		c := &cands[i]
-		if c.Tried || c.Peer.outstanding >= c.Limit || (!ejected && c.Peer.Ejected(now)) {
+		if c.Tried || c.Peer.outstanding >= c.Limit || (!bad && c.Peer.Bad(now)) {
 			continue
 		}
 		if w := c.Peer.warmth(now); w < 1 && p.rng.Float64() >= w {
@@ -105,6 +145,9 @@
 	if l == 0 {
 		l = fallback
 	}
+	if p.outstanding > 0 {
+		l = max(l, float64(now.Sub(p.progress))) // the running request takes that long already
+	}
 	wait := l * float64(p.outstanding+1) / float64(max(1, c.Limit))
 	if p.Failing(now) {
 		wait *= float64((1 + p.streak) * (1 + p.streak))
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -105,7 +105,7 @@
 	is.Equal(share(now, cands), []int{0, 1000})
 	late := share(now.Add(2*time.Second), cands)
 	is.True(late[0] > 400 && late[1] > 400) // expired: chance decides
-	cands[1].Peer.Sent()
+	cands[1].Peer.Sent(now)
 	is.Equal(share(now, cands), []int{1000, 0}) // own outstanding counts first
 }
 
@@ -124,7 +124,7 @@
 	is.Equal(share(now, fresh()), []int{1000, 0})
 	full := fresh()
 	for range 4 {
-		full[0].Peer.Sent()
+		full[0].Peer.Sent(now)
 	}
 	is.Equal(share(now, full), []int{0, 1000})
 	slow := fresh()
@@ -162,26 +162,31 @@
 	rapid.Check(t, func(t *rapid.T) {
 		cands := candidates(rapid.IntRange(0, 5).Draw(t, "n"))
 		now := at(time.Minute)
-		free, goodFull := 0, false
+		free, goodFull, anyTried := 0, false, false
 		for i := range cands {
 			c := &cands[i]
 			c.Tried = rapid.Bool().Draw(t, "tried")
 			c.Own = rapid.Bool().Draw(t, "own")
 			for range rapid.IntRange(0, 4).Draw(t, "out") {
-				c.Peer.Sent()
+				c.Peer.Sent(now)
 			}
 			for range rapid.IntRange(0, 4).Draw(t, "fails") {
 				c.Peer.Failed(now)
 			}
 			switch {
 			case c.Tried:
+				anyTried = true
 			case c.Peer.Outstanding() < c.Limit:
 				free++
 			case !c.Peer.Ejected(now):
 				goodFull = true
 			}
 		}
+		room := route.Free(now, cands)
 		i := route.NewPicker(rapid.Uint64().Draw(t, "seed")).Pick(now, cands)
+		if !anyTried && (i >= 0) != (room == route.RoomFree) {
+			t.Fatalf("choice %d but room %v", i, room)
+		}
 		if i < 0 {
 			if free > 0 && !goodFull {
 				t.Fatalf("no choice among %d free candidates", free)
