Add the filing reducer of entry hosts

Cause: an entry host must send a filing only under a grant of the ledger, at most once per fence, and answer truthfully when answers are lost.

Change: pkg/filing reserves, sends within 5 s of its first Reserve by its own clock, records the outcome until it is acknowledged and makes one reply per arrival. A lost reservation answer is asked for again with the same attempt; an arrival whose time is over asks on and releases what it is granted. A send that provably did not run is released and tried once more under a new fence. While another arrival of the id is in flight it asks again until its deadline.

A Reserve that is applied after its sender ended can still leave an id Unknown that did not run.

--- /dev/null
+++ b/pkg/filing/timer.go
@@ -0,0 +1,77 @@
+package filing
+
+import (
+	"container/heap"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// timer is the time at which a filing has to be looked at. Timers that a
+// later schedule replaced stay in the heap and are skipped.
+type timer struct {
+	at      ident.Instant
+	arrival ArrivalID
+}
+
+type timers []timer
+
+// Len implements heap.Interface.
+func (t timers) Len() int { return len(t) }
+
+// Less implements heap.Interface. Equal times go by arrival, so that the
+// order of effects does not depend on the heap's history.
+func (t timers) Less(i, j int) bool {
+	if t[i].at != t[j].at {
+		return t[i].at < t[j].at
+	}
+	return t[i].arrival < t[j].arrival
+}
+
+// Swap implements heap.Interface.
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+
+// Push implements heap.Interface.
+func (t *timers) Push(v any) { *t = append(*t, v.(timer)) }
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	v := (*t)[last]
+	*t = (*t)[:last]
+	return v
+}
+
+func (r *Reducer) schedule(a *arrival, at ident.Instant) {
+	a.next, a.due = at, at
+	switch {
+	case a.phase == reserving:
+		a.due = min(at, a.giveUp())
+	case a.phase == recording && !a.replied:
+		a.due = min(at, a.replyBy)
+	}
+	heap.Push(&r.timers, timer{
+		at:      a.due,
+		arrival: a.id,
+	})
+}
+
+func (r *Reducer) ticked(now ident.Instant) {
+	for len(r.timers) > 0 && r.timers[0].at <= now {
+		t := heap.Pop(&r.timers).(timer)
+		if a := r.open[t.arrival]; a != nil && a.due == t.at {
+			r.expire(now, a)
+		}
+	}
+}
+
+// wake asks for the next tick after skipping timers that no longer count.
+func (r *Reducer) wake(now ident.Instant) {
+	for len(r.timers) > 0 {
+		t := r.timers[0]
+		if a := r.open[t.arrival]; a != nil && a.due == t.at {
+			r.emit(Wake{At: max(t.at, now)})
+			return
+		}
+		heap.Pop(&r.timers)
+	}
+}
