--- a/pkg/filing/filing_test.go
+++ b/pkg/filing/filing_test.go
@@ -151,6 +151,8 @@
 	case filing.Release:
 		res, ok := w.command(ledger.Release{Request: eff.Request, Fence: eff.Fence}, f)
 		w.recorded(t, h, eff.Arrival, eff.Try, res, ok)
+	default:
+		t.Fatalf("effect %T is not carried out here", eff)
 	}
 }
 
@@ -223,6 +225,7 @@
 			w.mayStay[eff.Request] = true
 		case filing.Reserve:
 			w.mayStay[eff.Request] = true
+		default: // nothing is sent by a dead host
 		}
 	}
 	if h.red.Open() > 0 {
