check: verify answers from the public protocol alone

Cause: version unity, coverage and correlation have to be judged from outside the code that is to keep them.

--- /dev/null
+++ b/internal/check/filing.go
@@ -0,0 +1,69 @@
+package check
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/jujubethread/jujubethread/internal/leaf"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// Filing is what a caller learned about one filing. A caller that resends
+// after a lost answer or Unknown gets more than one outcome.
+type Filing struct {
+	Request  ident.RequestID
+	Outcomes []engine.Outcome
+	// Receipt is the receipt of the first Done answer.
+	Receipt string
+}
+
+// Filings compares what the callers learned with what the upstreams ran. It is
+// called when nothing is in flight any more.
+func Filings(sent []Filing, ran []leaf.Filed) []Violation {
+	runs := slices.Clone(ran)
+	slices.SortFunc(runs, func(a, b leaf.Filed) int { return cmp.Compare(a.Request, b.Request) })
+	var found []Violation
+	add := func(kind Kind, id ident.RequestID, format string, args ...any) {
+		found = append(found, Violation{
+			Kind:    kind,
+			Request: id,
+			Detail:  fmt.Sprintf(format, args...),
+		})
+	}
+	for _, f := range sent {
+		n := runsOf(runs, f.Request)
+		done := slices.Contains(f.Outcomes, engine.Done)
+		switch {
+		case n > 1:
+			add(RanTwice, f.Request, "ran %d times", n)
+		case n == 0 && done:
+			add(FalseDone, f.Request, "was answered Done but no upstream ran it")
+		case n > 0 && !done && onlyNotRun(f.Outcomes):
+			add(FalseNotRun, f.Request, "was answered NotRun but ran")
+		}
+	}
+	return found
+}
+
+// runsOf adds the runs of an id on all upstreams.
+func runsOf(sorted []leaf.Filed, id ident.RequestID) int {
+	i, _ := slices.BinarySearchFunc(sorted, id, func(f leaf.Filed, id ident.RequestID) int { return cmp.Compare(f.Request, id) })
+	n := 0
+	for ; i < len(sorted) && sorted[i].Request == id; i++ {
+		n += sorted[i].Runs
+	}
+	return n
+}
+
+// onlyNotRun reports whether every answer says NotRun. A lost answer leaves no
+// outcome and allows any number of runs up to one.
+func onlyNotRun(outcomes []engine.Outcome) bool {
+	for _, o := range outcomes {
+		if o != engine.NotRun {
+			return false
+		}
+	}
+	return len(outcomes) > 0
+}
