scene: add scenario files and carry out their faults

Cause: experiments need the same load and faults again and again. Change: Scenario with flows, targets and timed events in strict JSON, a schema page, five built-in scenarios, caller mixes of both deployments, Play which carries events out and undoes them when a run is interrupted, and Remote which acts through the control paths of upstreams and fault proxies. Conclusion: the load tool can schedule faults against running processes.

--- /dev/null
+++ b/internal/scene/scene.go
@@ -0,0 +1,161 @@
+// Package scene defines the scenario files of the load tool: which callers ask
+// what, against which targets, and which faults happen when. It also carries
+// the faults out.
+package scene
+
+import (
+	"time"
+
+	"github.com/jujubethread/jujubethread/internal/leaf"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+// Scenario is the content of a scenario file.
+type Scenario struct {
+	Name string `json:"Name"`
+	// Seed decides arrivals and search terms. All targets get the same ones.
+	Seed uint64 `json:"Seed"`
+	// DocumentSeed is the seed that the stand-in upstreams run with.
+	DocumentSeed uint64 `json:"DocumentSeed"`
+	// Versions are the index versions at the start; roll-overs add theirs.
+	Versions []ident.IndexVersion `json:"Versions"`
+	// Mix names a built-in set of flows: amman or kr-cap. Its rates are scaled
+	// so that they add up to PerSecond.
+	Mix       string  `json:"Mix,omitempty"`
+	PerSecond float64 `json:"PerSecond,omitempty"`
+	// Flows are given instead of Mix.
+	Flows []Flow `json:"Flows,omitempty"`
+	// WarmupMillis at the start are verified but not measured.
+	WarmupMillis   ident.Millis `json:"WarmupMillis"`
+	DurationMillis ident.Millis `json:"DurationMillis"`
+	// Together loads all targets at the same time instead of one after the
+	// other. They must not share upstreams then.
+	Together bool     `json:"Together,omitempty"`
+	Targets  []Target `json:"Targets"`
+	Events   []Event  `json:"Events,omitempty"`
+}
+
+// Flow is a stream of requests of one kind.
+type Flow struct {
+	Name      string       `json:"Name"`
+	Index     ident.Index  `json:"Index"`
+	Class     preset.Class `json:"Class"`
+	PerSecond float64      `json:"PerSecond"`
+	// DeadlineMillis is sent with each request; 0 leaves it to the preset.
+	DeadlineMillis ident.Millis `json:"DeadlineMillis,omitempty"`
+	// Limit is the number of documents wanted; 0 means all.
+	Limit int `json:"Limit,omitempty"`
+	// Filing sends filings instead of searches.
+	Filing bool `json:"Filing,omitempty"`
+	// ResendPercent of the filings are sent again under the same id although
+	// they were answered, as a caller does that lost the answer.
+	ResendPercent float64 `json:"ResendPercent,omitempty"`
+}
+
+// Policy says who answers the requests to a target.
+type Policy string
+
+// The policies. Plain and Retry are baselines that the load tool carries out
+// itself against the upstreams.
+const (
+	Entry Policy = "Entry" // entry hosts
+	Plain Policy = "Plain" // fan-out without hedges or retries
+	Retry Policy = "Retry" // fan-out with up to 3 tries and no budget
+)
+
+// Target is something to load and compare.
+type Target struct {
+	Name   string `json:"Name"`
+	Policy Policy `json:"Policy"`
+	// Entries are the addresses (IP:port) of the entry hosts.
+	Entries []string `json:"Entries,omitempty"`
+	// Leaves are the stand-in upstreams; LeavesFile names a file with a JSON
+	// list of them instead.
+	Leaves     []Leaf `json:"Leaves,omitempty"`
+	LeavesFile string `json:"LeavesFile,omitempty"`
+	// Proxies is the control address (IP:port) of the fault proxies, if any.
+	Proxies string `json:"Proxies,omitempty"`
+}
+
+// Leaf is a stand-in upstream and the address of its control path.
+type Leaf struct {
+	Upstream config.Upstream `json:"Upstream"`
+	Control  string          `json:"Control"`
+}
+
+// Deed is what an event does.
+type Deed string
+
+// The deeds. They are undone when ForMillis is over; RollOver and Move are
+// completed then, and Mark has no end.
+const (
+	Slow      Deed = "Slow"      // Fraction of the requests take Factor times as long
+	Lost      Deed = "Lost"      // upstreams stop answering
+	Kill      Deed = "Kill"      // upstreams break all connections
+	Shed      Deed = "Shed"      // upstreams shed Fraction of the requests
+	Faulty    Deed = "Faulty"    // Faults are in force
+	Drain     Deed = "Drain"     // upstreams answer Draining
+	Cold      Deed = "Cold"      // upstreams start cold
+	RollOver  Deed = "RollOver"  // Version is added, and the one before dropped when ForMillis is over
+	Move      Deed = "Move"      // Shard is added at the upstreams To, and dropped at Match when ForMillis is over
+	Partition Deed = "Partition" // fault proxies with names that fit Match hold everything back
+	Hook      Deed = "Hook"      // the program that runs the scenario does it; Match is the name
+	Mark      Deed = "Mark"      // only marked in the report
+)
+
+// Event is a fault at a time.
+type Event struct {
+	// AtMillis counts from the end of the warm-up.
+	AtMillis ident.Millis `json:"AtMillis"`
+	// ForMillis is the time until the event is undone; 0 means at the end.
+	ForMillis ident.Millis `json:"ForMillis,omitempty"`
+	Do        Deed         `json:"Do"`
+	// Label is shown in the report; the deed is, if it is empty.
+	Label string `json:"Label,omitempty"`
+	// Match is a pattern of package path for the ids of upstreams or the names
+	// of proxies, for example "review-panel-*-1". Empty fits all upstreams.
+	Match string `json:"Match,omitempty"`
+	// Domain restricts the event to the upstreams of a failure domain.
+	Domain ident.Domain `json:"Domain,omitempty"`
+	// Target restricts the event to one target; empty means all.
+	Target   string  `json:"Target,omitempty"`
+	Fraction float64 `json:"Fraction,omitempty"`
+	Factor   float64 `json:"Factor,omitempty"`
+	// SpreadMillis is the time over which a roll-over reaches the upstreams.
+	SpreadMillis ident.Millis       `json:"SpreadMillis,omitempty"`
+	Version      ident.IndexVersion `json:"Version,omitempty"`
+	Shard        ident.Shard        `json:"Shard,omitempty"`
+	To           string             `json:"To,omitempty"`
+	Faults       *leaf.Faults       `json:"Faults,omitempty"`
+	// OneWay holds back only what is sent to the target of the proxies.
+	OneWay bool `json:"OneWay,omitempty"`
+}
+
+// Title is the text for the event in a report.
+func (e Event) Title() string {
+	if e.Label != "" {
+		return e.Label
+	}
+	if e.Match == "" {
+		return string(e.Do)
+	}
+	return string(e.Do) + " " + e.Match
+}
+
+// Whole is the time from the start to the end of the load.
+func (s *Scenario) Whole() time.Duration {
+	return (s.WarmupMillis + s.DurationMillis).Duration()
+}
+
+// AllVersions lists the versions that exist at some time of the run.
+func (s *Scenario) AllVersions() []ident.IndexVersion {
+	list := append([]ident.IndexVersion(nil), s.Versions...)
+	for _, e := range s.Events {
+		if e.Do == RollOver {
+			list = append(list, e.Version)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/scene/scene_test.go
@@ -0,0 +1,196 @@
+package scene_test
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/jujubethread/jujubethread/internal/leaf"
+	"github.com/jujubethread/jujubethread/internal/scene"
+	"github.com/jujubethread/jujubethread/internal/shape"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// schema is the part of a JSON schema that the test reads.
+type schema struct {
+	Properties map[string]any    `json:"properties"`
+	Defs       map[string]schema `json:"$defs"`
+}
+
+// Guards against a schema page that differs from what the decoder takes.
+func TestSchemaNamesTheFields(t *testing.T) {
+	is := is.New(t)
+	doc, err := os.ReadFile("../../docs/scenario.schema.json")
+	is.NoErr(err)
+	var s schema
+	is.NoErr(json.Unmarshal(doc, &s))
+	for _, c := range []struct {
+		props map[string]any
+		kind  reflect.Type
+	}{
+		{s.Properties, reflect.TypeFor[scene.Scenario]()},
+		{s.Defs["Flow"].Properties, reflect.TypeFor[scene.Flow]()},
+		{s.Defs["Target"].Properties, reflect.TypeFor[scene.Target]()},
+		{s.Defs["Leaf"].Properties, reflect.TypeFor[scene.Leaf]()},
+		{s.Defs["Upstream"].Properties, reflect.TypeFor[config.Upstream]()},
+		{s.Defs["Event"].Properties, reflect.TypeFor[scene.Event]()},
+		{s.Defs["Faults"].Properties, reflect.TypeFor[leaf.Faults]()},
+	} {
+		var fields, props []string
+		for i := range c.kind.NumField() {
+			name, _, _ := strings.Cut(c.kind.Field(i).Tag.Get("json"), ",")
+			fields = append(fields, name)
+		}
+		for p := range c.props {
+			props = append(props, p)
+		}
+		slices.Sort(fields)
+		slices.Sort(props)
+		is.Equal(fields, props)
+	}
+}
+
+func target() scene.Target {
+	t := scene.Target{
+		Name:   "plain",
+		Policy: scene.Plain,
+	}
+	d := shape.Thesiswell(0.1, func(config.Upstream) string { return "127.0.0.1:1" })
+	d.Leaves = append(d.Leaves, shape.Hanbit(0.1, func(config.Upstream) string { return "127.0.0.1:1" }).Leaves...)
+	for _, u := range d.Upstreams() {
+		t.Leaves = append(t.Leaves, scene.Leaf{Upstream: u})
+	}
+	return t
+}
+
+// Guards against built-in scenarios that do not pass their own checks.
+func TestExamplesAreValid(t *testing.T) {
+	is := is.New(t)
+	is.True(len(scene.Examples()) >= 5)
+	for _, name := range scene.Examples() {
+		s, err := scene.Example(name)
+		is.NoErr(err)
+		s.Targets = []scene.Target{target()}
+		for i := range s.Events {
+			s.Events[i].Match = strings.Replace(s.Events[i].Match, "-3-", "-1-", 1) // the small shape has fewer services
+		}
+		is.NoErr(s.Check())
+	}
+}
+
+// Guards against mistakes in a scenario file that only show in the middle of a run.
+func TestBadScenariosAreRefused(t *testing.T) {
+	for _, c := range []struct{ doc, problem string }{
+		{`{"Name":"x","Versions":[1],"DurationMillis":1,"Mix":"amman","PerSecond":1,"Target":[]}`, "Target"},
+		{`{"Name":"x","DurationMillis":1,"Mix":"amman","PerSecond":1}`, "Versions"},
+		{`{"Name":"x","Versions":[1],"DurationMillis":1,"Mix":"amman","PerSecond":1}`, "Targets"},
+		{`{"Name":"x","Versions":[1],"DurationMillis":1,"Mix":"oslo","PerSecond":1,"Targets":[{}]}`, "Mix"},
+		{`{"Name":"x","Versions":[1],"DurationMillis":1,"Flows":[{"Name":"f","Index":"a"}],"Targets":[{}]}`, "PerSecond"},
+		{`{"Name":"x","Versions":[1],"DurationMillis":1,"Mix":"amman","PerSecond":1,"Targets":[{"Name":"t","Policy":"Entry"}]}`, "Entries"},
+	} {
+		_, err := scene.Parse([]byte(c.doc))
+		if err == nil || !strings.Contains(err.Error(), c.problem) {
+			t.Errorf("%s gives %v, want an error that names %s", c.doc, err, c.problem)
+		}
+	}
+	good := scene.Scenario{
+		Versions:       []ident.IndexVersion{1},
+		DurationMillis: 10,
+		Mix:            "amman",
+		PerSecond:      1,
+		Targets:        []scene.Target{target()},
+	}
+	for _, e := range []scene.Event{
+		{Do: "Explode"},
+		{Do: scene.Slow},
+		{Do: scene.Lost, Match: "no-such-*"},
+		{Do: scene.Lost, Match: "["},
+		{Do: scene.Partition, Match: "*"},
+		{Do: scene.Move, Shard: "a"},
+		{Do: scene.Mark, AtMillis: 11},
+	} {
+		s := good
+		s.Events = []scene.Event{e}
+		if s.Check() == nil {
+			t.Errorf("event %+v is accepted", e)
+		}
+	}
+	is.New(t).NoErr(good.Check())
+}
+
+type recorder struct{ done chan scene.Happened }
+
+func (r *recorder) Do(_ context.Context, e scene.Event, on bool) error {
+	r.done <- scene.Happened{Event: e, On: on}
+	return nil
+}
+
+// Guards against faults that stay in force after a run that was interrupted.
+func TestInterruptedRunUndoesItsEvents(t *testing.T) {
+	is := is.New(t)
+	s := &scene.Scenario{
+		DurationMillis: 3_600_000,
+		Events: []scene.Event{
+			{Do: scene.Lost},
+			{Do: scene.Mark},
+			{Do: scene.Kill, AtMillis: 1_800_000},
+			{Do: scene.Shed, Target: "other"},
+		},
+	}
+	r := &recorder{done: make(chan scene.Happened, 9)}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan []scene.Happened, 1)
+	go func() { ended <- s.Play(ctx, time.Now(), "t", r, nil) }()
+	<-r.done
+	<-r.done // Lost and Mark, in any order
+	cancel()
+	undone := <-r.done
+	is.Equal(undone.Event.Do, scene.Lost)
+	is.Equal(undone.On, false)
+	is.Equal(len(<-ended), 3)
+}
+
+// Guards against events that reach the wrong upstreams, overwrite each other's
+// faults or are not undone.
+func TestRemoteActsOnUpstreams(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	tgt := scene.Target{Name: "t"}
+	var leaves []*leaf.Leaf
+	ended := make(chan error, 2)
+	for _, u := range shape.Thesiswell(0.01, func(config.Upstream) string { return "127.0.0.1:0" }).Upstreams()[:2] {
+		l, err := leaf.New(leaf.Config{Upstream: u, Control: "127.0.0.1:0", Versions: []ident.IndexVersion{1}})
+		is.NoErr(err)
+		go func() { ended <- l.Run(ctx) }()
+		leaves = append(leaves, l)
+		tgt.Leaves = append(tgt.Leaves, scene.Leaf{Upstream: u, Control: l.ControlAddress()})
+	}
+	r := scene.NewRemote(tgt, nil)
+	do := func(e scene.Event, on bool) { is.NoErr(r.Do(ctx, e, on)) }
+	slow := scene.Event{Do: scene.Slow, Match: "*-1", Fraction: 0.5, Factor: 2}
+	do(slow, true)
+	do(scene.Event{Do: scene.Lost}, true)
+	is.Equal(leaves[0].Faults(), leaf.Faults{SlowFraction: 0.5, SlowFactor: 2, Lost: true})
+	is.Equal(leaves[1].Faults(), leaf.Faults{Lost: true})
+	do(slow, false)
+	is.Equal(leaves[0].Faults(), leaf.Faults{Lost: true})
+	is.True(r.Do(ctx, scene.Event{Do: scene.Hook, Match: "x"}, true) != nil)
+	stats, err := r.Stats(ctx)
+	is.NoErr(err)
+	is.Equal(stats[1].Upstream, tgt.Leaves[1].Upstream.ID)
+	r.Close()
+	cancel()
+	is.NoErr(<-ended)
+	is.NoErr(<-ended)
+}
