load, result, plain: add the open-loop load tool and its baselines

Cause: tail latency and the guarantees must be measured from the caller's side under planned load and faults. Change: load sends requests at times that depend on the seed alone, never waits for answers, measures from the intended start, verifies each answer and the filings that upstreams ran, and compares targets one after the other or together. Entries stands in for the platform's balancer. plain is the baseline: fan-out without hedges, with 1 or 3 tries. result keeps HdrHistograms and a timeline in bounded memory. The stand-in upstream now counts filings, and requests that a fault keeps unanswered, so that extra load is exact. Conclusion: entry hosts can be compared with the baselines in one run.

--- a/internal/leaf/leaf.go
+++ b/internal/leaf/leaf.go
@@ -158,6 +158,9 @@
 	mux.HandleFunc("GET "+wire.PathLeafHealth, l.health)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if l.Faults().Lost {
+			if r.URL.Path != wire.PathLeafHealth {
+				l.arrived(r.URL.Path == wire.PathLeafFile)
+			}
 			l.hang(r)
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/leaf/serve.go
+++ b/internal/leaf/serve.go
@@ -19,7 +19,7 @@
 		l.refuseBody(w, err)
 		return
 	}
-	l.arrived()
+	l.arrived(false)
 	ctx, cancel := withRemaining(r.Context(), ask.RemainingMicros)
 	defer cancel()
 	if kind := l.admit(ask.Shard, ask.Version); kind != "" {
@@ -49,7 +49,7 @@
 		l.refuseBody(w, err)
 		return
 	}
-	l.arrived()
+	l.arrived(true)
 	ctx, cancel := withRemaining(r.Context(), ask.RemainingMicros)
 	defer cancel()
 	if kind := l.admitFiling(ask.Shard); kind != "" {
@@ -99,9 +99,12 @@
 	_ = wire.Reply(w, http.StatusOK, report)
 }
 
-func (l *Leaf) arrived() {
+func (l *Leaf) arrived(filing bool) {
 	l.count(func(s *Stats) {
 		s.Requests++
+		if filing {
+			s.Filings++
+		}
 		s.LastRequest = time.Now()
 	})
 }
--- a/internal/leaf/stats.go
+++ b/internal/leaf/stats.go
@@ -16,6 +16,7 @@
 	// Requests counts searches and filings that arrived, Runs searches that
 	// got a slot, Answered searches that were answered in full.
 	Requests    uint64 `json:"Requests"`
+	Filings     uint64 `json:"Filings"` // filings among Requests
 	Runs        uint64 `json:"Runs"`
 	Answered    uint64 `json:"Answered"`
 	Cancelled   uint64 `json:"Cancelled"` // sender went away while waiting or running
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,255 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/jujubethread/jujubethread/internal/check"
+	"github.com/jujubethread/jujubethread/internal/leaf"
+	"github.com/jujubethread/jujubethread/internal/load"
+	"github.com/jujubethread/jujubethread/internal/plain"
+	"github.com/jujubethread/jujubethread/internal/scene"
+	"github.com/jujubethread/jujubethread/internal/shape"
+	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// serve runs a tenth of the deployment kr-cap until the test ends.
+func serve(t *testing.T, versions ...ident.IndexVersion) []scene.Leaf {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	t.Cleanup(func() { cancel(); group.Wait() })
+	var list []scene.Leaf
+	for _, sl := range shape.Hanbit(0.1, func(config.Upstream) string { return "127.0.0.1:0" }).Leaves {
+		l, err := leaf.New(leaf.Config{
+			Upstream: sl.Upstream,
+			Control:  "127.0.0.1:0",
+			Seed:     7,
+			Versions: versions,
+			Waiting:  50,
+			Connect:  sl.Connect,
+			Service:  leaf.Service{Median: time.Millisecond},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		group.Go(func() {
+			if err := l.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+		sl.Upstream.Address = l.Address()
+		list = append(list, scene.Leaf{Upstream: sl.Upstream, Control: l.ControlAddress()})
+	}
+	return list
+}
+
+// scenario loads the leaves with short deadlines, so that lost requests end soon.
+func scenario(leaves []scene.Leaf, events ...scene.Event) *scene.Scenario {
+	flows, err := scene.Mix("kr-cap", 150)
+	if err != nil {
+		panic(err)
+	}
+	for i := range flows {
+		flows[i].DeadlineMillis = 300
+	}
+	return &scene.Scenario{
+		Name:           "test",
+		DocumentSeed:   7,
+		Versions:       []ident.IndexVersion{1},
+		Flows:          flows,
+		DurationMillis: 1_000,
+		Events:         events,
+		Targets: []scene.Target{{
+			Name:   "one",
+			Policy: scene.Plain,
+			Leaves: leaves,
+		}},
+	}
+}
+
+// Guards against violations that are reported although all is well, and
+// against requests that are counted twice or not at all.
+func TestGoodRunHasNoViolations(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := scenario(serve(t, 1), scene.Event{Do: scene.Lost, Match: "draftdesk-1-1", AtMillis: 300, ForMillis: 300})
+	var progress bytes.Buffer
+	run, err := load.Run(context.Background(), load.Config{Scenario: s, Progress: &progress})
+	is.NoErr(err)
+	got := run.Targets[0]
+	is.Equal(got.Violations, nil)
+	is.True(strings.Contains(progress.String(), "Lost draftdesk-1-1 begins"))
+	is.Equal(len(got.Events), 1)
+	sent := int64(0)
+	for _, c := range got.Classes {
+		sent += c.Sent
+		is.Equal(c.Sent, c.Done+c.Partial+c.NotRun+c.Unknown+c.Failed)
+	}
+	is.True(sent > 100)
+	critical := got.Classes[0]
+	is.Equal(critical.Name, "Critical")
+	is.True(critical.Partial > 0) // a baseline without retries misses the lost replica
+	is.Equal(critical.Missing[0].Shard, ident.Shard("draftdesk/1"))
+	is.Equal(got.Upstreams.Calls, got.Upstreams.First) // one call for each shard
+}
+
+// Guards against a checker that misses faults in the tier or its upstreams:
+// each case takes one guard away and must be found by its kind.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		want  check.Kind
+		edit  func(*plain.Config)
+		event scene.Event
+	}{
+		{
+			name: "version check off", want: check.MixedVersions,
+			edit:  func(c *plain.Config) { c.SkipVersionCheck = true },
+			event: scene.Event{Do: scene.Faulty, Faults: &leaf.Faults{WrongVersion: 0.2}},
+		},
+		{
+			name: "coverage check off", want: check.FalseCoverage,
+			edit:  func(c *plain.Config) { c.SkipCoverage = true },
+			event: scene.Event{Do: scene.Shed, Fraction: 0.3},
+		},
+		{
+			name: "upstream that lies about its version", want: check.MixedVersions,
+			edit:  func(*plain.Config) {},
+			event: scene.Event{Do: scene.Faulty, Faults: &leaf.Faults{SilentLie: 0.2}},
+		},
+		{
+			name: "filings tried again after lost answers", want: check.RanTwice,
+			edit:  func(c *plain.Config) { c.Tries = 3 },
+			event: scene.Event{Do: scene.Faulty, Faults: &leaf.Faults{LostAnswer: 0.5}},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := scenario(serve(t, 1), c.event)
+			run, err := load.Run(context.Background(), load.Config{
+				Scenario: s,
+				Asker: func(tgt scene.Target) load.Asker {
+					cfg := plain.Config{}
+					for _, l := range tgt.Leaves {
+						cfg.Upstreams = append(cfg.Upstreams, l.Upstream)
+					}
+					c.edit(&cfg)
+					return plain.New(cfg)
+				},
+			})
+			is.NoErr(err)
+			found := slices.ContainsFunc(run.Targets[0].Violations, func(v check.Count) bool { return v.Kind == c.want })
+			is.True(found)
+			is.True(run.Broken() > 0)
+		})
+	}
+}
+
+// stalled answers nothing during a pause, as a tier that stops for a moment.
+type stalled struct {
+	begin, end time.Time
+}
+
+func (s *stalled) Search(_ context.Context, id ident.RequestID, _ wire.SearchRequest) (wire.SearchAnswer, error) {
+	if now := time.Now(); now.After(s.begin) && now.Before(s.end) {
+		time.Sleep(s.end.Sub(now))
+	}
+	return wire.SearchAnswer{RequestID: id, Outcome: engine.Done}, nil
+}
+
+func (s *stalled) File(context.Context, ident.RequestID, wire.FilingRequest) (wire.FilingAnswer, error) {
+	return wire.FilingAnswer{}, nil
+}
+
+func (s *stalled) Run(context.Context) error { return nil }
+
+// Guards against coordinated omission: requests that fall into a pause of the
+// target must be sent on time and their wait must show.
+func TestLoadDoesNotWaitForAnswers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := scenario(serve(t, 1))
+	s.Flows = []scene.Flow{{Name: "f", Index: "intake", PerSecond: 200}}
+	now := time.Now()
+	run, err := load.Run(context.Background(), load.Config{
+		Scenario: s,
+		Asker: func(scene.Target) load.Asker {
+			return &stalled{begin: now.Add(200 * time.Millisecond), end: now.Add(700 * time.Millisecond)}
+		},
+	})
+	is.NoErr(err)
+	got := run.Targets[0].Classes[0]
+	is.True(got.Sent > 130)
+	is.Equal(got.Done, got.Sent)
+	is.True(got.Latency.P90 > 300_000) // microseconds; half of the requests fall into 500 ms
+}
+
+// Guards against a balancer that keeps sending to an entry host that fails its
+// health check, or loses a request when a connection is refused.
+func TestEntriesLeaveOutHostsThatAreDown(t *testing.T) {
+	is := is.New(t)
+	var served, draining int
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == wire.PathSearch {
+			served++
+			id, _ := wire.RequestIDFrom(r.Header)
+			_ = wire.Reply(w, http.StatusOK, wire.SearchAnswer{RequestID: id, Outcome: engine.Done})
+		}
+	}))
+	defer good.Close()
+	checked := make(chan struct{}, 100)
+	leaving := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == wire.PathSearch {
+			draining++
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		checked <- struct{}{}
+	}))
+	defer leaving.Close()
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	address := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	e := load.NewEntries([]string{address(good), address(leaving), address(gone)})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	<-checked
+	<-checked // the result of the first check is in force when the second is made
+	for range 9 {
+		a, err := e.Search(ctx, "r-1", wire.SearchRequest{Index: "a"})
+		is.NoErr(err)
+		is.Equal(a.RequestID, ident.RequestID("r-1"))
+	}
+	cancel()
+	is.NoErr(<-ended)
+	is.Equal(served, 9)
+	is.Equal(draining, 0)
+}
+
+// Guards against a run that is taken for proof although its fault was not made.
+func TestFaultThatCannotBeMadeIsAnError(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := scenario(serve(t, 1), scene.Event{Do: scene.Hook, Match: "restart"})
+	s.DurationMillis = 100
+	_, err := load.Run(context.Background(), load.Config{Scenario: s})
+	is.True(err != nil && strings.Contains(err.Error(), "restart"))
+}
--- /dev/null
+++ b/internal/result/result.go
@@ -0,0 +1,160 @@
+// Package result collects the measurements of a load run in bounded memory
+// and sums them up.
+package result
+
+import (
+	"time"
+
+	"github.com/jujubethread/jujubethread/internal/check"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+// Run is the result of a load run.
+type Run struct {
+	Scenario string        `json:"Scenario"`
+	Seed     uint64        `json:"Seed"`
+	Started  time.Time     `json:"Started"`
+	Warmup   time.Duration `json:"Warmup"`   // nanoseconds
+	Duration time.Duration `json:"Duration"` // nanoseconds, without the warm-up
+	// Interrupted tells that the run ended before its time.
+	Interrupted bool     `json:"Interrupted"`
+	Targets     []Target `json:"Targets"`
+}
+
+// Target is what was measured of one target.
+type Target struct {
+	Name    string  `json:"Name"`
+	Policy  string  `json:"Policy"`
+	Classes []Group `json:"Classes"` // only those that were sent
+	Flows   []Group `json:"Flows"`
+	// Violations counts all wrong answers, those of the warm-up too; Examples
+	// holds the first ones.
+	Violations []check.Count     `json:"Violations"`
+	Examples   []check.Violation `json:"Examples"`
+	Upstreams  Upstreams         `json:"Upstreams"`
+	Events     []Event           `json:"Events"`
+	Timeline   []Series          `json:"Timeline"`
+	// LagP99Micros is the time by which the tool itself was late to send, which
+	// the latencies contain.
+	LagP99Micros int64 `json:"LagP99Micros"`
+	// NotSent counts requests that the tool gave up because too many were
+	// in flight. The run is not valid if there are any.
+	NotSent int64 `json:"NotSent"`
+}
+
+// Group sums up the requests of a class or a flow after the warm-up.
+type Group struct {
+	Name    string `json:"Name"`
+	Sent    int64  `json:"Sent"`
+	Done    int64  `json:"Done"`
+	Partial int64  `json:"Partial"`
+	NotRun  int64  `json:"NotRun"`
+	Unknown int64  `json:"Unknown"`
+	// Failed counts requests without an answer that can be read.
+	Failed   int64     `json:"Failed"`
+	Failures []Failure `json:"Failures"`
+	// Late counts answers that came after the deadline of the request.
+	Late int64 `json:"Late"`
+	// Latency is that of the answers Done and Partial, from the intended start.
+	Latency Latency `json:"Latency"`
+	// WholePercent is the share of answers Done among Done and Partial;
+	// CoveragePercent is the share of shards answered in them.
+	WholePercent    float64 `json:"WholePercent"`
+	CoveragePercent float64 `json:"CoveragePercent"`
+	// Missing lists what was missing most, at most maxMissing entries.
+	Missing []Missing `json:"Missing"`
+}
+
+// Latency holds quantiles in microseconds.
+type Latency struct {
+	Mean float64 `json:"Mean"`
+	P50  int64   `json:"P50"`
+	P90  int64   `json:"P90"`
+	P99  int64   `json:"P99"`
+	P999 int64   `json:"P999"`
+	Max  int64   `json:"Max"`
+	// Curve holds more quantiles in rising order.
+	Curve []Point `json:"Curve"`
+}
+
+// Point is a quantile (0 to 1) and its latency.
+type Point struct {
+	Quantile float64 `json:"Quantile"`
+	Micros   int64   `json:"Micros"`
+}
+
+// Failure counts requests without an answer by reason.
+type Failure struct {
+	Reason string `json:"Reason"`
+	Count  int64  `json:"Count"`
+}
+
+// Missing counts how often a shard was missing for a reason.
+type Missing struct {
+	Shard  ident.Shard          `json:"Shard"`
+	Reason engine.MissingReason `json:"Reason"`
+	Count  int64                `json:"Count"`
+}
+
+// Upstreams sums up what the upstreams counted from the start of the load to
+// its end, with the warm-up.
+type Upstreams struct {
+	// Calls counts the searches that arrived at upstreams, First the calls that
+	// one call for each shard of each accepted search would make.
+	Calls uint64 `json:"Calls"`
+	First uint64 `json:"First"`
+	// ExtraPercent is the number of calls above First for 100 of First.
+	ExtraPercent float64 `json:"ExtraPercent"`
+	Shed         uint64  `json:"Shed"`
+	Cancelled    uint64  `json:"Cancelled"`
+	Drained      uint64  `json:"Drained"`
+	VersionGone  uint64  `json:"VersionGone"`
+	WrongAnswers uint64  `json:"WrongAnswers"` // made by faults
+	FilingRuns   uint64  `json:"FilingRuns"`
+	// RefusedConns counts connections over the limit of an upstream, and
+	// PeakConnsPercent is the most connections at any of them for 100 of its
+	// limit, both since the start of the upstreams.
+	RefusedConns     uint64  `json:"RefusedConns"`
+	PeakConnsPercent float64 `json:"PeakConnsPercent"`
+	// Restarted counts upstreams whose counts fell, so that the sums are too low.
+	Restarted int `json:"Restarted"`
+}
+
+// Event is something that happened during the run.
+type Event struct {
+	Title string        `json:"Title"`
+	Start time.Duration `json:"Start"` // nanoseconds since the end of the warm-up
+	End   time.Duration `json:"End"`   // zero if it has no end
+}
+
+// Series is the course of one class over time.
+type Series struct {
+	Class   preset.Class `json:"Class"`
+	Buckets []Bucket     `json:"Buckets"`
+}
+
+// Bucket is a piece of a series.
+type Bucket struct {
+	At              time.Duration `json:"At"` // start of the bucket, in nanoseconds since the end of the warm-up
+	Sent            int64         `json:"Sent"`
+	Answered        int64         `json:"Answered"`
+	Whole           int64         `json:"Whole"`
+	Failed          int64         `json:"Failed"` // without an answer, or Unknown
+	NotRun          int64         `json:"NotRun"`
+	CoveragePercent float64       `json:"CoveragePercent"`
+	P50             int64         `json:"P50"` // microseconds
+	P99             int64         `json:"P99"` // microseconds
+}
+
+// Broken returns the number of violations of all targets.
+func (r *Run) Broken() int {
+	n := 0
+	for _, t := range r.Targets {
+		for _, v := range t.Violations {
+			n += v.Count
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/result/sum.go
@@ -0,0 +1,130 @@
+package result
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jujubethread/jujubethread/internal/leaf"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+// Target sums the samples up. before and after are the counts of the
+// upstreams at the start and at the end of the load.
+func (r *Recorder) Target(upstreams []config.Upstream, before, after []leaf.Stats) Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := Target{
+		Violations:   slices.Clone(r.broken),
+		Examples:     slices.Clone(r.example),
+		LagP99Micros: r.lag.ValueAtQuantile(99),
+		NotSent:      r.notSent,
+		Upstreams:    sumUpstreams(upstreams, before, after),
+	}
+	t.Upstreams.First = r.first
+	if r.first > 0 {
+		t.Upstreams.ExtraPercent = 100 * (float64(t.Upstreams.Calls)/float64(r.first) - 1)
+	}
+	for c, g := range r.classes {
+		if g == nil {
+			continue
+		}
+		t.Classes = append(t.Classes, g.sum())
+		s := Series{Class: preset.Class(c)}
+		for _, b := range r.series[c] {
+			s.Buckets = append(s.Buckets, b.sum())
+		}
+		t.Timeline = append(t.Timeline, s)
+	}
+	for _, g := range r.flows {
+		t.Flows = append(t.Flows, g.sum())
+	}
+	slices.SortFunc(t.Flows, func(a, b Group) int { return cmp.Compare(a.Name, b.Name) })
+	return t
+}
+
+func sumUpstreams(upstreams []config.Upstream, before, after []leaf.Stats) Upstreams {
+	start := make(map[ident.Upstream]leaf.Stats, len(before))
+	for _, s := range before {
+		start[s.Upstream] = s
+	}
+	limits := make(map[ident.Upstream]int, len(upstreams))
+	for _, u := range upstreams {
+		limits[u.ID] = u.ConnLimit
+	}
+	var sum Upstreams
+	for _, s := range after {
+		b := start[s.Upstream]
+		if s.Requests < b.Requests {
+			sum.Restarted++
+			b = leaf.Stats{}
+		}
+		sum.FilingRuns += s.FilingRuns - b.FilingRuns
+		sum.Calls += s.Requests - b.Requests - (s.Filings - b.Filings)
+		sum.Shed += s.Shed - b.Shed
+		sum.Cancelled += s.Cancelled - b.Cancelled
+		sum.Drained += s.Drained - b.Drained
+		sum.VersionGone += s.VersionGone - b.VersionGone
+		sum.WrongAnswers += s.WrongAnswers - b.WrongAnswers
+		sum.RefusedConns += s.RefusedConns
+		if limit := limits[s.Upstream]; limit > 0 {
+			sum.PeakConnsPercent = max(sum.PeakConnsPercent, 100*float64(s.PeakConns)/float64(limit))
+		}
+	}
+	return sum
+}
+
+// curveQuantiles are dense at the tail, where the curves differ.
+var curveQuantiles = []float64{
+	0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.75, 0.8, 0.85, 0.9, 0.92, 0.94, 0.95, 0.96, 0.97, 0.98,
+	0.985, 0.99, 0.992, 0.994, 0.995, 0.996, 0.997, 0.998, 0.9985, 0.999, 0.9993, 0.9995, 0.9997, 0.9999,
+}
+
+func (g *group) sum() Group {
+	out := g.Group
+	out.Latency = Latency{
+		Mean: g.hist.Mean(),
+		P50:  g.hist.ValueAtQuantile(50),
+		P90:  g.hist.ValueAtQuantile(90),
+		P99:  g.hist.ValueAtQuantile(99),
+		P999: g.hist.ValueAtQuantile(99.9),
+		Max:  g.hist.Max(),
+	}
+	for _, q := range curveQuantiles {
+		// A quantile finer than the number of samples would repeat the maximum.
+		if float64(g.hist.TotalCount())*(1-q) >= 1 {
+			out.Latency.Curve = append(out.Latency.Curve, Point{Quantile: q, Micros: g.hist.ValueAtQuantile(100 * q)})
+		}
+	}
+	out.WholePercent = percent(g.Done, g.Done+g.Partial)
+	out.CoveragePercent = percent(g.answered, g.asked)
+	for m, n := range g.missing {
+		out.Missing = append(out.Missing, Missing{Shard: m.Shard, Reason: m.Reason, Count: n})
+	}
+	slices.SortFunc(out.Missing, func(a, b Missing) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Reason, b.Reason))
+	})
+	out.Missing = out.Missing[:min(len(out.Missing), maxMissing)]
+	for reason, n := range g.failures {
+		out.Failures = append(out.Failures, Failure{Reason: reason, Count: n})
+	}
+	slices.SortFunc(out.Failures, func(a, b Failure) int { return cmp.Compare(a.Reason, b.Reason) })
+	return out
+}
+
+func (b *bucket) sum() Bucket {
+	out := b.Bucket
+	out.P50 = b.hist.ValueAtQuantile(50)
+	out.P99 = b.hist.ValueAtQuantile(99)
+	out.CoveragePercent = percent(b.answered, b.asked)
+	return out
+}
+
+// percent of nothing is 100, since nothing is missing.
+func percent(part, whole int64) float64 {
+	if whole == 0 {
+		return 100
+	}
+	return 100 * float64(part) / float64(whole)
+}
--- a/internal/scene/remote.go
+++ b/internal/scene/remote.go
@@ -27,7 +27,7 @@
 )
 
 // HookFunc does what an event Hook stands for, and undoes it when on is false.
-type HookFunc func(ctx context.Context, e Event, on bool) error
+type HookFunc func(ctx context.Context, target string, e Event, on bool) error
 
 // Remote carries events out through the control paths of upstreams and fault
 // proxies, and reads the counts of the upstreams.
@@ -66,7 +66,7 @@
 		if r.hook == nil {
 			return errors.Errorf("event %q needs a program that does it: run it from there, or leave it out", e.Title())
 		}
-		return r.hook(ctx, e, on)
+		return r.hook(ctx, r.target.Name, e, on)
 	case Partition:
 		return r.partition(ctx, e, on)
 	case RollOver:
