Add the operator client, the example deployment and its commands

Cause: the thin whole path needs a program. Change: dev, demo and operator commands over a deployment in one process.

--- /dev/null
+++ b/internal/admin/client.go
@@ -0,0 +1,229 @@
+// Package admin is the operator's side of a control host's HTTP API: it sends
+// commands with an id and an expected version, tries the other control hosts
+// when one cannot be reached, and prints outcomes for a person or as JSON.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/ctrl"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// Config sets up a Client.
+type Config struct {
+	// Controls lists the HTTP addresses of control hosts, IP:port.
+	Controls []string
+	// Timeout bounds one command over all control hosts.
+	Timeout time.Duration
+	// HTTP may carry TLS settings; nil means plain HTTP.
+	HTTP *http.Client
+	// Scheme is http or https; empty means http.
+	Scheme string
+}
+
+// Client talks to the control hosts of one deployment.
+type Client struct{ cfg Config }
+
+// NewClient returns a client.
+func NewClient(cfg Config) *Client {
+	if cfg.HTTP == nil {
+		cfg.HTTP = http.DefaultClient
+	}
+	if cfg.Scheme == "" {
+		cfg.Scheme = "http"
+	}
+	return &Client{cfg: cfg}
+}
+
+// Unreachable reports that no control host answered.
+type Unreachable struct {
+	Controls []string
+	Last     error
+}
+
+// Error names the remedy.
+func (e *Unreachable) Error() string {
+	return fmt.Sprintf("no control host of %v answered: check -control and that one of them runs; last error: %v", e.Controls, e.Last)
+}
+
+// Unwrap returns the last error.
+func (e *Unreachable) Unwrap() error { return e.Last }
+
+// Config returns the newest configuration that a control host in reach has.
+func (c *Client) Config(ctx context.Context) (*config.State, error) {
+	var newest *config.State
+	var last error
+	for _, address := range c.cfg.Controls {
+		s := new(config.State)
+		if err := c.get(ctx, address, ctrl.PathConfig, s); err != nil {
+			last = err
+			continue
+		}
+		if newest == nil || newest.Version.Less(s.Version) {
+			newest = s
+		}
+	}
+	if newest == nil {
+		return nil, c.unreachable(last)
+	}
+	return newest, nil
+}
+
+// HostStatus is the status of one control host, or why there is none.
+type HostStatus struct {
+	Address string       `json:"Address"`
+	Status  *ctrl.Status `json:"Status,omitempty"`
+	Error   string       `json:"Error,omitempty"`
+}
+
+// Status asks every control host.
+func (c *Client) Status(ctx context.Context) []HostStatus {
+	list := make([]HostStatus, 0, len(c.cfg.Controls))
+	for _, address := range c.cfg.Controls {
+		st := new(ctrl.Status)
+		h := HostStatus{Address: address}
+		if err := c.get(ctx, address, ctrl.PathStatus, st); err != nil {
+			h.Error = err.Error()
+		} else {
+			h.Status = st
+		}
+		list = append(list, h)
+	}
+	return list
+}
+
+// Run sends a change. An empty id gets a new one; a nil expect takes the
+// current version. The command that was sent is returned for a resend.
+func (c *Client) Run(ctx context.Context, id ident.CommandID, expect *ident.ConfigVersion, change config.Change) (config.Command, config.Outcome, error) {
+	cmd := config.Command{
+		ID:     id,
+		Change: change,
+	}
+	if cmd.ID == "" {
+		cmd.ID = ident.CommandID(uuid.NewString())
+	}
+	if expect == nil {
+		s, err := c.Config(ctx)
+		if err != nil {
+			return cmd, config.Outcome{}, err
+		}
+		expect = &s.Version
+	}
+	cmd.Expect = *expect
+	body, err := ctrl.FormatCommand(cmd)
+	if err != nil {
+		return cmd, config.Outcome{}, errors.Wrap(err, "command cannot be encoded")
+	}
+	out, err := c.post(ctx, ctrl.PathCommands, body)
+	return cmd, out, err
+}
+
+// Members sends a change of the control group.
+func (c *Client) Members(ctx context.Context, m ctrl.MembersRequest) (config.Outcome, error) {
+	body, err := json.Marshal(m)
+	if err != nil {
+		return config.Outcome{}, errors.Wrap(err, "member change cannot be encoded")
+	}
+	return c.post(ctx, ctrl.PathMembers, body)
+}
+
+// post tries the control hosts in turn until one gives a final outcome. A
+// lost answer makes the outcome Unknown unless a later host knows better:
+// commands are idempotent, so sending the same id again is safe.
+func (c *Client) post(ctx context.Context, path string, body []byte) (config.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	var last error
+	var notRun, unknown *config.Outcome
+	for _, address := range c.cfg.Controls {
+		out, err := c.postOne(ctx, address, path, body)
+		switch {
+		case err != nil && notSent(err):
+			last = err
+		case err != nil:
+			unknown = &config.Outcome{
+				Kind:   config.Unknown,
+				Remedy: "an answer was lost: resend the same id",
+			}
+		case out.Kind == config.NotRun:
+			notRun = &out
+		case out.Kind == config.Unknown:
+			unknown = &out
+		default:
+			return out, nil
+		}
+	}
+	switch {
+	case unknown != nil:
+		return *unknown, nil
+	case notRun != nil:
+		return *notRun, nil
+	default:
+		return config.Outcome{}, c.unreachable(last)
+	}
+}
+
+func (c *Client) postOne(ctx context.Context, address, path string, body []byte) (config.Outcome, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(address, path), bytes.NewReader(body))
+	if err != nil {
+		return config.Outcome{}, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := c.cfg.HTTP.Do(req)
+	if err != nil {
+		return config.Outcome{}, err
+	}
+	defer res.Body.Close()
+	var out config.Outcome
+	return out, decode(res.Body, &out)
+}
+
+func (c *Client) get(ctx context.Context, address, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, min(c.cfg.Timeout, maxAsk))
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(address, path), nil)
+	if err != nil {
+		return err
+	}
+	res, err := c.cfg.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		var out config.Outcome
+		if err := decode(res.Body, &out); err != nil {
+			return errors.Errorf("control host %s answered with status %d", address, res.StatusCode)
+		}
+		return errors.Errorf("control host %s: %s", address, out.Remedy)
+	}
+	return decode(res.Body, into)
+}
+
+func (c *Client) url(address, path string) string { return c.cfg.Scheme + "://" + address + path }
+
+func (c *Client) unreachable(last error) error {
+	return &Unreachable{
+		Controls: c.cfg.Controls,
+		Last:     last,
+	}
+}
+
+func decode(r io.Reader, into any) error {
+	b, err := io.ReadAll(io.LimitReader(r, maxAnswer))
+	if err != nil {
+		return errors.Wrap(err, "answer cannot be read")
+	}
+	return errors.Wrap(json.Unmarshal(b, into), "answer cannot be decoded: is the address that of a control host?")
+}
--- /dev/null
+++ b/internal/devel/devel.go
@@ -0,0 +1,247 @@
+// Package devel runs a whole small deployment on loopback in one process: the
+// stand-in upstreams of an example shape, control hosts and entry hosts, each
+// with its own listeners, talking to each other as separate processes would.
+package devel
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jujubethread/jujubethread/internal/ctrl"
+	"github.com/jujubethread/jujubethread/internal/host"
+	"github.com/jujubethread/jujubethread/internal/leaf"
+	"github.com/jujubethread/jujubethread/internal/shape"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// Config describes a deployment.
+type Config struct {
+	// Shape is thesiswell or hanbit.
+	Shape string
+	// Factor scales the number of services; zero means 1.
+	Factor float64
+	// Entries is the number of entry hosts, spread over the domains.
+	Entries int
+	// Folder holds the data folders of the control hosts.
+	Folder string
+	// EntryListen and ControlListen are the addresses of the first entry and
+	// control host; empty takes free ports. The others always take free ports.
+	EntryListen   string
+	ControlListen string
+	// Policy selects the policy of the entry hosts.
+	Policy engine.Policy
+	// Seed makes documents, service times and faults reproducible.
+	Seed uint64
+	// Service is the distribution of service times; a zero Median means 4 ms.
+	Service leaf.Service
+	// Grace is the time between a failing health check and refused requests.
+	Grace time.Duration
+	// Log may be nil.
+	Log *slog.Logger
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Shape    shape.Deployment
+	Leaves   []*leaf.Leaf
+	Controls []*ctrl.Host
+	Entries  []*host.Host
+
+	cfg   Config
+	group *errgroup.Group
+	stop  context.CancelFunc
+}
+
+// Start starts a deployment and returns when every entry host serves. Stop
+// must follow.
+func Start(cfg Config) (*Deployment, error) {
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	d := &Deployment{
+		cfg:   cfg,
+		group: group,
+		stop:  cancel,
+	}
+	for _, step := range []func(context.Context) error{d.startLeaves, d.startControl, d.addUpstreams, d.startEntries} {
+		if err := step(ctx); err != nil {
+			return nil, errors.Wrap(firstOf(err, d.Stop()), "deployment did not start")
+		}
+	}
+	return d, nil
+}
+
+// Stop ends all hosts gracefully and waits for them.
+func (d *Deployment) Stop() error {
+	d.stop()
+	return d.group.Wait()
+}
+
+// Wait returns when the deployment stopped by itself because a host failed.
+func (d *Deployment) Wait() error { return d.group.Wait() }
+
+// EntryAddress returns the address of the first entry host.
+func (d *Deployment) EntryAddress() string { return d.Entries[0].Addr().String() }
+
+// ControlAddress returns the address of the first control host.
+func (d *Deployment) ControlAddress() string { return d.Controls[0].Addr() }
+
+func (c Config) withDefaults() Config {
+	if c.Factor == 0 {
+		c.Factor = 1
+	}
+	if c.Service.Median == 0 {
+		c.Service = leaf.Service{
+			Median: defaultMedian,
+			Sigma:  defaultSigma,
+		}
+	}
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+	if c.EntryListen == "" {
+		c.EntryListen = freePort
+	}
+	if c.ControlListen == "" {
+		c.ControlListen = freePort
+	}
+	return c
+}
+
+func (d *Deployment) startLeaves(ctx context.Context) error {
+	build := shape.Thesiswell
+	if d.cfg.Shape == "hanbit" {
+		build = shape.Hanbit
+	}
+	d.Shape = build(d.cfg.Factor, func(config.Upstream) string { return freePort })
+	for i, l := range d.Shape.Leaves {
+		up, err := leaf.New(leaf.Config{
+			Upstream: l.Upstream,
+			Control:  freePort,
+			Seed:     d.cfg.Seed,
+			Versions: []ident.IndexVersion{1},
+			Waiting:  leafWaiting,
+			Connect:  l.Connect,
+			Service:  d.cfg.Service,
+			Log:      d.cfg.Log,
+		})
+		if err != nil {
+			return err
+		}
+		d.Shape.Leaves[i].Upstream.Address = up.Address()
+		d.Leaves = append(d.Leaves, up)
+		d.group.Go(func() error { return up.Run(ctx) })
+	}
+	return nil
+}
+
+func (d *Deployment) startControl(ctx context.Context) error {
+	h, err := ctrl.New(ctrl.Config{
+		Folder:   filepath.Join(d.cfg.Folder, "control-1"),
+		Listen:   d.cfg.ControlListen,
+		Address:  freePort,
+		NewGroup: true,
+		Log:      d.cfg.Log,
+	})
+	if err != nil {
+		return err
+	}
+	d.Controls = append(d.Controls, h)
+	d.group.Go(func() error { return h.Run(ctx) })
+	return nil
+}
+
+// addUpstreams puts the upstreams into the configuration. A data folder that
+// is used again knows them by old addresses, so these are replaced.
+func (d *Deployment) addUpstreams(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	s, err := d.Controls[0].Config(ctx)
+	if err != nil {
+		return err
+	}
+	version := s.Version
+	run := func(change config.Change) error {
+		cmd := config.Command{
+			ID:     ident.CommandID(fmt.Sprintf("dev-%d-%d", d.cfg.Seed, time.Now().UnixNano())),
+			Expect: version,
+			Change: change,
+		}
+		out := d.Controls[0].Command(ctx, cmd)
+		for out.Kind == config.NotRun && ctx.Err() == nil && len(s.Upstreams) == 0 && version == s.Version {
+			time.Sleep(retryPause) // the control host is still electing itself
+			out = d.Controls[0].Command(ctx, cmd)
+		}
+		if out.Kind != config.Accepted {
+			return errors.Errorf("change %T of the example deployment ended as %s: %s", change, out.Kind, out.Remedy)
+		}
+		version = out.Version
+		return nil
+	}
+	for _, u := range d.Shape.Upstreams() {
+		if _, ok := s.FindUpstream(u.ID); ok {
+			if err := firstOf(run(config.RetireUpstream{ID: u.ID}), run(config.RemoveUpstream{ID: u.ID})); err != nil {
+				return err
+			}
+		}
+		if err := run(config.AddUpstream{Upstream: u}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startEntries(ctx context.Context) error {
+	for i := range d.cfg.Entries {
+		address := freePort
+		if i == 0 {
+			address = d.cfg.EntryListen
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrapf(err, "entry host cannot listen on %s: free the address or choose another", address)
+		}
+		id := ident.HostID(fmt.Sprintf("entry-%d", i+1))
+		domain := d.Shape.Domains[i%len(d.Shape.Domains)]
+		link := newLink(d.Controls[0])
+		h, err := host.New(host.Config{
+			ID:       id,
+			Domain:   domain,
+			Listener: listener,
+			Engine: engine.NewEngine(engine.Config{
+				Host:   id,
+				Domain: domain,
+				Seed:   d.cfg.Seed + uint64(i),
+				Policy: d.cfg.Policy,
+			}),
+			Control: link,
+			Grace:   d.cfg.Grace,
+			Log:     d.cfg.Log.With("Host", string(id), "Domain", string(domain)),
+		})
+		if err != nil {
+			return err
+		}
+		d.Entries = append(d.Entries, h)
+		d.group.Go(func() error { return link.run(ctx) })
+		d.group.Go(func() error { return h.Run(ctx) })
+	}
+	return nil
+}
+
+func firstOf(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/launch/launch.go
@@ -0,0 +1,110 @@
+// Package launch starts the subcommands of the program.
+package launch
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jujubethread/jujubethread/internal/option"
+)
+
+// Exit statuses, as the usage text lists them.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitNotRun   = 3
+	exitUnknown  = 4
+	exitConflict = 5
+	exitUnmet    = 6
+)
+
+// job is one run of a subcommand.
+type job struct {
+	opt *option.Options
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs the program with the arguments after its name and returns the
+// exit status.
+func Main(args []string, out, errOut io.Writer) int {
+	opt, err := option.Parse(args)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		fmt.Fprint(out, option.Usage())
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(errOut, "jujubethread:", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	j := &job{
+		opt: opt,
+		out: out,
+		err: errOut,
+	}
+	err = j.run(ctx)
+	if err != nil {
+		fmt.Fprintln(errOut, "jujubethread:", err)
+	}
+	return status(err)
+}
+
+func (j *job) run(ctx context.Context) error {
+	switch j.opt.Command {
+	case option.Dev:
+		return j.dev(ctx)
+	case option.Demo:
+		return j.demo(ctx)
+	case option.Status:
+		return j.status(ctx)
+	case option.Preset:
+		return j.preset(ctx)
+	case option.Upstream:
+		return j.upstream(ctx)
+	case option.Member:
+		return j.member(ctx)
+	case option.Filing:
+		return j.filing(ctx)
+	default:
+		return &usageError{text: "command " + string(j.opt.Command) + " is not part of this build"}
+	}
+}
+
+// usageError is a wrong argument that is found after the flags were read.
+type usageError struct{ text string }
+
+// Error names the remedy.
+func (e *usageError) Error() string { return e.text }
+
+// exitError carries an exit status besides the usual one.
+type exitError struct {
+	code int
+	text string
+}
+
+// Error names the remedy.
+func (e *exitError) Error() string { return e.text }
+
+func status(err error) int {
+	var usage *usageError
+	var exit *exitError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &exit):
+		return exit.code
+	default:
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/internal/launch/operate.go
@@ -0,0 +1,254 @@
+package launch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/admin"
+	"github.com/jujubethread/jujubethread/internal/ctrl"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+func (j *job) client() *admin.Client {
+	return admin.NewClient(admin.Config{
+		Controls: j.opt.Controls,
+		Timeout:  j.opt.Timeout,
+	})
+}
+
+// words checks that the arguments are a verb with n words after it.
+func (j *job) words(verb string, n int) bool {
+	return len(j.opt.Args) == n+1 && j.opt.Args[0] == verb
+}
+
+func (j *job) wrongWords() error {
+	return &usageError{text: fmt.Sprintf("arguments %q of the %s command are wrong: run jujubethread -h for its forms",
+		strings.Join(j.opt.Args, " "), j.opt.Command)}
+}
+
+func (j *job) preset(ctx context.Context) error {
+	switch {
+	case j.words("list", 0):
+		return j.listPresets(ctx)
+	case j.words("switch", 1):
+		return j.change(ctx, config.SwitchPreset{Name: preset.Name(j.opt.Args[1])})
+	case j.words("put", 1):
+		doc, err := os.ReadFile(j.opt.Args[1])
+		if err != nil {
+			return errors.Wrap(err, "preset document cannot be read")
+		}
+		p, err := preset.Parse(doc)
+		if err != nil {
+			return err
+		}
+		return j.change(ctx, config.PutPreset{Preset: p})
+	default:
+		return j.wrongWords()
+	}
+}
+
+func (j *job) upstream(ctx context.Context) error {
+	switch {
+	case j.words("list", 0):
+		return j.listUpstreams(ctx)
+	case j.words("add", 1):
+		u, err := readUpstream(j.opt.Args[1])
+		if err != nil {
+			return err
+		}
+		return j.change(ctx, config.AddUpstream{Upstream: u})
+	case j.words("retire", 1):
+		return j.change(ctx, config.RetireUpstream{ID: ident.Upstream(j.opt.Args[1])})
+	case j.words("remove", 1):
+		return j.change(ctx, config.RemoveUpstream{ID: ident.Upstream(j.opt.Args[1])})
+	case j.words("place", 2):
+		var shards []ident.Shard
+		for _, s := range strings.Split(j.opt.Args[2], ",") {
+			shards = append(shards, ident.Shard(s))
+		}
+		return j.change(ctx, config.PlaceShards{
+			ID:     ident.Upstream(j.opt.Args[1]),
+			Shards: shards,
+		})
+	default:
+		return j.wrongWords()
+	}
+}
+
+func readUpstream(file string) (config.Upstream, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return config.Upstream{}, errors.Wrap(err, "upstream document cannot be read")
+	}
+	defer f.Close()
+	var u config.Upstream
+	dec := json.NewDecoder(f)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&u); err != nil {
+		return u, errors.Wrapf(err, "upstream document %s cannot be decoded: see docs/operators.md for its fields", file)
+	}
+	return u, nil
+}
+
+func (j *job) member(ctx context.Context) error {
+	var m ctrl.MembersRequest
+	switch {
+	case j.words("list", 0):
+		return j.status(ctx)
+	case j.words("add", 1):
+		id, address, ok := strings.Cut(j.opt.Args[1], "=")
+		if !ok {
+			return &usageError{text: "member add needs ID=IP:PORT: the member id is printed by a new control host at its start"}
+		}
+		m.Add = &ctrl.AddMember{
+			ID:      ident.HostID(id),
+			Address: address,
+		}
+	case j.words("remove", 1):
+		m.Remove = &ctrl.RemoveMember{ID: ident.HostID(j.opt.Args[1])}
+	case j.words("replace", 2):
+		id, address, ok := strings.Cut(j.opt.Args[2], "=")
+		if !ok {
+			return &usageError{text: "member replace needs OLD NEW=IP:PORT: the member id is printed by a new control host at its start"}
+		}
+		m.Replace = &ctrl.ReplaceMember{
+			Old:     ident.HostID(j.opt.Args[1]),
+			ID:      ident.HostID(id),
+			Address: address,
+		}
+	default:
+		return j.wrongWords()
+	}
+	out, err := j.client().Members(ctx, m)
+	if err != nil {
+		return err
+	}
+	return j.outcome("", out)
+}
+
+// change sends one change and turns its outcome into text and exit status.
+func (j *job) change(ctx context.Context, c config.Change) error {
+	cmd, out, err := j.client().Run(ctx, ident.CommandID(j.opt.ID), j.opt.Expect, c)
+	if err != nil {
+		return err
+	}
+	return j.outcome(cmd.ID, out)
+}
+
+func (j *job) outcome(id ident.CommandID, out config.Outcome) error {
+	if j.opt.JSON {
+		if err := json.NewEncoder(j.out).Encode(struct {
+			ID      ident.CommandID `json:"ID,omitempty"`
+			Outcome config.Outcome  `json:"Outcome"`
+		}{
+			ID:      id,
+			Outcome: out,
+		}); err != nil {
+			return err
+		}
+	}
+	switch out.Kind {
+	case config.Accepted:
+		if !j.opt.JSON {
+			fmt.Fprintf(j.out, "accepted at version %s (command id %s)\n", out.Version, id)
+		}
+		return nil
+	case config.Conflict:
+		return &exitError{
+			code: exitConflict,
+			text: fmt.Sprintf("conflict at version %s: %s\n  %s", out.Version, out.Remedy, strings.Join(out.Changed, "\n  ")),
+		}
+	case config.NotRun:
+		return &exitError{
+			code: exitNotRun,
+			text: "not run: " + out.Remedy,
+		}
+	default:
+		return &exitError{
+			code: exitUnknown,
+			text: fmt.Sprintf("unknown: %s (command id %s, expected version as before)", out.Remedy, id),
+		}
+	}
+}
+
+func (j *job) listPresets(ctx context.Context) error {
+	s, err := j.client().Config(ctx)
+	if err != nil {
+		return err
+	}
+	if j.opt.JSON {
+		return json.NewEncoder(j.out).Encode(s.Presets)
+	}
+	w := tabwriter.NewWriter(j.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "PRESET\tIN FORCE\tHEDGE %\tRETRY %\tCRITICAL ms\tSTANDARD ms\tTOLERANT ms")
+	for _, p := range s.Presets {
+		inForce := ""
+		if p.Name == s.InForce {
+			inForce = "yes"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%v\t%v\t%d\t%d\t%d\n", p.Name, inForce, p.HedgePercent, p.RetryPercent,
+			p.Critical.DeadlineMillis, p.Standard.DeadlineMillis, p.Tolerant.DeadlineMillis)
+	}
+	return w.Flush()
+}
+
+func (j *job) listUpstreams(ctx context.Context) error {
+	s, err := j.client().Config(ctx)
+	if err != nil {
+		return err
+	}
+	if j.opt.JSON {
+		return json.NewEncoder(j.out).Encode(s.Upstreams)
+	}
+	w := tabwriter.NewWriter(j.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "UPSTREAM\tPHASE\tADDRESS\tDOMAIN\tSERVICE\tSHARDS\tSLOTS\tCONNECTIONS")
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%d\n", u.ID, u.Phase, u.Address, u.Domain, u.Service, u.Shards, u.Slots, u.ConnLimit)
+	}
+	return w.Flush()
+}
+
+// status prints what each control host says of itself and the group.
+func (j *job) status(ctx context.Context) error {
+	list := j.client().Status(ctx)
+	if j.opt.JSON {
+		return json.NewEncoder(j.out).Encode(list)
+	}
+	answered := false
+	for _, h := range list {
+		if h.Status == nil {
+			fmt.Fprintf(j.out, "control host %s: no answer: %s\n", h.Address, h.Error)
+			continue
+		}
+		answered = true
+		j.printStatus(h)
+	}
+	if !answered {
+		return errors.New("no control host answered: check -control and that one of them runs")
+	}
+	return nil
+}
+
+func (j *job) printStatus(h admin.HostStatus) {
+	s := h.Status
+	fmt.Fprintf(j.out, "control host %s (%s): %s, term %d, leader %s, configuration %s, applied %d of %d\n",
+		s.ID, h.Address, s.Role, s.Term, s.Leader, s.Version, s.Applied, s.Last)
+	for _, m := range s.Members {
+		fmt.Fprintf(j.out, "  member %s at %s: voter %t, reached %t, lag %d\n", m.ID, m.Address, m.Voter, m.Reached, m.Lag)
+	}
+	for _, f := range s.Faults {
+		fmt.Fprintf(j.out, "  wrong: %s: %s; remedy: %s\n", f.Kind, f.Detail, f.Remedy)
+	}
+}
+
+func (j *job) filing(context.Context) error {
+	return &usageError{text: "this control group keeps no filings: start control hosts with a ledger"}
+}
--- a/main.go
+++ b/main.go
@@ -2,4 +2,10 @@
 // hosts, operator commands and the tools to try and measure them.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/jujubethread/jujubethread/internal/launch"
+)
+
+func main() { os.Exit(launch.Main(os.Args[1:], os.Stdout, os.Stderr)) }
