--- a/pkg/quorum/elect.go
+++ b/pkg/quorum/elect.go
@@ -11,6 +11,13 @@
 	n.startVote(true, false)
 }
 
+// mayCampaign also holds for a voter whose removal is not known to be
+// committed: it may be the only one that can complete the removal.
+func (n *Node) mayCampaign() bool {
+	m, ok := findMember(n.log.members(n.commit), n.cfg.ID)
+	return n.isVoter(n.cfg.ID) || ok && m.Voter
+}
+
 // campaign starts a real election in the next term.
 func (n *Node) campaign(transfer bool) {
 	n.role = Candidate
--- a/pkg/quorum/node.go
+++ b/pkg/quorum/node.go
@@ -156,7 +156,7 @@
 		n.tickLeader()
 		return
 	}
-	if n.now >= n.electAt && n.isVoter(n.cfg.ID) {
+	if n.now >= n.electAt && n.mayCampaign() {
 		n.campaignPre()
 	}
 }
@@ -191,7 +191,7 @@
 	case SnapshotReply:
 		n.onSnapshotReply(m.From, b)
 	case TimeoutNow:
-		if n.role != Leader && n.isVoter(n.cfg.ID) {
+		if n.role != Leader && n.mayCampaign() {
 			n.campaign(true)
 		}
 	}
