Add the entry host: caller interface, engine loop and upstream client

Cause: the design names an entry host daemon that owns the engine, and nothing carried out the engine's effects yet.

Change: internal/host serves callers over HTTP and owns the engine in one goroutine; internal/dial keeps one connection pool per upstream, sized by Warm, and ends each Send in exactly one event.

--- /dev/null
+++ b/internal/dial/pool.go
@@ -0,0 +1,285 @@
+package dial
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/wire"
+)
+
+var (
+	errNoConnection = errors.New("no connection to this upstream is allowed: the host has no seat or the upstream is retired")
+	errAllInUse     = errors.New("all connections to this upstream stayed in use: lower the load or raise its connection limit")
+)
+
+// pool holds the connections to one upstream. net/http keeps the ones that
+// have carried a request; spare holds those opened ahead of use.
+type pool struct {
+	client    *Client
+	address   string
+	transport *http.Transport
+	search    *url.URL
+	file      *url.URL
+	health    *url.URL
+
+	mu     sync.Mutex
+	want   int
+	open   int // open and opening connections
+	spare  []net.Conn
+	freed  chan struct{} // closed and replaced when a connection closes
+	filled bool          // a fill goroutine runs
+}
+
+func newPool(c *Client, address string) *pool {
+	p := &pool{
+		client:  c,
+		address: address,
+		search:  leafURL(address, wire.PathLeafSearch),
+		file:    leafURL(address, wire.PathLeafFile),
+		health:  leafURL(address, wire.PathLeafHealth),
+		freed:   make(chan struct{}),
+	}
+	p.transport = &http.Transport{
+		DialContext:            p.dialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdle,
+		MaxResponseHeaderBytes: maxHeader,
+		ReadBufferSize:         readBuffer,
+		WriteBufferSize:        writeBuffer,
+	}
+	return p
+}
+
+func leafURL(address, path string) *url.URL {
+	return &url.URL{
+		Scheme: "http",
+		Host:   address,
+		Path:   path,
+	}
+}
+
+// resize sets the number of connections to keep open.
+func (p *pool) resize(want int) {
+	p.mu.Lock()
+	p.want = want
+	over := p.open > want
+	var drop []net.Conn
+	for over && len(p.spare) > 0 && p.open-len(drop) > want {
+		drop = append(drop, p.spare[0])
+		p.spare = p.spare[1:]
+	}
+	p.wake()
+	p.mu.Unlock()
+	for _, c := range drop {
+		_ = c.Close()
+	}
+	if over {
+		p.trim()
+	}
+	p.fill()
+}
+
+// trim closes idle connections while there are more than wanted. net/http
+// closes all idle ones or none, so fill may open some again.
+func (p *pool) trim() {
+	p.mu.Lock()
+	over := p.open > p.want
+	p.mu.Unlock()
+	if over {
+		p.transport.CloseIdleConnections()
+	}
+}
+
+func (p *pool) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// wake tells those that wait for a connection to look again. Needs the lock.
+func (p *pool) wake() {
+	close(p.freed)
+	p.freed = make(chan struct{})
+}
+
+// dialContext serves net/http: it hands out a spare connection or opens one
+// within the limit, and waits while the limit is reached.
+func (p *pool) dialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	limit := time.NewTimer(p.client.config.DialTimeout)
+	defer limit.Stop()
+	for {
+		conn, freed, err := p.take()
+		if err != nil || conn != nil {
+			return conn, err
+		}
+		if freed == nil {
+			return p.connect(ctx)
+		}
+		select {
+		case <-freed:
+		case <-limit.C:
+			return nil, errAllInUse
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-p.client.base.Done():
+			return nil, p.client.base.Err()
+		}
+	}
+}
+
+// take returns a live spare connection, or a channel to wait on, or neither
+// when a place for a new connection was reserved.
+func (p *pool) take() (net.Conn, chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.spare) > 0 {
+		last := len(p.spare) - 1
+		conn := p.spare[last]
+		p.spare = p.spare[:last]
+		if alive(conn) {
+			return conn, nil, nil
+		}
+		// Close takes the lock, so it runs after this call.
+		go conn.Close() //nolint:errcheck // the peer closed it already
+	}
+	if p.want == 0 {
+		return nil, nil, errNoConnection
+	}
+	if p.open >= p.want {
+		return nil, p.freed, nil
+	}
+	p.open++
+	return nil, nil, nil
+}
+
+// connect opens a connection in a place that is already reserved.
+func (p *pool) connect(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.client.config.DialTimeout)
+	defer cancel()
+	stop := context.AfterFunc(p.client.base, cancel)
+	defer stop()
+	raw, err := p.client.config.Dial(ctx, p.address)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	return &conn{
+		Conn: raw,
+		pool: p,
+	}, nil
+}
+
+// release gives back the place of a connection.
+func (p *pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.wake()
+	p.mu.Unlock()
+}
+
+// fill opens connections ahead of use until there are as many as wanted.
+func (p *pool) fill() {
+	p.mu.Lock()
+	busy := p.filled || p.open >= p.want
+	if !busy {
+		p.filled = true
+	}
+	p.mu.Unlock()
+	if busy {
+		return
+	}
+	if !p.client.start() {
+		return
+	}
+	go func() {
+		defer p.client.work.Done()
+		p.fillUp()
+	}()
+}
+
+func (p *pool) fillUp() {
+	delay := firstRedial
+	for p.reserve() {
+		conn, err := p.connect(p.client.base)
+		if err == nil {
+			p.keep(conn)
+			delay = firstRedial
+			continue
+		}
+		select {
+		case <-time.After(delay):
+		case <-p.client.base.Done():
+		}
+		delay = min(delay*2, lastRedial)
+	}
+}
+
+// reserve takes a place for a new connection. It reports false, and that the
+// fill goroutine ends, when there are enough.
+func (p *pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.want || p.client.base.Err() != nil {
+		p.filled = false
+		return false
+	}
+	p.open++
+	return true
+}
+
+func (p *pool) keep(c net.Conn) {
+	p.mu.Lock()
+	kept := p.open <= p.want
+	if kept {
+		p.spare = append(p.spare, c)
+		p.wake()
+	}
+	p.mu.Unlock()
+	if !kept {
+		_ = c.Close()
+	}
+}
+
+// sweep closes spare connections that the upstream has closed.
+func (p *pool) sweep() {
+	p.mu.Lock()
+	var dead []net.Conn
+	live := p.spare[:0]
+	for _, c := range p.spare {
+		if alive(c) {
+			live = append(live, c)
+		} else {
+			dead = append(dead, c)
+		}
+	}
+	p.spare = live
+	p.mu.Unlock()
+	for _, c := range dead {
+		_ = c.Close()
+	}
+	p.fill()
+}
+
+// conn counts an open connection of its pool until it is closed.
+type conn struct {
+	net.Conn
+	pool *pool
+	once sync.Once
+}
+
+// Close closes the connection and lets the pool open another one.
+func (c *conn) Close() error {
+	err := net.ErrClosed
+	c.once.Do(func() {
+		err = c.Conn.Close()
+		c.pool.release()
+		c.pool.fill()
+	})
+	return err
+}
--- /dev/null
+++ b/internal/dial/probe.go
@@ -0,0 +1,64 @@
+package dial
+
+import (
+	"context"
+
+	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// Probe asks an upstream for a health report over a connection of its pool.
+// It ends in one UpstreamReported or ProbeFailed.
+func (c *Client) Probe(pr engine.Probe) {
+	if !c.start() {
+		return
+	}
+	go func() {
+		defer c.work.Done()
+		c.config.Emit(c.probe(pr))
+	}()
+}
+
+func (c *Client) probe(pr engine.Probe) engine.Event {
+	ctx, cancel := context.WithTimeout(c.base, c.config.ProbeTimeout)
+	defer cancel()
+	failed := engine.ProbeFailed{Upstream: pr.Upstream}
+	p := c.pool(pr.Upstream)
+	if p == nil {
+		return failed
+	}
+	select {
+	case c.probes <- struct{}{}:
+		defer func() { <-c.probes }()
+	case <-ctx.Done():
+		return failed
+	}
+	p.sweep()
+	var h wire.LeafHealth
+	if f := c.call(ctx, p, p.health, nil, "", &h); f != nil {
+		return failed
+	}
+	return engine.UpstreamReported{
+		Upstream: pr.Upstream,
+		Health:   h.Health,
+		Load:     h.Load,
+		Held:     h.Held,
+	}
+}
+
+// File sends a filing once. A Failure whose NotRun is true means that it
+// provably did not run; after any other one its outcome is unknown.
+func (c *Client) File(ctx context.Context, id ident.Upstream, body []byte, traceparent string) (wire.LeafFiled, *Failure) {
+	var filed wire.LeafFiled
+	p := c.pool(id)
+	if p == nil || !c.start() {
+		return filed, &Failure{
+			Kind: engine.Refused,
+			Err:  errNoConnection,
+		}
+	}
+	defer c.work.Done()
+	f := c.call(ctx, p, p.file, body, traceparent, &filed)
+	return filed, f
+}
--- /dev/null
+++ b/internal/host/fake_test.go
@@ -0,0 +1,312 @@
+package host_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/jujubethread/jujubethread/internal/host"
+	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const waitLimit = 10 * time.Second
+
+// fanOut is the smallest reducer that answers: one attempt for each upstream.
+type fanOut struct {
+	state    *config.State
+	draining bool
+	next     ident.AttemptID
+	asked    map[ident.AttemptID]ident.QueryID
+	open     map[ident.QueryID]*engine.Reply
+}
+
+func newFanOut() *fanOut {
+	return &fanOut{
+		state: config.NewState(),
+		asked: make(map[ident.AttemptID]ident.QueryID),
+		open:  make(map[ident.QueryID]*engine.Reply),
+	}
+}
+
+func (f *fanOut) Step(_ ident.Instant, ev engine.Event) []engine.Effect {
+	var out []engine.Effect
+	switch ev := ev.(type) {
+	case engine.ConfigApplied:
+		f.state = ev.State
+		for _, u := range f.state.Upstreams {
+			out = append(out, engine.Warm{
+				Upstream:    u.ID,
+				Address:     u.Address,
+				Connections: 2,
+			})
+		}
+	case engine.QueryArrived:
+		return f.arrived(ev)
+	case engine.QueryCancelled:
+		delete(f.open, ev.Query)
+		for a, q := range f.asked {
+			if q == ev.Query {
+				out = append(out, engine.Cancel{Attempt: a})
+			}
+		}
+	case engine.AttemptAnswered:
+		return f.ended(ev.Attempt, ev.Answer.Documents, "")
+	case engine.AttemptFailed:
+		return f.ended(ev.Attempt, nil, engine.MissingLost)
+	case engine.DrainStarted:
+		f.draining = true
+	}
+	return out
+}
+
+func (f *fanOut) arrived(ev engine.QueryArrived) []engine.Effect {
+	if f.draining {
+		return []engine.Effect{engine.Reply{
+			Query:   ev.Query,
+			Outcome: engine.NotRun,
+			Remedy:  "draining",
+		}}
+	}
+	var out []engine.Effect
+	f.open[ev.Query] = &engine.Reply{
+		Query:    ev.Query,
+		Request:  ev.Request,
+		Outcome:  engine.Done,
+		Coverage: engine.Coverage{Asked: len(f.state.Upstreams)},
+	}
+	for _, u := range f.state.Upstreams {
+		f.next++
+		f.asked[f.next] = ev.Query
+		out = append(out, engine.Send{
+			Attempt:   f.next,
+			Query:     ev.Query,
+			Request:   ev.Request,
+			Upstream:  u.ID,
+			Address:   u.Address,
+			Index:     u.Index,
+			Shard:     u.Shards[0],
+			Version:   7,
+			Terms:     ev.Terms,
+			Class:     ev.Class,
+			Reason:    engine.First,
+			Remaining: waitLimit,
+		})
+	}
+	return out
+}
+
+func (f *fanOut) ended(a ident.AttemptID, docs []engine.Document, why engine.MissingReason) []engine.Effect {
+	q := f.asked[a]
+	delete(f.asked, a)
+	rep := f.open[q]
+	if rep == nil {
+		return nil
+	}
+	if why == "" {
+		rep.Coverage.Answered++
+	} else {
+		rep.Outcome = engine.Partial
+		rep.Coverage.Missing = append(rep.Coverage.Missing, engine.Missing{Reason: why})
+	}
+	rep.Documents = append(rep.Documents, docs...)
+	if rep.Coverage.Answered+len(rep.Coverage.Missing) < rep.Coverage.Asked {
+		return nil
+	}
+	delete(f.open, q)
+	return []engine.Effect{*rep}
+}
+
+// fakeControl is a control group of one that keeps filings in memory.
+type fakeControl struct {
+	configs chan *config.State
+	seats   chan engine.Seat
+
+	mu      sync.Mutex
+	down    bool
+	fence   uint64
+	filings map[ident.RequestID]*filing
+}
+
+type filing struct {
+	hash    uint64
+	outcome engine.Outcome
+	receipt string
+}
+
+func newFakeControl() *fakeControl {
+	return &fakeControl{
+		configs: make(chan *config.State, 1),
+		seats:   make(chan engine.Seat, 1),
+		filings: make(map[ident.RequestID]*filing),
+	}
+}
+
+func (f *fakeControl) Configs() <-chan *config.State { return f.configs }
+func (f *fakeControl) Seats() <-chan engine.Seat     { return f.seats }
+
+func (f *fakeControl) Reserve(_ context.Context, r host.Filing) (host.Reservation, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	got, ok := f.filings[r.Request]
+	switch {
+	case f.down:
+		return host.Reservation{Kind: host.NoMajority}, nil
+	case !ok:
+		f.fence++
+		f.filings[r.Request] = &filing{hash: r.BodyHash}
+		return host.Reservation{
+			Kind:  host.Granted,
+			Fence: f.fence,
+		}, nil
+	case got.hash != r.BodyHash:
+		return host.Reservation{Kind: host.BodyDiffers}, nil
+	case got.outcome == "":
+		return host.Reservation{Kind: host.Pending}, nil
+	}
+	return host.Reservation{
+		Kind:    host.Recorded,
+		Outcome: got.outcome,
+		Receipt: got.receipt,
+	}, nil
+}
+
+func (f *fakeControl) Settle(_ context.Context, s host.Settlement) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.Outcome == engine.NotRun {
+		delete(f.filings, s.Request)
+		return nil
+	}
+	f.filings[s.Request].outcome = s.Outcome
+	f.filings[s.Request].receipt = s.Receipt
+	return nil
+}
+
+// rig is a running host with fake upstreams.
+type rig struct {
+	is      *is.I
+	url     string
+	control *fakeControl
+	client  *http.Client
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func newRig(t *testing.T, edit func(*host.Config), upstreams ...http.Handler) *rig {
+	r := &rig{
+		is:      is.New(t),
+		control: newFakeControl(),
+		client: &http.Client{
+			Transport: &http.Transport{},
+			Timeout:   waitLimit,
+		},
+		done: make(chan error, 1),
+	}
+	state := config.NewState()
+	for i, up := range upstreams {
+		s := httptest.NewServer(up)
+		t.Cleanup(s.Close)
+		name := string(rune('a' + i))
+		next, err := state.Apply(config.AddUpstream{Upstream: config.Upstream{
+			ID:        ident.Upstream(name),
+			Address:   s.Listener.Addr().String(),
+			Index:     "review-panel",
+			Service:   ident.Service(name),
+			Shards:    []ident.Shard{ident.Shard("review-panel/" + name)},
+			Slots:     2,
+			ConnLimit: 50,
+		}})
+		r.is.NoErr(err)
+		state = next
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r.is.NoErr(err)
+	c := host.Config{
+		ID:       "h1",
+		Listener: l,
+		Engine:   newFanOut(),
+		Control:  r.control,
+		Grace:    time.Millisecond,
+	}
+	if edit != nil {
+		edit(&c)
+	}
+	h, err := host.New(c)
+	r.is.NoErr(err)
+	r.url = "http://" + h.Addr().String()
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	go func() { r.done <- h.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		r.client.CloseIdleConnections()
+		r.is.NoErr(<-r.done)
+	})
+	r.control.configs <- state
+	r.eventually(func() bool { return r.get(wire.PathHealth) == http.StatusOK })
+	return r
+}
+
+func (r *rig) get(path string) int {
+	resp, err := r.client.Get(r.url + path)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// eventually polls for a state that has no event to wait on.
+func (r *rig) eventually(ok func() bool) {
+	end := time.Now().Add(waitLimit)
+	for !ok() {
+		r.is.True(time.Now().Before(end)) // the state was not reached in time
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (r *rig) post(path, body string, header ...string) (int, http.Header, map[string]any) {
+	req, err := http.NewRequest(http.MethodPost, r.url+path, bytes.NewBufferString(body))
+	r.is.NoErr(err)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := r.client.Do(req)
+	r.is.NoErr(err)
+	defer resp.Body.Close()
+	var out map[string]any
+	r.is.NoErr(json.NewDecoder(resp.Body).Decode(&out))
+	return resp.StatusCode, resp.Header, out
+}
+
+// answering serves one document whose body is the shard.
+func answering(w http.ResponseWriter, req *http.Request) {
+	var s wire.LeafSearch
+	_ = json.NewDecoder(req.Body).Decode(&s)
+	_ = json.NewEncoder(w).Encode(engine.Answer{
+		Request: s.Request,
+		Attempt: s.Attempt,
+		Shard:   s.Shard,
+		Version: s.Version,
+		Documents: []engine.Document{{
+			ID:   string(s.Shard),
+			Body: string(s.Shard),
+		}},
+	})
+}
--- /dev/null
+++ b/internal/host/host_test.go
@@ -0,0 +1,188 @@
+package host_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/internal/host"
+	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+)
+
+// Guards against a break anywhere on the path from caller to upstream and back.
+func TestSearchGoesToEveryUpstream(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, nil, http.HandlerFunc(answering), http.HandlerFunc(answering))
+	status, header, body := r.post(wire.PathSearch, `{"Index":"review-panel","Terms":"x"}`, wire.HeaderRequestID, "req-1")
+	is.Equal(status, http.StatusOK)
+	is.Equal(header.Get(wire.HeaderRequestID), "req-1")
+	is.Equal(body["RequestID"], "req-1")
+	is.Equal(body["Outcome"], "Done")
+	is.Equal(len(body["Documents"].([]any)), 2)
+}
+
+// Guards against malformed requests reaching the engine and against answers
+// without a request id.
+func TestBadRequestsAreRefusedByName(t *testing.T) {
+	r := newRig(t, func(c *host.Config) { c.MaxBody = 100 }, http.HandlerFunc(answering))
+	for _, tc := range []struct {
+		body   string
+		header []string
+		status int
+		remedy string
+	}{
+		{`{"Index":"x","Colour":1}`, nil, 400, "Colour"},
+		{`{"Index":"x"}{}`, nil, 400, "after its JSON object"},
+		{`{"Terms":"x"}`, nil, 400, "Index is empty"},
+		{`{"Index":"x","Class":"First"}`, nil, 400, `class "First"`},
+		{`{"Index":"x","Limit":-1}`, nil, 400, "Limit is -1"},
+		{`{"Index":"x"}`, []string{wire.HeaderDeadline, "soon"}, 400, "soon"},
+		{`{"Index":"x"}`, []string{wire.HeaderRequestID, "a b"}, 400, wire.HeaderRequestID},
+		{`{"Index":"` + strings.Repeat("x", 100) + `"}`, nil, 413, "100 bytes"},
+	} {
+		status, header, body := r.post(wire.PathSearch, tc.body, tc.header...)
+		r.is.Equal(status, tc.status)
+		r.is.True(strings.Contains(body["Remedy"].(string), tc.remedy)) // the remedy names the fault
+		r.is.True(header.Get(wire.HeaderRequestID) != "")
+		r.is.Equal(body["Outcome"], "NotRun")
+	}
+}
+
+// Guards against upstreams that keep working for a caller that left.
+func TestCallerThatLeavesCancelsTheAttempts(t *testing.T) {
+	is := is.New(t)
+	began, cancelled := make(chan struct{}), make(chan struct{})
+	r := newRig(t, nil, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		var s wire.LeafSearch
+		_ = json.NewDecoder(req.Body).Decode(&s)
+		close(began)
+		<-req.Context().Done()
+		close(cancelled)
+	}))
+	ctx, leave := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+wire.PathSearch, strings.NewReader(`{"Index":"review-panel"}`))
+	is.NoErr(err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, err := r.client.Do(req)
+		is.True(err != nil)
+	}()
+	<-began
+	leave()
+	<-done
+	<-cancelled
+}
+
+// Guards against a query cut by the body timeout, which net/http applies to
+// the connection and not to the body.
+func TestQueryOutlivesTheBodyTimeout(t *testing.T) {
+	is := is.New(t)
+	const bodyTimeout = 50 * time.Millisecond
+	r := newRig(t, func(c *host.Config) { c.BodyTimeout = bodyTimeout }, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		<-time.After(3 * bodyTimeout)
+		answering(w, req)
+	}))
+	status, _, _ := r.post(wire.PathSearch, `{"Index":"review-panel"}`)
+	is.Equal(status, http.StatusOK)
+}
+
+// Guards against a shutdown that cuts a request, or that refuses requests
+// before the health check has failed.
+func TestShutdownFinishesRequestsInFlight(t *testing.T) {
+	is := is.New(t)
+	began, release := make(chan struct{}, 1), make(chan struct{})
+	r := newRig(t, func(c *host.Config) { c.Grace = 300 * time.Millisecond }, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		began <- struct{}{}
+		<-release
+		answering(w, req)
+	}))
+	var ends sync.WaitGroup
+	ask := func() {
+		defer ends.Done()
+		status, _, body := r.post(wire.PathSearch, `{"Index":"review-panel"}`)
+		is.Equal(status, http.StatusOK)
+		is.Equal(body["Outcome"], "Done")
+	}
+	ends.Add(2)
+	go ask()
+	<-began
+	r.stop()
+	r.eventually(func() bool { return r.get(wire.PathHealth) == http.StatusServiceUnavailable })
+	go ask() // still within the grace
+	<-began
+	r.eventually(func() bool { return r.get(wire.PathHealth) == 0 }) // the listener is closed
+	close(release)
+	ends.Wait()
+}
+
+// Guards against a filing that runs twice, or whose recorded outcome differs
+// from the answer.
+func TestFilingRunsOnce(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	r := newRig(t, nil, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		var f wire.LeafFile
+		_ = json.NewDecoder(req.Body).Decode(&f)
+		runs.Add(1)
+		_ = json.NewEncoder(w).Encode(wire.LeafFiled{
+			Request: f.Request,
+			Fence:   f.Fence,
+			Receipt: "r" + f.Body,
+		})
+	}))
+	for range 2 {
+		status, _, body := r.post(wire.PathFilings, `{"Index":"review-panel","Body":"draft"}`, wire.HeaderRequestID, "f1")
+		is.Equal(status, http.StatusOK)
+		is.Equal(body["Receipt"], "rdraft")
+	}
+	is.Equal(runs.Load(), int64(1))
+	status, _, body := r.post(wire.PathFilings, `{"Index":"review-panel","Body":"other"}`, wire.HeaderRequestID, "f1")
+	is.Equal(status, http.StatusConflict)
+	is.Equal(body["Outcome"], "NotRun")
+	r.control.mu.Lock()
+	r.control.down = true
+	r.control.mu.Unlock()
+	status, header, body := r.post(wire.PathFilings, `{"Index":"review-panel","Body":"more"}`, wire.HeaderRequestID, "f2")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(body["Outcome"], "NotRun")
+	is.True(header.Get("Retry-After") != "")
+	is.Equal(runs.Load(), int64(1))
+}
+
+// Guards against a filing reported as not run although the upstream may have
+// run it, and against a reservation that is kept although it did not.
+func TestFilingOutcomeFollowsTheUpstream(t *testing.T) {
+	for _, tc := range []struct {
+		leaf    http.HandlerFunc
+		status  int
+		outcome string
+	}{
+		{func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 502, "Unknown"},
+		{func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() }, 504, "Unknown"},
+		{func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) }, 502, "Unknown"},
+		{func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(wire.LeafError{Kind: engine.Shed})
+		}, 503, "NotRun"},
+	} {
+		r := newRig(t, nil, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			var f wire.LeafFile
+			_ = json.NewDecoder(req.Body).Decode(&f)
+			tc.leaf(w, req)
+		}))
+		status, _, body := r.post(wire.PathFilings, `{"Index":"review-panel","Body":"d"}`, wire.HeaderRequestID, "f1", wire.HeaderDeadline, "200")
+		r.is.Equal(status, tc.status)
+		r.is.Equal(body["Outcome"], tc.outcome)
+		_, kept := r.control.filings["f1"]
+		r.is.Equal(kept, tc.outcome == "Unknown")
+	}
+}
--- /dev/null
+++ b/internal/host/serve.go
@@ -0,0 +1,196 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+func (h *Host) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathSearch, h.search)
+	mux.HandleFunc("POST "+wire.PathFilings, h.file)
+	mux.HandleFunc("GET "+wire.PathHealth, h.health)
+	mux.HandleFunc("GET "+wire.PathStatus, h.status)
+	return h.bounded(mux)
+}
+
+// bounded renews the write deadline of the connection, which outlives one
+// request: the one set for an earlier answer may have passed.
+func (h *Host) bounded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.config.WriteTimeout))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// admit counts a request in, or refuses it. The caller calls the returned
+// function at the end of an admitted request.
+func (h *Host) admit() (func(), string) {
+	n := h.running.Add(1)
+	leave := func() { h.running.Add(-1) }
+	switch {
+	case h.phase.Load() == phaseDraining:
+		leave()
+		return nil, "this host is shutting down: send the request again, the balancer uses another host"
+	case h.phase.Load() == phaseStarting:
+		leave()
+		return nil, "this host has no configuration yet: send the request again later"
+	case n > int64(h.config.MaxRequests):
+		leave()
+		return nil, "this host has too many requests in progress: send the request again later"
+	}
+	return leave, ""
+}
+
+func (h *Host) search(w http.ResponseWriter, r *http.Request) {
+	call, body, fault := h.begin(w, r)
+	if fault != nil {
+		h.answerFault(w, call, fault)
+		return
+	}
+	var req wire.SearchRequest
+	ev, fault := parseSearch(r, body, call, &req)
+	if fault != nil {
+		h.answerFault(w, call, fault)
+		return
+	}
+	leave, refused := h.admit()
+	if leave == nil {
+		h.answerSearch(w, call, notRun(call, refused))
+		return
+	}
+	defer leave()
+	ev.Query = ident.QueryID(lastQuery.Add(1))
+	rep, ok := h.ask(r.Context(), ev, call)
+	if ok {
+		h.answerSearch(w, call, rep)
+	}
+}
+
+// lastQuery numbers the queries of this process.
+var lastQuery atomic.Uint64
+
+// ask runs a query. It reports false when the caller left first.
+func (h *Host) ask(ctx context.Context, ev engine.QueryArrived, call *call) (engine.Reply, bool) {
+	q := &query{
+		reply:       make(chan engine.Reply, 1),
+		traceparent: call.traceparent,
+	}
+	h.loop.send(mail{
+		event: ev,
+		query: q,
+	})
+	select {
+	case rep := <-q.reply:
+		return rep, true
+	case <-ctx.Done():
+		h.loop.post(engine.QueryCancelled{Query: ev.Query})
+		return engine.Reply{}, false
+	}
+}
+
+func notRun(c *call, remedy string) engine.Reply {
+	return engine.Reply{
+		Request: c.id,
+		Outcome: engine.NotRun,
+		Remedy:  remedy,
+	}
+}
+
+func (h *Host) answerSearch(w http.ResponseWriter, c *call, rep engine.Reply) {
+	status := http.StatusOK
+	if rep.Outcome == engine.NotRun {
+		status = http.StatusServiceUnavailable
+	}
+	h.answer(w, c, status, wire.SearchAnswer{
+		RequestID: c.id,
+		Outcome:   rep.Outcome,
+		Version:   rep.Version,
+		Preset:    rep.Preset,
+		Coverage:  rep.Coverage,
+		Documents: rep.Documents,
+		Remedy:    rep.Remedy,
+	})
+}
+
+// answer writes one JSON answer within the write timeout.
+func (h *Host) answer(w http.ResponseWriter, c *call, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		h.config.Log.Error("answer cannot be encoded: report this fault", "RequestID", c.id, "Error", err.Error())
+		status, raw = http.StatusInternalServerError, nil
+	}
+	head := w.Header()
+	head.Set("Content-Type", "application/json")
+	head.Set(wire.HeaderRequestID, string(c.id))
+	if status == http.StatusServiceUnavailable {
+		head.Set("Retry-After", retryAfterSeconds)
+	}
+	if h.phase.Load() >= phaseLeaving {
+		head.Set("Connection", "close")
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.config.WriteTimeout))
+	w.WriteHeader(status)
+	_, _ = w.Write(raw)
+}
+
+func (h *Host) answerFault(w http.ResponseWriter, c *call, f *fault) {
+	h.answer(w, c, f.status, struct {
+		RequestID ident.RequestID `json:"RequestID"`
+		Outcome   engine.Outcome  `json:"Outcome"`
+		Remedy    string          `json:"Remedy"`
+	}{
+		RequestID: c.id,
+		Outcome:   engine.NotRun,
+		Remedy:    f.remedy,
+	})
+}
+
+// health answers the balancer: 200 while requests are welcome.
+func (h *Host) health(w http.ResponseWriter, _ *http.Request) {
+	status, text := http.StatusOK, "ok\n"
+	switch h.phase.Load() {
+	case phaseStarting:
+		status, text = http.StatusServiceUnavailable, "no configuration yet\n"
+	case phaseLeaving, phaseDraining:
+		status, text = http.StatusServiceUnavailable, "shutting down\n"
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text))
+}
+
+var phaseNames = [...]string{"Starting", "Serving", "Leaving", "Draining"}
+
+func (h *Host) status(w http.ResponseWriter, _ *http.Request) {
+	var version ident.ConfigVersion
+	if s := h.current.Load(); s != nil {
+		version = s.Version
+	}
+	raw, _ := json.Marshal(struct {
+		Host     ident.HostID        `json:"Host"`
+		Domain   ident.Domain        `json:"Domain"`
+		Phase    string              `json:"Phase"`
+		Seat     engine.Seat         `json:"Seat"`
+		Config   ident.ConfigVersion `json:"Config"`
+		Requests int64               `json:"Requests"`
+		Attempts int                 `json:"Attempts"`
+	}{
+		Host:     h.config.ID,
+		Domain:   h.config.Domain,
+		Phase:    phaseNames[h.phase.Load()],
+		Seat:     h.seat.Load().(engine.Seat),
+		Config:   version,
+		Requests: h.running.Load(),
+		Attempts: h.client.InFlight(),
+	})
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw)
+}
