Land the thin whole path: search, preset switch and restart in one program

Cause: the parts ran only in their own tests. Conclusion: the whole path stands; the deployment still runs one control host and keeps no filings.

--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -56,38 +57,49 @@
 	Controls []*ctrl.Host
 	Entries  []*host.Host
 
-	cfg   Config
-	group *errgroup.Group
-	stop  context.CancelFunc
+	cfg Config
+	// back runs the upstreams and control hosts, front the entry hosts. The
+	// front stops first, so that no request in flight loses its upstreams.
+	back, front         *errgroup.Group
+	stopBack, stopFront context.CancelFunc
 }
 
 // Start starts a deployment and returns when every entry host serves. Stop
 // must follow.
 func Start(cfg Config) (*Deployment, error) {
 	cfg = cfg.withDefaults()
-	ctx, cancel := context.WithCancel(context.Background())
-	group, ctx := errgroup.WithContext(ctx)
+	back, stopBack := context.WithCancel(context.Background())
+	front, stopFront := context.WithCancel(context.Background())
 	d := &Deployment{
-		cfg:   cfg,
-		group: group,
-		stop:  cancel,
+		cfg:       cfg,
+		stopBack:  stopBack,
+		stopFront: stopFront,
 	}
-	for _, step := range []func(context.Context) error{d.startLeaves, d.startControl, d.addUpstreams, d.startEntries} {
-		if err := step(ctx); err != nil {
+	d.back, back = errgroup.WithContext(back)
+	d.front, front = errgroup.WithContext(front)
+	for _, step := range []func() error{
+		func() error { return d.startLeaves(back) },
+		func() error { return d.startControl(back) },
+		func() error { return d.addUpstreams(back) },
+		func() error { return d.startEntries(front) },
+	} {
+		if err := step(); err != nil {
 			return nil, errors.Wrap(firstOf(err, d.Stop()), "deployment did not start")
 		}
 	}
 	return d, nil
 }
 
-// Stop ends all hosts gracefully and waits for them.
+// Stop ends all hosts gracefully, the entry hosts first, and waits for them.
 func (d *Deployment) Stop() error {
-	d.stop()
-	return d.group.Wait()
+	d.stopFront()
+	err := d.front.Wait()
+	d.stopBack()
+	return firstOf(err, d.back.Wait())
 }
 
-// Wait returns when the deployment stopped by itself because a host failed.
-func (d *Deployment) Wait() error { return d.group.Wait() }
+// Wait returns when an entry host stopped by itself, or all of them did.
+func (d *Deployment) Wait() error { return d.front.Wait() }
 
 // EntryAddress returns the address of the first entry host.
 func (d *Deployment) EntryAddress() string { return d.Entries[0].Addr().String() }
@@ -139,7 +151,7 @@
 		}
 		d.Shape.Leaves[i].Upstream.Address = up.Address()
 		d.Leaves = append(d.Leaves, up)
-		d.group.Go(func() error { return up.Run(ctx) })
+		d.back.Go(func() error { return up.Run(ctx) })
 	}
 	return nil
 }
@@ -156,7 +168,7 @@
 		return err
 	}
 	d.Controls = append(d.Controls, h)
-	d.group.Go(func() error { return h.Run(ctx) })
+	d.back.Go(func() error { return h.Run(ctx) })
 	return nil
 }
 
@@ -165,22 +177,17 @@
 func (d *Deployment) addUpstreams(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	s, err := d.Controls[0].Config(ctx)
+	s, err := d.leader(ctx)
 	if err != nil {
 		return err
 	}
 	version := s.Version
 	run := func(change config.Change) error {
-		cmd := config.Command{
-			ID:     ident.CommandID(fmt.Sprintf("dev-%d-%d", d.cfg.Seed, time.Now().UnixNano())),
+		out := d.Controls[0].Command(ctx, config.Command{
+			ID:     ident.CommandID(uuid.NewString()),
 			Expect: version,
 			Change: change,
-		}
-		out := d.Controls[0].Command(ctx, cmd)
-		for out.Kind == config.NotRun && ctx.Err() == nil && len(s.Upstreams) == 0 && version == s.Version {
-			time.Sleep(retryPause) // the control host is still electing itself
-			out = d.Controls[0].Command(ctx, cmd)
-		}
+		})
 		if out.Kind != config.Accepted {
 			return errors.Errorf("change %T of the example deployment ended as %s: %s", change, out.Kind, out.Remedy)
 		}
@@ -200,6 +207,27 @@
 	return nil
 }
 
+// leader waits until the first control host leads with its whole log applied
+// and returns its configuration.
+func (d *Deployment) leader(ctx context.Context) (*config.State, error) {
+	tick := time.NewTicker(retryPause)
+	defer tick.Stop()
+	for {
+		st, err := d.Controls[0].Status(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if st.Lease && st.Applied == st.Last {
+			return d.Controls[0].Config(ctx)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil, errors.Wrap(ctx.Err(), "control host did not become leader")
+		}
+	}
+}
+
 func (d *Deployment) startEntries(ctx context.Context) error {
 	for i := range d.cfg.Entries {
 		address := freePort
@@ -231,8 +259,8 @@
 			return err
 		}
 		d.Entries = append(d.Entries, h)
-		d.group.Go(func() error { return link.run(ctx) })
-		d.group.Go(func() error { return h.Run(ctx) })
+		d.front.Go(func() error { return link.run(ctx) })
+		d.front.Go(func() error { return h.Run(ctx) })
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/devel/devel_test.go
@@ -0,0 +1,91 @@
+package devel_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/internal/admin"
+	"github.com/jujubethread/jujubethread/internal/devel"
+	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+const waitFor = 20 * time.Second
+
+func search(t *testing.T, address, index string) wire.SearchAnswer {
+	t.Helper()
+	is := is.New(t)
+	body := []byte(`{"Index":"` + index + `","Terms":"warning letter","Limit":3}`)
+	res, err := http.Post("http://"+address+wire.PathSearch, "application/json", bytes.NewReader(body))
+	is.NoErr(err)
+	defer res.Body.Close()
+	var a wire.SearchAnswer
+	is.NoErr(json.NewDecoder(res.Body).Decode(&a))
+	return a
+}
+
+// until repeats a search until the answer is as wanted.
+func until(t *testing.T, address string, want func(wire.SearchAnswer) bool) wire.SearchAnswer {
+	t.Helper()
+	end := time.Now().Add(waitFor)
+	for {
+		a := search(t, address, "review-panel")
+		if want(a) {
+			return a
+		}
+		if time.Now().After(end) {
+			t.Fatalf("last answer after %s: %+v", waitFor, a)
+		}
+	}
+}
+
+// Guards the whole path: a search that misses a shard without saying so, a
+// preset switch that is accepted but not put in force, and a configuration
+// that is lost when the control host restarts.
+func TestSearchPresetAndRestart(t *testing.T) {
+	is := is.New(t)
+	cfg := devel.Config{
+		Shape:   "thesiswell",
+		Entries: 2,
+		Folder:  t.TempDir(),
+		Grace:   time.Millisecond,
+		Seed:    1,
+	}
+	d, err := devel.Start(cfg)
+	is.NoErr(err)
+	for _, e := range d.Entries {
+		a := until(t, e.Addr().String(), func(a wire.SearchAnswer) bool { return a.Outcome == engine.Done })
+		is.Equal(a.Coverage.Asked, 20)
+		is.Equal(a.Coverage.Answered, 20)
+		is.Equal(a.Preset, preset.Ordinary)
+	}
+
+	client := admin.NewClient(admin.Config{
+		Controls: []string{d.ControlAddress()},
+		Timeout:  waitFor,
+	})
+	cmd, out, err := client.Run(context.Background(), "", nil, config.SwitchPreset{Name: preset.Peak})
+	is.NoErr(err)
+	is.Equal(out.Kind, config.Accepted)
+	_, again, err := client.Run(context.Background(), cmd.ID, &cmd.Expect, cmd.Change)
+	is.NoErr(err)
+	is.Equal(again, out) // a resent command returns its first outcome
+	for _, e := range d.Entries {
+		until(t, e.Addr().String(), func(a wire.SearchAnswer) bool { return a.Preset == preset.Peak })
+	}
+	http.DefaultClient.CloseIdleConnections()
+	is.NoErr(d.Stop())
+
+	d, err = devel.Start(cfg)
+	is.NoErr(err)
+	defer func() { is.NoErr(d.Stop()) }()
+	until(t, d.EntryAddress(), func(a wire.SearchAnswer) bool { return a.Preset == preset.Peak })
+}
--- a/pkg/engine/reply.go
+++ b/pkg/engine/reply.go
@@ -29,12 +29,15 @@
 	}
 	e.drop(q)
 	rep := Reply{
-		Query:    q.ask.Query,
-		Request:  q.ask.Request,
-		Outcome:  Done,
-		Version:  q.version,
-		Preset:   q.preset.Name,
-		Coverage: Coverage{Asked: len(q.tasks)},
+		Query:   q.ask.Query,
+		Request: q.ask.Request,
+		Outcome: Done,
+		Version: q.version,
+		Preset:  q.preset.Name,
+		Coverage: Coverage{
+			Asked:   len(q.tasks),
+			Missing: []Missing{},
+		},
 	}
 	for i := range q.tasks {
 		t := &q.tasks[i]
