ctrl: connect control hosts over the link and test groups

Cause: control hosts had no transport, so only a group of one could run. Change: messages of the log and forwarded requests go over internal/link, gathered per member; a joining host is answered at the address it sends. The CBOR codec of internal/proto replaces the own one.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/store"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
@@ -27,15 +28,18 @@
 	Folder string
 	// Listen is the address of the operator API; required.
 	Listen string
-	// Address is where other members reach this one; required.
+	// Address is where other hosts reach this one; required. Port 0 takes a
+	// free port, which only suits a group of one.
 	Address string
+	// Link has the certificates for the traffic with other hosts.
+	Link link.Config
 	// NewGroup lets an empty folder start a group with this host as the only
 	// member. Leave it unset on hosts that join a group.
 	NewGroup bool
 	// Bootstrap lists the first members of a new group, the same on all of
 	// them. It is used only while the folder is empty.
 	Bootstrap []quorum.Member
-	// Transport reaches the other members; nil for a group of one.
+	// Transport replaces the link to the other members in tests.
 	Transport Transport
 	// Parts are replicated besides the configuration.
 	Parts []Part
@@ -69,6 +73,7 @@
 	id       ident.HostID
 	start    time.Time
 	listener net.Listener
+	peers    *peers
 	log      *slog.Logger
 
 	inbox    chan quorum.Message
@@ -104,9 +109,6 @@
 	if cfg.SnapshotBytes == 0 {
 		cfg.SnapshotBytes = defaultSnapshotBytes
 	}
-	if cfg.Transport == nil {
-		cfg.Transport = alone{}
-	}
 	h := &Host{
 		cfg:      cfg,
 		start:    time.Now(),
@@ -116,19 +118,48 @@
 		views:    make(chan chan view),
 		done:     make(chan struct{}),
 	}
+	if err := h.open(); err != nil {
+		h.close()
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) open() error {
+	if h.cfg.Link.Log == nil {
+		h.cfg.Link.Log = h.log
+	}
+	if h.cfg.Transport == nil {
+		p, err := newPeers(h)
+		if err != nil {
+			return err
+		}
+		h.peers, h.cfg.Transport, h.cfg.Address = p, p, p.address
+	}
+	lis, err := net.Listen("tcp", h.cfg.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "cannot listen for operators on %s", h.cfg.Listen)
+	}
+	h.listener = lis
 	o, err := newOwner(h)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	h.owner = o
 	h.id = o.store.ID()
-	h.log = cfg.Log.With("member", string(h.id))
-	h.listener, err = net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		_ = o.store.Close()
-		return nil, errors.Wrapf(err, "cannot listen for operators on %s", cfg.Listen)
+	h.log = h.log.With("member", string(h.id))
+	return nil
+}
+
+// close releases what open has taken when it failed.
+func (h *Host) close() {
+	if h.peers != nil {
+		_ = h.peers.listener.Close()
+		_ = h.peers.client.Close()
+	}
+	if h.listener != nil {
+		_ = h.listener.Close()
 	}
-	return h, nil
 }
 
 // ID returns the member id of the data folder.
@@ -137,6 +168,9 @@
 // Addr returns the address of the operator API.
 func (h *Host) Addr() string { return h.listener.Addr().String() }
 
+// LinkAddr returns the address that other hosts reach this one at.
+func (h *Host) LinkAddr() string { return h.cfg.Address }
+
 // Run serves until ctx ends or the data folder is beyond repair. A leader
 // hands over before it returns.
 func (h *Host) Run(ctx context.Context) error {
@@ -147,7 +181,13 @@
 		IdleTimeout:       idleTimeout,
 	}
 	g, ctx := errgroup.WithContext(ctx)
+	// The link outlives ctx, since a leader hands over when ctx ends.
+	lctx, unlink := context.WithCancel(context.WithoutCancel(ctx))
+	if h.peers != nil {
+		g.Go(func() error { return h.peers.run(lctx) })
+	}
 	g.Go(func() error {
+		defer unlink()
 		defer close(h.done)
 		return h.owner.run(ctx)
 	})
@@ -185,15 +225,3 @@
 	_, _ = f.Write([]byte(id))
 	return f.Sum64()
 }
-
-// alone is the transport of a group of one.
-type alone struct{}
-
-func (alone) Send(quorum.Member, quorum.Message) {}
-
-func (alone) Forward(_ context.Context, to quorum.Member, _ Request) (Answer, error) {
-	return Answer{}, &NotSentError{
-		To:    to.ID,
-		Cause: errors.New("this host has no transport"),
-	}
-}
--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/internal/store"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -250,7 +251,7 @@
 		case r.Members != nil:
 			o.changeMembers(o.lastID, *r.Members)
 		case r.Command != nil:
-			data, err := encoding.Marshal(*r.Command)
+			data, err := proto.Marshal(*r.Command)
 			if err != nil {
 				o.answer(o.lastID, Answer{
 					Kind:   config.NotRun,
--- a/internal/ctrl/part.go
+++ b/internal/ctrl/part.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/pkg/config"
 )
 
@@ -60,7 +61,7 @@
 
 func (p *parts) apply(data []byte) ([]byte, error) {
 	var c PartCommand
-	if err := decoding.Unmarshal(data, &c); err != nil {
+	if err := proto.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "command cannot be decoded: update this host")
 	}
 	part, err := p.find(c.Part)
@@ -89,13 +90,13 @@
 				Data: data,
 			})
 		}
-		return encoding.Marshal(states)
+		return proto.Marshal(states)
 	}
 }
 
 func (p *parts) restore(data []byte) error {
 	var states []partState
-	if err := decoding.Unmarshal(data, &states); err != nil {
+	if err := proto.Unmarshal(data, &states); err != nil {
 		return errors.Wrap(err, "snapshot cannot be decoded: update this host")
 	}
 	for _, s := range states {
@@ -121,11 +122,10 @@
 // Apply implements Part. The command is a config.Command, the result a config.Outcome.
 func (p *configPart) Apply(command []byte) ([]byte, error) {
 	var c config.Command
-	if err := decoding.Unmarshal(command, &c); err != nil {
+	if err := proto.Unmarshal(command, &c); err != nil {
 		return nil, errors.Wrap(err, "configuration command cannot be decoded: update this host")
 	}
-	c.Change = plainChange(c.Change)
-	return encoding.Marshal(p.machine.Run(c))
+	return proto.Marshal(p.machine.Run(c))
 }
 
 // Freeze implements Part. State is immutable; the lists are copied.
@@ -135,13 +135,13 @@
 		Recent:  slices.Clone(p.machine.Recent),
 		History: slices.Clone(p.machine.History),
 	}
-	return func() ([]byte, error) { return encoding.Marshal(frozen) }
+	return func() ([]byte, error) { return proto.Marshal(frozen) }
 }
 
 // Restore implements Part.
 func (p *configPart) Restore(state []byte) error {
 	m := &config.Machine{}
-	if err := decoding.Unmarshal(state, m); err != nil {
+	if err := proto.Unmarshal(state, m); err != nil {
 		return err
 	}
 	if m.State == nil {
--- a/internal/ctrl/request.go
+++ b/internal/ctrl/request.go
@@ -6,13 +6,14 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/pkg/config"
 )
 
 // Command runs an operator command through the leader and returns its
 // outcome. It waits up to 3 s for a leader.
 func (h *Host) Command(ctx context.Context, c config.Command) config.Outcome {
-	data, err := encoding.Marshal(c)
+	data, err := proto.Marshal(c)
 	if err != nil {
 		return config.Outcome{
 			Kind:   config.NotRun,
@@ -30,7 +31,7 @@
 		}
 	}
 	var out config.Outcome
-	if err := decoding.Unmarshal(a.Data, &out); err != nil {
+	if err := proto.Unmarshal(a.Data, &out); err != nil {
 		return unknown("the outcome cannot be decoded: " + err.Error())
 	}
 	return out
