--- a/internal/leaf/control.go
+++ b/internal/leaf/control.go
@@ -16,6 +16,7 @@
 	PathCold     = "/control/cold"     // POST Switch; On starts a cold start
 	PathVersions = "/control/versions" // POST VersionChange
 	PathShards   = "/control/shards"   // POST ShardChange
+	PathReset    = "/control/reset"    // POST Reset
 )
 
 // Switch turns something on or off.
@@ -35,6 +36,13 @@
 	Drop ident.Shard `json:"Drop,omitempty"`
 }
 
+// Reset ends all faults and the drain and sets what the upstream holds, so that
+// the next experiment starts alike.
+type Reset struct {
+	Versions []ident.IndexVersion `json:"Versions"`
+	Shards   []ident.Shard        `json:"Shards"`
+}
+
 const maxControlBytes = 64 << 10
 
 func (l *Leaf) controlHandler() http.Handler {
@@ -71,6 +79,7 @@
 			l.DropShard(s.Drop)
 		}
 	}))
+	mux.HandleFunc("POST "+PathReset, change(l, l.Reset))
 	return mux
 }
 
--- a/internal/leaf/leaf.go
+++ b/internal/leaf/leaf.go
@@ -220,6 +220,13 @@
 // DropShard removes a shard; what runs in it ends.
 func (l *Leaf) DropShard(s ident.Shard) { l.store.dropShard(s) }
 
+// Reset ends all faults and the drain and sets what the upstream holds.
+func (l *Leaf) Reset(r Reset) {
+	l.SetFaults(Faults{})
+	l.Drain(false)
+	l.store.set(r.Shards, r.Versions)
+}
+
 // coldNow returns the factor on the service time, which falls to 1 at the end
 // of a cold start.
 func (l *Leaf) coldNow() float64 {
--- a/internal/leaf/store.go
+++ b/internal/leaf/store.go
@@ -16,15 +16,18 @@
 }
 
 func newStore(shards []ident.Shard, versions []ident.IndexVersion) *store {
-	s := &store{
-		shards:   slices.Clone(shards),
-		versions: slices.Clone(versions),
-	}
-	slices.Sort(s.shards)
-	slices.Sort(s.versions)
+	s := &store{}
+	s.set(shards, versions)
 	return s
 }
 
+func (s *store) set(shards []ident.Shard, versions []ident.IndexVersion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shards = slices.Sorted(slices.Values(shards))
+	s.versions = slices.Sorted(slices.Values(versions))
+}
+
 // find returns "" when the upstream can answer for the shard at the version.
 func (s *store) find(shard ident.Shard, v ident.IndexVersion) engine.FailKind {
 	s.mu.Lock()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -166,6 +166,10 @@
 // run loads the target for the time of the scenario.
 func (d *driver) run(ctx context.Context) (result.Target, error) {
 	defer d.remote.Close()
+	// A run before may have rolled the index over or left faults behind.
+	if err := d.remote.Reset(ctx, d.scene.Versions); err != nil {
+		return result.Target{}, err
+	}
 	before, err := d.remote.Stats(ctx)
 	if err != nil {
 		return result.Target{}, err
--- a/internal/scene/remote.go
+++ b/internal/scene/remote.go
@@ -173,6 +173,20 @@
 	}
 }
 
+// Reset brings all upstreams to the state in which a run starts: no faults, no
+// drain, their own shards and the given versions.
+func (r *Remote) Reset(ctx context.Context, versions []ident.IndexVersion) error {
+	r.mu.Lock()
+	clear(r.faults)
+	r.mu.Unlock()
+	return r.each(ctx, Event{}, leaf.PathReset, func(l Leaf) any {
+		return leaf.Reset{
+			Versions: versions,
+			Shards:   l.Upstream.Shards,
+		}
+	})
+}
+
 // Stats returns the counts of all upstreams, in the order of the target.
 func (r *Remote) Stats(ctx context.Context) ([]leaf.Stats, error) {
 	return collect[leaf.Stats](ctx, r, leaf.PathStats)
