Prove Refused by the request body and keep connections within the share

Cause: GotConn cannot prove that nothing was sent once a connection was obtained, so a request given up in between counted as Broken. A connection that was closed by a cancelled attempt was replaced before the upstream had noticed its end, which could exceed the share.

Change: the request body records whether its first byte was read; a body that was barred before that cannot be run by any upstream, and no httptrace is needed. A closed connection keeps its place in the pool until the upstream has closed its end, at most 500 ms. Bodies are decoded by package wire. Filings go through Control.File with a callback that sends one order. Unknown is always 504, as docs/callers.md says.

--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -1,12 +1,9 @@
 package dial
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
 	"time"
@@ -55,7 +52,7 @@
 
 func (c *Client) run(ctx context.Context, p *pool, a *attempt, traceparent string) {
 	s := &a.send
-	body, err := json.Marshal(wire.LeafSearch{
+	raw, err := wire.Encode(wire.LeafSearch{
 		Request:         s.Request,
 		Attempt:         s.Attempt,
 		Index:           s.Index,
@@ -74,7 +71,11 @@
 		return
 	}
 	var answer engine.Answer
-	if f := c.call(ctx, p, p.search, body, traceparent, &answer); f != nil {
+	f := c.call(ctx, p, p.search, newBody(raw, time.Time{}), traceparent, func(r io.Reader) (err error) {
+		answer, err = wire.DecodeAnswer(r)
+		return err
+	})
+	if f != nil {
 		c.fail(a, f)
 		return
 	}
@@ -131,30 +132,27 @@
 	}
 }
 
-// call makes one HTTP exchange and decodes a 200 answer into out. A nil body
-// makes it a GET.
-func (c *Client) call(ctx context.Context, p *pool, target *url.URL, body []byte, traceparent string, out any) *Failure {
-	// Only a call that never got a connection provably sent nothing: after
-	// GotConn the transport may still write while RoundTrip returns an error.
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	req := newRequest(target, body, traceparent)
-	resp, err := p.transport.RoundTrip(req.WithContext(ctx))
+// call makes one HTTP exchange and decodes the body of a 200 answer. A nil
+// body makes it a GET.
+func (c *Client) call(ctx context.Context, p *pool, target *url.URL, sent *body, traceparent string, decode func(io.Reader) error) *Failure {
+	resp, err := p.transport.RoundTrip(newRequest(target, sent, traceparent).WithContext(ctx))
 	if err != nil {
-		return &Failure{
-			Kind: failKind(ctx, connected.Load()),
+		f := &Failure{
+			Kind: failKind(ctx),
 			Err:  err,
 		}
+		if sent == nil || sent.bar() {
+			f.Kind = engine.Refused
+		}
+		return f
 	}
-	f := c.read(ctx, resp, out)
+	f := read(ctx, resp, decode)
 	_ = resp.Body.Close()
 	p.trim()
 	return f
 }
 
-func newRequest(target *url.URL, body []byte, traceparent string) *http.Request {
+func newRequest(target *url.URL, sent *body, traceparent string) *http.Request {
 	req := &http.Request{
 		Method:     http.MethodGet,
 		URL:        target,
@@ -164,13 +162,12 @@
 		ProtoMinor: 1,
 		Header:     make(http.Header, 2),
 	}
-	if body != nil {
+	if sent != nil {
 		req.Method = http.MethodPost
 		req.Header["Content-Type"] = jsonType
-		req.ContentLength = int64(len(body))
-		req.Body = io.NopCloser(bytes.NewReader(body))
-		// The transport replays a body only if nothing of it was written.
-		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+		req.ContentLength = int64(len(sent.raw))
+		req.Body = sent
+		req.GetBody = sent.again
 	}
 	if traceparent != "" {
 		req.Header[wire.HeaderTrace] = []string{traceparent}
@@ -180,77 +177,24 @@
 
 var jsonType = []string{"application/json"}
 
-func failKind(ctx context.Context, connected bool) engine.FailKind {
-	switch {
-	case !connected:
-		return engine.Refused
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+func failKind(ctx context.Context) engine.FailKind {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return engine.TimedOut
-	default:
-		return engine.Broken
 	}
+	return engine.Broken
 }
 
 // read decodes an answer. The upstream has run the request unless it says
 // with a known kind that it did not.
-func (c *Client) read(ctx context.Context, resp *http.Response, out any) *Failure {
-	if resp.StatusCode != http.StatusOK {
-		return readError(ctx, resp)
-	}
-	raw, f := readBody(ctx, resp, c.config.MaxAnswer)
-	if f != nil {
-		return f
+func read(ctx context.Context, resp *http.Response, decode func(io.Reader) error) *Failure {
+	if resp.StatusCode == http.StatusOK {
+		return readFailure(ctx, decode(resp.Body))
 	}
-	if err := decode(raw, out); err != nil {
-		return &Failure{
-			Kind: engine.Malformed,
-			Err:  err,
-		}
-	}
-	return nil
-}
-
-func readBody(ctx context.Context, resp *http.Response, limit int64) ([]byte, *Failure) {
-	if resp.ContentLength > limit {
-		return nil, tooLarge(limit)
-	}
-	var buf bytes.Buffer
-	if resp.ContentLength > 0 {
-		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
-	}
-	n, err := buf.ReadFrom(io.LimitReader(resp.Body, limit+1))
-	switch {
-	case err != nil:
-		return nil, &Failure{
-			Kind: failKind(ctx, true),
-			Err:  err,
-		}
-	case n > limit:
-		return nil, tooLarge(limit)
-	}
-	return buf.Bytes(), nil
-}
-
-func tooLarge(limit int64) *Failure {
-	return &Failure{
-		Kind: engine.Malformed,
-		Err:  errors.Errorf("answer is larger than %d bytes: lower the limit of documents", limit),
-	}
-}
-
-func readError(ctx context.Context, resp *http.Response) *Failure {
-	raw, f := readBody(ctx, resp, maxErrorBody)
-	if f != nil {
-		return f
-	}
-	var e wire.LeafError
-	if err := decode(raw, &e); err != nil {
-		return &Failure{
-			Kind: engine.Malformed,
-			Err:  errors.Wrapf(err, "status %d", resp.StatusCode),
-		}
+	e, err := wire.DecodeLeafError(resp.Body)
+	if err != nil {
+		return readFailure(ctx, errors.Wrapf(err, "status %d", resp.StatusCode))
 	}
-	f = &Failure{
+	f := &Failure{
 		Kind: e.Kind,
 		Held: e.Held,
 		Err:  errors.Errorf("status %d: %s", resp.StatusCode, e.Remedy),
@@ -261,15 +205,18 @@
 	return f
 }
 
-// decode reads one JSON value and rejects unknown fields and trailing data.
-func decode(raw []byte, out any) error {
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(out); err != nil {
-		return errors.Wrap(err, "answer cannot be decoded")
+// readFailure tells a body that is not valid from one that did not arrive.
+func readFailure(ctx context.Context, err error) *Failure {
+	if err == nil {
+		return nil
+	}
+	f := &Failure{
+		Kind: engine.Malformed,
+		Err:  err,
 	}
-	if dec.InputOffset() != int64(len(bytes.TrimRight(raw, " \r\n\t"))) {
-		return errors.New("answer has data after its JSON value")
+	var bad *wire.Error
+	if errors.As(err, &bad) && bad.Kind == wire.ReadFailed {
+		f.Kind = failKind(ctx)
 	}
-	return nil
+	return f
 }
--- a/internal/dial/const.go
+++ b/internal/dial/const.go
@@ -3,20 +3,20 @@
 import "time"
 
 const (
-	defaultMaxAnswer    = 4 << 20 // bytes
 	defaultDialTimeout  = time.Second
 	defaultProbeTimeout = time.Second
 	defaultProbes       = 16
 
-	// maxErrorBody bounds the body of an answer that is not 200.
-	maxErrorBody = 64 << 10 // bytes
-
 	// maxHeader bounds the header of an answer.
 	maxHeader = 16 << 10 // bytes
 
 	// maxIdle is above any connection share, so only Warm bounds a pool.
 	maxIdle = 10_000
 
+	// lingerLimit bounds the wait for an upstream to close its end of a
+	// connection that this host has closed.
+	lingerLimit = 500 * time.Millisecond
+
 	firstRedial = 50 * time.Millisecond
 	lastRedial  = 2 * time.Second
 
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -25,8 +25,6 @@
 	// Observe is told about each finished attempt before its event is
 	// emitted. It must not block. Optional.
 	Observe func(Ended)
-	// MaxAnswer bounds the body of an upstream's answer, in bytes.
-	MaxAnswer int64
 	// DialTimeout bounds the opening of one connection.
 	DialTimeout time.Duration
 	// ProbeTimeout bounds one health probe.
@@ -38,9 +36,6 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.MaxAnswer == 0 {
-		c.MaxAnswer = defaultMaxAnswer
-	}
 	if c.DialTimeout == 0 {
 		c.DialTimeout = defaultDialTimeout
 	}
--- a/internal/dial/pool.go
+++ b/internal/dial/pool.go
@@ -265,21 +265,3 @@
 	}
 	p.fill()
 }
-
-// conn counts an open connection of its pool until it is closed.
-type conn struct {
-	net.Conn
-	pool *pool
-	once sync.Once
-}
-
-// Close closes the connection and lets the pool open another one.
-func (c *conn) Close() error {
-	err := net.ErrClosed
-	c.once.Do(func() {
-		err = c.Conn.Close()
-		c.pool.release()
-		c.pool.fill()
-	})
-	return err
-}
--- a/internal/dial/probe.go
+++ b/internal/dial/probe.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"time"
 
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/engine"
@@ -36,7 +38,11 @@
 	}
 	p.sweep()
 	var h wire.LeafHealth
-	if f := c.call(ctx, p, p.health, nil, "", &h); f != nil {
+	f := c.call(ctx, p, p.health, nil, "", func(r io.Reader) (err error) {
+		h, err = wire.DecodeLeafHealth(r)
+		return err
+	})
+	if f != nil {
 		return failed
 	}
 	return engine.UpstreamReported{
@@ -48,9 +54,9 @@
 }
 
 // File sends a filing once. A Failure whose NotRun is true means that it
-// provably did not run; after any other one its outcome is unknown.
-func (c *Client) File(ctx context.Context, id ident.Upstream, body []byte, traceparent string) (wire.LeafFiled, *Failure) {
-	var filed wire.LeafFiled
+// provably did not run; after any other one its outcome is unknown. Nothing is
+// sent after the time until, also if a connection is free only then.
+func (c *Client) File(ctx context.Context, id ident.Upstream, raw []byte, until time.Time, traceparent string) (filed wire.LeafFiled, f *Failure) {
 	p := c.pool(id)
 	if p == nil || !c.start() {
 		return filed, &Failure{
@@ -59,6 +65,9 @@
 		}
 	}
 	defer c.work.Done()
-	f := c.call(ctx, p, p.file, body, traceparent, &filed)
+	f = c.call(ctx, p, p.file, newBody(raw, until), traceparent, func(r io.Reader) (err error) {
+		filed, err = wire.DecodeLeafFiled(r)
+		return err
+	})
 	return filed, f
 }
--- a/internal/host/call.go
+++ b/internal/host/call.go
@@ -1,12 +1,8 @@
 package host
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -21,6 +17,7 @@
 // call is what every caller request has.
 type call struct {
 	id          ident.RequestID
+	named       bool // the caller gave the id
 	traceparent string
 }
 
@@ -30,133 +27,100 @@
 	remedy string
 }
 
-func badRequest(format string, args ...any) *fault {
+func badRequest(remedy string) *fault {
 	return &fault{
 		status: http.StatusBadRequest,
-		remedy: fmt.Sprintf(format, args...),
+		remedy: remedy,
 	}
 }
 
-// begin reads the parts that all requests share. The call is never nil.
-func (h *Host) begin(w http.ResponseWriter, r *http.Request) (*call, []byte, *fault) {
-	id, ok := requestID(r.Header.Get(wire.HeaderRequestID))
-	c := &call{
-		id:          id,
-		traceparent: r.Header.Get(wire.HeaderTrace),
-	}
-	if !ok {
-		return c, nil, badRequest("header %s is not 1 to %d printable ASCII characters without spaces: send a shorter or plainer id", wire.HeaderRequestID, maxRequestID)
+// newFault keeps the message of a decoder, which names the field and the remedy.
+func newFault(err error) *fault {
+	f := badRequest(err.Error())
+	var bad *wire.Error
+	if errors.As(err, &bad) {
+		f.status = bad.Status()
+		if bad.Kind == wire.ReadFailed {
+			f.status = http.StatusRequestTimeout
+		}
 	}
-	body, f := h.readBody(w, r)
-	return c, body, f
+	return f
 }
 
-// requestID returns a valid id of the caller or a new one. An id that is not
-// valid is replaced, and false returned, so that it is never echoed.
-func requestID(given string) (ident.RequestID, bool) {
-	if given == "" {
-		return ident.RequestID(uuid.NewString()), true
+// begin reads the headers that all requests share. The call always has an id:
+// an id that is not valid is replaced, so that it is never echoed.
+func begin(r *http.Request) (*call, *fault) {
+	id, err := wire.RequestIDFrom(r.Header)
+	c := &call{
+		id:          id,
+		named:       id != "" && err == nil,
+		traceparent: wire.TraceFrom(r.Header),
 	}
-	valid := len(given) <= maxRequestID
-	for i := 0; valid && i < len(given); i++ {
-		valid = given[i] > ' ' && given[i] < 0x7f
+	if !c.named {
+		c.id = ident.RequestID(uuid.NewString())
 	}
-	if !valid {
-		return ident.RequestID(uuid.NewString()), false
+	if err != nil {
+		return c, newFault(err)
 	}
-	return ident.RequestID(given), true
+	return c, nil
 }
 
-// readBody reads a bounded body within the body timeout. The read deadline is
-// lifted afterwards: net/http watches the connection during the query, and a
-// deadline that passes then would look like a caller that left.
-func (h *Host) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault) {
+// decodeBody reads a body within the body timeout. The read deadline is lifted
+// afterwards: net/http watches the connection during the query, and a deadline
+// that passes then would look like a caller that left.
+func decodeBody[T any](h *Host, w http.ResponseWriter, r *http.Request, limit int, out *T) *fault {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(h.config.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.config.MaxBody))
-	_ = rc.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, &fault{
-			status: http.StatusRequestEntityTooLarge,
-			remedy: fmt.Sprintf("body is larger than %d bytes: send a shorter one", h.config.MaxBody),
-		}
-	case err != nil:
-		return nil, &fault{
-			status: http.StatusRequestTimeout,
-			remedy: fmt.Sprintf("body did not arrive within %s: send it faster", h.config.BodyTimeout),
-		}
-	}
-	return body, nil
-}
-
-// decodeStrict decodes one JSON object and rejects unknown fields by name.
-func decodeStrict(body []byte, out any) *fault {
-	dec := json.NewDecoder(bytes.NewReader(body))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(out); err != nil {
-		return badRequest("body cannot be decoded (%v): send the fields of the interface page as JSON", err)
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return badRequest("body has data after its JSON object: send one object")
+	err := wire.Strict(http.MaxBytesReader(w, r.Body, int64(limit)+1), limit, out)
+	if err != nil {
+		return newFault(err)
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 	return nil
 }
 
-func parseSearch(r *http.Request, body []byte, c *call, req *wire.SearchRequest) (engine.QueryArrived, *fault) {
+// parseSearch reads a search into the engine's event.
+func (h *Host) parseSearch(w http.ResponseWriter, r *http.Request, c *call) (engine.QueryArrived, *fault) {
 	ev := engine.QueryArrived{Request: c.id}
-	if f := decodeStrict(body, req); f != nil {
+	var req wire.SearchRequest
+	if f := decodeBody(h, w, r, min(h.config.MaxBody, wire.MaxSearchBytes), &req); f != nil {
 		return ev, f
 	}
-	if req.Index == "" {
-		return ev, badRequest("Index is empty: name the index to search")
+	err := req.FillFrom(r.Header)
+	if err == nil {
+		err = req.Check()
 	}
-	if req.Limit < 0 || req.Limit > maxLimit {
-		return ev, badRequest("Limit is %d: use 0 to %d", req.Limit, maxLimit)
-	}
-	class, f := parseClass(req.Class, r.Header.Get(wire.HeaderClass))
-	if f != nil {
-		return ev, f
+	if err != nil {
+		return ev, newFault(err)
 	}
-	budget, f := parseDeadline(req.DeadlineMillis, r.Header.Get(wire.HeaderDeadline))
-	if f != nil {
-		return ev, f
+	ev.Class = preset.Standard
+	if req.Class != "" {
+		ev.Class, err = preset.ParseClass(req.Class)
+		if err != nil {
+			return ev, newFault(err)
+		}
 	}
 	ev.Index, ev.Terms, ev.Limit = req.Index, req.Terms, req.Limit
-	ev.Class, ev.Budget = class, budget
+	ev.Budget = req.DeadlineMillis.Duration()
 	return ev, nil
 }
 
-// parseClass takes the class of the body, else of the header, else Standard.
-func parseClass(inBody, inHeader string) (preset.Class, *fault) {
-	name := inBody
-	if name == "" {
-		name = inHeader
+// parseFiling reads a filing and the time that its caller gives.
+func (h *Host) parseFiling(w http.ResponseWriter, r *http.Request, c *call) (wire.FilingRequest, time.Duration, *fault) {
+	var req wire.FilingRequest
+	if f := decodeBody(h, w, r, min(h.config.MaxBody, wire.MaxFilingBytes), &req); f != nil {
+		return req, 0, f
 	}
-	if name == "" {
-		return preset.Standard, nil
+	if !c.named {
+		return req, 0, badRequest(fmt.Sprintf("header %s is missing: name the filing, so that sending it again cannot run it twice", wire.HeaderRequestID))
 	}
-	class, err := preset.ParseClass(name)
-	if err != nil {
-		return class, badRequest("%v", err)
-	}
-	return class, nil
-}
-
-// parseDeadline takes the deadline of the body, else of the header. Zero
-// means the deadline of the preset.
-func parseDeadline(inBody ident.Millis, inHeader string) (time.Duration, *fault) {
-	ms := inBody
-	if ms == 0 && inHeader != "" {
-		n, err := strconv.ParseInt(inHeader, 10, 64)
-		if err != nil || n < 1 {
-			return 0, badRequest("header %s is %q: use whole milliseconds of at least 1", wire.HeaderDeadline, inHeader)
-		}
-		ms = ident.Millis(n)
+	var times wire.SearchRequest
+	err := times.FillFrom(r.Header)
+	if err == nil {
+		err = req.Check()
 	}
-	if ms < 0 || ms > maxDeadlineMillis {
-		return 0, badRequest("DeadlineMillis is %d: use 1 to %d", ms, maxDeadlineMillis)
+	if err != nil {
+		return req, 0, newFault(err)
 	}
-	return ms.Duration(), nil
+	return req, min(orDefault(times.DeadlineMillis.Duration(), filingLimit), filingLimit), nil
 }
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
 )
 
 // Control is what a host needs of the control group.
@@ -14,54 +16,43 @@
 	Configs() <-chan *config.State
 	// Seats delivers each change of the host's connection seat.
 	Seats() <-chan engine.Seat
-	// Reserve records a filing's id before anything is sent. An error means
-	// that nothing was reserved, or that this is not known, and that nothing
-	// may be sent.
-	Reserve(ctx context.Context, f Filing) (Reservation, error)
-	// Settle records the outcome of a reserved filing, or releases it.
-	Settle(ctx context.Context, s Settlement) error
+	// File reserves a filing, has it sent and records its outcome. It calls
+	// send at most once for each fence, and again only after a send that
+	// provably did not run. It returns when the caller is to be answered, at
+	// the latest when ctx ends.
+	File(ctx context.Context, f Filing, send SendFiling) FilingEnd
 }
 
-// Filing names a filing to reserve.
+// Filing names a filing to run once.
 type Filing struct {
 	Request  ident.RequestID
-	Index    ident.Index
-	BodyHash uint64
+	BodyHash ledger.BodyHash
+	// Budget is the time until the caller must have an answer.
+	Budget time.Duration
 }
 
-// ReservationKind says what Reserve found.
-type ReservationKind string
+// SendFiling sends a filing to an upstream. The kind is empty when it ran; it
+// is one that provably did not run, such as Refused, if nothing was sent.
+type SendFiling func(ctx context.Context, order FilingOrder) (receipt string, kind engine.FailKind)
 
-// The kinds of reservation.
-const (
-	// Granted means that this host may send the filing once.
-	Granted ReservationKind = "Granted"
-	// Recorded means that the filing has an outcome already.
-	Recorded ReservationKind = "Recorded"
-	// Pending means that the id is reserved and has no outcome yet.
-	Pending ReservationKind = "Pending"
-	// BodyDiffers means that the id was used with another body.
-	BodyDiffers ReservationKind = "BodyDiffers"
-	// NoMajority means that the control group can reserve nothing now.
-	NoMajority ReservationKind = "NoMajority"
-)
-
-// Reservation is the answer to Reserve.
-type Reservation struct {
-	Kind  ReservationKind
+// FilingOrder is the permission to send a filing once.
+type FilingOrder struct {
 	Fence uint64
-	// Outcome and Receipt are set when Recorded.
-	Outcome engine.Outcome
-	Receipt string
-	// Remedy says what the caller can do when not Granted. Optional.
-	Remedy string
+	// Earlier is the number of earlier sends, all of which provably did not run.
+	Earlier int
+	// Until is the last time at which the filing may be sent.
+	Until time.Time
+	// Deadline is when the caller must have an answer.
+	Deadline time.Time
 }
 
-// Settlement is the end of a reserved filing: Done with a receipt, NotRun to
-// release the reservation, or Unknown.
-type Settlement struct {
-	Request ident.RequestID
-	Fence   uint64
+// FilingEnd is the answer to a filing's caller.
+type FilingEnd struct {
+	// Outcome is Done, NotRun or Unknown.
 	Outcome engine.Outcome
 	Receipt string
+	// BodyDiffers tells that the id was used with another body.
+	BodyDiffers bool
+	// Remedy says what the caller can do. Empty when Done.
+	Remedy string
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,9 +8,10 @@
 //   - Done and Partial: 200. The body states the coverage.
 //   - NotRun: 503 with Retry-After, or 409 when a filing's id was used with
 //     another body, which no repetition can mend.
-//   - Unknown (filings only): 504 when the time ran out, 502 when the
-//     connection to the upstream or the control group broke.
-//   - bad request: 400; body too large: 413; wrong method: 405.
+//   - Unknown (filings only): 504, whatever the cause: the caller does the
+//     same in every case, and 502 would invite proxies to send again.
+//   - bad request: 400; body too slow: 408; body too large: 413; wrong
+//     method: 405.
 //
 // Every answer carries the request id, also that of a refused request.
 //
@@ -61,7 +62,7 @@
 	IdleTimeout   time.Duration
 	// MaxHeader and MaxBody bound a request, in bytes.
 	MaxHeader int
-	MaxBody   int64
+	MaxBody   int
 	// MaxRequests bounds the requests in progress; more are refused as NotRun.
 	MaxRequests int
 	// Log takes log lines. Defaults to none.
@@ -113,6 +114,8 @@
 	seat    atomic.Value // engine.Seat
 	phase   atomic.Int32
 	running atomic.Int64 // requests in progress
+	// lastQuery numbers the queries of this process.
+	lastQuery atomic.Uint64
 }
 
 // phase is a stage of a host's life.
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/jujubethread/jujubethread/internal/wire"
@@ -50,13 +49,11 @@
 }
 
 func (h *Host) search(w http.ResponseWriter, r *http.Request) {
-	call, body, fault := h.begin(w, r)
-	if fault != nil {
-		h.answerFault(w, call, fault)
-		return
+	call, fault := begin(r)
+	var ev engine.QueryArrived
+	if fault == nil {
+		ev, fault = h.parseSearch(w, r, call)
 	}
-	var req wire.SearchRequest
-	ev, fault := parseSearch(r, body, call, &req)
 	if fault != nil {
 		h.answerFault(w, call, fault)
 		return
@@ -67,16 +64,12 @@
 		return
 	}
 	defer leave()
-	ev.Query = ident.QueryID(lastQuery.Add(1))
-	rep, ok := h.ask(r.Context(), ev, call)
-	if ok {
+	ev.Query = ident.QueryID(h.lastQuery.Add(1))
+	if rep, ok := h.ask(r.Context(), ev, call); ok {
 		h.answerSearch(w, call, rep)
 	}
 }
 
-// lastQuery numbers the queries of this process.
-var lastQuery atomic.Uint64
-
 // ask runs a query. It reports false when the caller left first.
 func (h *Host) ask(ctx context.Context, ev engine.QueryArrived, call *call) (engine.Reply, bool) {
 	q := &query{
@@ -122,13 +115,7 @@
 
 // answer writes one JSON answer within the write timeout.
 func (h *Host) answer(w http.ResponseWriter, c *call, status int, body any) {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		h.config.Log.Error("answer cannot be encoded: report this fault", "RequestID", c.id, "Error", err.Error())
-		status, raw = http.StatusInternalServerError, nil
-	}
 	head := w.Header()
-	head.Set("Content-Type", "application/json")
 	head.Set(wire.HeaderRequestID, string(c.id))
 	if status == http.StatusServiceUnavailable {
 		head.Set("Retry-After", retryAfterSeconds)
@@ -137,8 +124,9 @@
 		head.Set("Connection", "close")
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.config.WriteTimeout))
-	w.WriteHeader(status)
-	_, _ = w.Write(raw)
+	if err := wire.Reply(w, status, body); err != nil {
+		h.config.Log.Debug("answer did not reach its caller", "RequestID", string(c.id), "Error", err.Error())
+	}
 }
 
 func (h *Host) answerFault(w http.ResponseWriter, c *call, f *fault) {
