fault: count bytes before they are written

Cause: TestBlackholeOneWay failed once in the full run (10 != 4): the echo came back before the proxy had counted the bytes it had written. Ruled out: a blackhole that leaks, since the count was too high by the earlier bytes only. Change: the proxy counts before it writes; the example deployment follows the new interface for filings. Conclusion: fixed at its cause; the check is unchanged.

--- a/internal/devel/link.go
+++ b/internal/devel/link.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/jujubethread/jujubethread/internal/ctrl"
 	"github.com/jujubethread/jujubethread/internal/host"
 	"github.com/jujubethread/jujubethread/pkg/config"
@@ -33,14 +31,12 @@
 // Seats implements host.Control.
 func (l *link) Seats() <-chan engine.Seat { return l.seats }
 
-// Reserve implements host.Control.
-func (l *link) Reserve(context.Context, host.Filing) (host.Reservation, error) {
-	return host.Reservation{}, errors.New("this deployment keeps no filings: start control hosts with a ledger")
-}
-
-// Settle implements host.Control.
-func (l *link) Settle(context.Context, host.Settlement) error {
-	return errors.New("this deployment keeps no filings: start control hosts with a ledger")
+// File implements host.Control.
+func (l *link) File(context.Context, host.Filing, host.SendFiling) host.FilingEnd {
+	return host.FilingEnd{
+		Outcome: engine.NotRun,
+		Remedy:  "this deployment keeps no filings: start control hosts with a ledger",
+	}
 }
 
 func (l *link) run(ctx context.Context) error {
--- a/internal/fault/link.go
+++ b/internal/fault/link.go
@@ -204,8 +204,9 @@
 	if !l.passable(w) {
 		return false
 	}
-	n, err := dst.Write(p.data)
-	l.from.countBytes(w, n)
+	// Counted before the write: a side that saw the bytes finds them counted.
+	l.from.countBytes(w, len(p.data))
+	_, err := dst.Write(p.data)
 	return err == nil
 }
 
