Add the bench, load, leaf, proxy and keys commands

Cause: the stated bounds need one command that measures them with a baseline in the same run. Change: bench prints a JSON line per figure; load runs scenarios against an own deployment and the plain baseline.

--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,151 @@
+// Package bench measures the stated bounds of the system. Each measurement
+// runs policy and baseline in the same run and prints JSON lines with its
+// figure and bound.
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// Line is one measured figure.
+type Line struct {
+	Name   string  `json:"Name"`
+	Figure float64 `json:"Figure"`
+	Unit   string  `json:"Unit"`
+	// Bound is what the figure must not pass; nil for a figure that is only
+	// reported. Least tells that the figure must reach the bound instead.
+	Bound    *float64 `json:"Bound"`
+	Least    bool     `json:"Least,omitempty"`
+	Baseline *float64 `json:"Baseline"`
+	Met      bool     `json:"Met"`
+}
+
+// measurement is one entry of the list of measurements.
+type measurement struct {
+	name string
+	run  func(context.Context, *sink) error
+}
+
+// Config describes a run.
+type Config struct {
+	// Names selects measurements; empty means all.
+	Names []string
+	// Seed makes callers and faults reproducible.
+	Seed uint64
+	// Out gets a JSON line for each figure, Progress a line for each measurement.
+	Out      io.Writer
+	Progress io.Writer
+}
+
+// UnknownName reports a measurement that does not exist.
+type UnknownName struct {
+	Name  string
+	Known []string
+}
+
+// Error lists what exists.
+func (e *UnknownName) Error() string {
+	return fmt.Sprintf("measurement %q does not exist: use %s", e.Name, strings.Join(e.Known, ", "))
+}
+
+// Run measures and reports whether all bounds were met.
+func Run(ctx context.Context, cfg Config) (bool, error) {
+	for _, name := range cfg.Names {
+		if !slices.ContainsFunc(measurements, func(m measurement) bool { return m.name == name }) {
+			return false, &UnknownName{
+				Name:  name,
+				Known: Names(),
+			}
+		}
+	}
+	s := &sink{
+		out:  json.NewEncoder(cfg.Out),
+		seed: cfg.Seed,
+		met:  true,
+	}
+	for _, m := range measurements {
+		if len(cfg.Names) > 0 && !slices.Contains(cfg.Names, m.name) {
+			continue
+		}
+		fmt.Fprintf(cfg.Progress, "measuring %s\n", m.name)
+		if err := m.run(ctx, s); err != nil {
+			return false, fmt.Errorf("measurement %s failed: %w", m.name, err)
+		}
+		if ctx.Err() != nil {
+			return false, ctx.Err()
+		}
+	}
+	return s.met, s.err
+}
+
+// Names returns the names of all measurements in their order.
+func Names() []string {
+	names := make([]string, 0, len(measurements))
+	for _, m := range measurements {
+		names = append(names, m.name)
+	}
+	return names
+}
+
+// sink writes lines and remembers whether all bounds were met.
+type sink struct {
+	out  *json.Encoder
+	seed uint64
+	met  bool
+	err  error
+}
+
+func (s *sink) write(l Line) {
+	s.met = s.met && l.Met
+	if err := s.out.Encode(l); err != nil && s.err == nil {
+		s.err = err
+	}
+}
+
+// most writes a figure that must not pass the bound.
+func (s *sink) most(name string, figure float64, unit string, bound float64, baseline ...float64) {
+	s.write(Line{
+		Name:     name,
+		Figure:   figure,
+		Unit:     unit,
+		Bound:    &bound,
+		Baseline: first(baseline),
+		Met:      figure <= bound,
+	})
+}
+
+// least writes a figure that must reach the bound.
+func (s *sink) least(name string, figure float64, unit string, bound float64, baseline ...float64) {
+	s.write(Line{
+		Name:     name,
+		Figure:   figure,
+		Unit:     unit,
+		Bound:    &bound,
+		Least:    true,
+		Baseline: first(baseline),
+		Met:      figure >= bound,
+	})
+}
+
+// note writes a figure without a bound.
+func (s *sink) note(name string, figure float64, unit string, baseline ...float64) {
+	s.write(Line{
+		Name:     name,
+		Figure:   figure,
+		Unit:     unit,
+		Baseline: first(baseline),
+		Met:      true,
+	})
+}
+
+func first(v []float64) *float64 {
+	if len(v) == 0 {
+		return nil
+	}
+	return &v[0]
+}
--- /dev/null
+++ b/internal/bench/query.go
@@ -0,0 +1,96 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/jujubethread/jujubethread/internal/drive"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+// The measurements of this file run the query reducer in virtual time, so
+// their figures do not depend on the machine.
+
+const (
+	stragglerSpan = 60 * time.Second
+	overloadSpan  = 20 * time.Second
+
+	unloadedRate = 100.0 // queries/s
+)
+
+// capacityRates are the rates at which the best goodput is looked for, in queries/s.
+var capacityRates = []float64{400, 500, 600}
+
+func stragglers(_ context.Context, s *sink) error {
+	plain := drive.StragglerRun(s.seed, engine.PolicyPlain, stragglerSpan)
+	tolerant := drive.StragglerRun(s.seed, engine.PolicyTolerant, stragglerSpan)
+	s.most("Stragglers.P99OfBaseline", ratio(tolerant.P99, plain.P99), "ratio", 0.40, 1)
+	s.most("Stragglers.ExtraCalls", tolerant.ExtraPercent, "percent", 5, plain.ExtraPercent)
+	s.least("Stragglers.Coverage", tolerant.CoveragePercent, "percent", 100, plain.CoveragePercent)
+	s.most("Stragglers.BrokenPromises", float64(tolerant.Stats.FaultCount), "count", 0)
+	return nil
+}
+
+func loss(_ context.Context, s *sink) error {
+	for _, how := range []struct {
+		name string
+		mode drive.Mode
+	}{
+		{name: "Refusing", mode: drive.Refusing},
+		{name: "Silent", mode: drive.Silent},
+	} {
+		tolerant := drive.LossRun(s.seed, engine.PolicyTolerant, how.mode)
+		plain := drive.LossRun(s.seed, engine.PolicyPlain, how.mode)
+		s.most("Loss."+how.name+".ErrorsAfter2s", float64(tolerant.ErrorsLate), "count", 0, float64(plain.ErrorsLate))
+		s.note("Loss."+how.name+".ErrorsWithin2s", float64(tolerant.ErrorsEarly), "count", float64(plain.ErrorsEarly))
+		s.most("Loss."+how.name+".BrokenPromises", float64(tolerant.Stats.FaultCount), "count", 0)
+	}
+	return nil
+}
+
+func outage(_ context.Context, s *sink) error {
+	for _, how := range []struct {
+		name string
+		mode drive.Mode
+	}{
+		{name: "Refusing", mode: drive.Refusing},
+		{name: "Silent", mode: drive.Silent},
+	} {
+		tolerant := drive.OutageRun(s.seed, engine.PolicyTolerant, how.mode)
+		naive := drive.OutageRun(s.seed, engine.PolicyNaiveRetry, how.mode)
+		s.most("Outage."+how.name+".AttemptsPerQuery", tolerant.CallsPerQuery, "ratio", 1.2, naive.CallsPerQuery)
+		s.most("Outage."+how.name+".Recovery", tolerant.Recovery.Seconds(), "seconds", 3, naive.Recovery.Seconds())
+		s.most("Outage."+how.name+".WrongMissing", float64(tolerant.BadAnswers), "count", 0, float64(naive.BadAnswers))
+		s.most("Outage."+how.name+".BrokenPromises", float64(tolerant.Stats.FaultCount), "count", 0)
+	}
+	return nil
+}
+
+func overload(_ context.Context, s *sink) error {
+	run := func(p engine.Policy, rate float64) drive.Overload {
+		return drive.OverloadRun(s.seed, p, 1, rate, overloadSpan)
+	}
+	unloaded := run(engine.PolicyTolerant, unloadedRate)
+	best := unloaded
+	for _, rate := range capacityRates {
+		if o := run(engine.PolicyTolerant, rate); o.Goodput > best.Goodput {
+			best = o
+		}
+	}
+	over := run(engine.PolicyTolerant, 2*best.Goodput)
+	plain := run(engine.PolicyPlain, 2*best.Goodput)
+	s.note("Overload.Capacity", best.Goodput, "queries/s")
+	s.least("Overload.Goodput", over.Goodput/best.Goodput, "ratio", 0.9, plain.Goodput/best.Goodput)
+	s.most("Overload.CallsPerQuery", over.CallsPerAnswer/unloaded.CallsPerAnswer, "ratio", 1.1, plain.CallsPerAnswer/unloaded.CallsPerAnswer)
+	s.most("Overload.CriticalP99", ratio(over.CriticalP99, unloaded.CriticalP99), "ratio", 2, ratio(plain.CriticalP99, unloaded.CriticalP99))
+	s.least("Overload.CriticalWhole", 100*over.CriticalWhole, "percent", 100, 100*plain.CriticalWhole)
+	standard, tolerant := over.Stats.Class[preset.Standard], over.Stats.Class[preset.Tolerant]
+	s.least("Overload.TolerantRefusedOverStandard", refused(tolerant)-refused(standard), "percent", 0)
+	s.most("Overload.BrokenPromises", float64(over.Stats.FaultCount), "count", 0)
+	return nil
+}
+
+func refused(o drive.Outcomes) float64 { return 100 * float64(o.NotRun) / float64(max(o.Asked, 1)) }
+
+func ratio(a, b time.Duration) float64 { return float64(a) / float64(max(b, 1)) }
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -64,6 +64,16 @@
 		return j.dev(ctx)
 	case option.Demo:
 		return j.demo(ctx)
+	case option.Leaf:
+		return j.leaf(ctx)
+	case option.Proxy:
+		return j.proxy(ctx)
+	case option.Keys:
+		return j.keys(ctx)
+	case option.Load:
+		return j.load(ctx)
+	case option.Bench:
+		return j.bench(ctx)
 	case option.Status:
 		return j.status(ctx)
 	case option.Preset:
--- /dev/null
+++ b/internal/launch/load.go
@@ -0,0 +1,134 @@
+package launch
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/devel"
+	"github.com/jujubethread/jujubethread/internal/load"
+	"github.com/jujubethread/jujubethread/internal/report"
+	"github.com/jujubethread/jujubethread/internal/result"
+	"github.com/jujubethread/jujubethread/internal/scene"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// load runs a scenario. A scenario without targets gets an own deployment of
+// the chosen shape and, for comparison, the plain baseline on the same upstreams.
+func (j *job) load(ctx context.Context) error {
+	sc, err := j.scenario()
+	if err != nil {
+		return err
+	}
+	if len(sc.Targets) == 0 {
+		cfg, clean, err := j.deployment()
+		if err != nil {
+			return err
+		}
+		defer clean()
+		cfg.Seed = sc.DocumentSeed
+		d, err := devel.Start(cfg)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = d.Stop() }()
+		sc.Targets = targets(d)
+	}
+	if err := sc.Check(); err != nil {
+		return err
+	}
+	run, err := load.Run(ctx, load.Config{
+		Scenario: sc,
+		Progress: j.err,
+	})
+	if err != nil {
+		return err
+	}
+	return j.report(run)
+}
+
+// scenario reads the file or the built-in scenario that -scenario names, or
+// makes one of callers without faults.
+func (j *job) scenario() (*scene.Scenario, error) {
+	if j.opt.Scenario != "" {
+		if _, err := os.Stat(j.opt.Scenario); err == nil {
+			return scene.Load(j.opt.Scenario)
+		}
+		sc, err := scene.Example(j.opt.Scenario)
+		return sc, errors.Wrapf(err, "scenario %q is neither a file nor one of %v", j.opt.Scenario, scene.Examples())
+	}
+	mix := "amman"
+	if j.opt.Shape == "hanbit" {
+		mix = "kr-cap"
+	}
+	return &scene.Scenario{
+		Name:           "callers",
+		Seed:           j.opt.Seed,
+		DocumentSeed:   j.opt.Seed,
+		Versions:       []ident.IndexVersion{1},
+		Mix:            mix,
+		PerSecond:      j.opt.Rate,
+		WarmupMillis:   loadWarmup,
+		DurationMillis: ident.Millis(j.opt.Duration.Milliseconds()),
+	}, nil
+}
+
+const loadWarmup ident.Millis = 2000
+
+func targets(d *devel.Deployment) []scene.Target {
+	var entries []string
+	for _, e := range d.Entries {
+		entries = append(entries, e.Addr().String())
+	}
+	var leaves []scene.Leaf
+	for i, l := range d.Shape.Leaves {
+		leaves = append(leaves, scene.Leaf{
+			Upstream: l.Upstream,
+			Control:  d.Leaves[i].ControlAddress(),
+		})
+	}
+	return []scene.Target{
+		{
+			Name:    "jujubethread",
+			Policy:  scene.Entry,
+			Entries: entries,
+			Leaves:  leaves,
+		},
+		{
+			Name:   "plain",
+			Policy: scene.Plain,
+			Leaves: leaves,
+		},
+	}
+}
+
+func (j *job) report(run *result.Run) error {
+	write := report.Table
+	if j.opt.JSON {
+		write = report.Lines
+	}
+	if err := write(j.out, run); err != nil {
+		return err
+	}
+	if j.opt.Report != "" {
+		f, err := os.Create(j.opt.Report)
+		if err != nil {
+			return errors.Wrap(err, "report cannot be written")
+		}
+		if err := report.Page(f, run); err != nil {
+			return err
+		}
+		if err := f.Close(); err != nil {
+			return errors.Wrap(err, "report cannot be written")
+		}
+	}
+	if n := run.Broken(); n > 0 {
+		return &exitError{
+			code: exitUnmet,
+			text: fmt.Sprintf("%d wrong answers: the report lists the first ones", n),
+		}
+	}
+	return nil
+}
--- a/internal/option/check.go
+++ b/internal/option/check.go
@@ -44,7 +44,7 @@
 	o.Host, o.Domain = ident.HostID(l.host), ident.Domain(l.domain)
 	o.Index, o.Service = ident.Index(l.index), ident.Service(l.service)
 	o.Controls, o.Peers, o.Join = items(l.controls), items(l.peers), items(l.join)
-	o.Targets, o.From = items(l.targets), items(l.from)
+	o.From = items(l.from)
 	for _, s := range items(l.shards) {
 		o.Shards = append(o.Shards, ident.Shard(s))
 	}
@@ -89,6 +89,7 @@
 		f.address("listen", o.Listen)
 		f.address("to", o.To)
 	case Keys:
+		f.require(o.Role == "control" || o.Role == "entry" || o.Role == "operator", "-role is "+strconv.Quote(o.Role)+": use control, entry or operator")
 		f.require(o.Out != "", "-out is empty: name the folder for the certificates")
 		f.require(len(o.Hosts) > 0, "-hosts is empty: list the hosts as ID=IP")
 	case Replay:
--- a/internal/option/const.go
+++ b/internal/option/const.go
@@ -6,6 +6,7 @@
 	envPrefix = "JUJUBETHREAD"
 
 	defaultEntryListen   = "127.0.0.1:8400"
+	defaultRole          = "control"
 	defaultControlListen = "127.0.0.1:8500"
 
 	defaultGrace       = 2 * time.Second
--- a/internal/option/option.go
+++ b/internal/option/option.go
@@ -78,7 +78,6 @@
 	Shape        string
 	Entries      int
 	ControlHosts int
-	Targets      []string
 	Scenario     string
 	Rate         float64
 	Duration     time.Duration
@@ -89,6 +88,7 @@
 	FaultListen string
 	Out         string
 	Hosts       []Pair
+	Role        string
 
 	CA             string
 	Cert           string
@@ -137,9 +137,9 @@
 
 // lists holds flags that need a second step of parsing.
 type lists struct {
-	host, domain, index, service              string
-	controls, peers, bootstrap, join, targets string
-	shards, from, hosts, expect               string
+	host, domain, index, service     string
+	controls, peers, bootstrap, join string
+	shards, from, hosts, expect      string
 }
 
 func (o *Options) register(fs *flag.FlagSet, l *lists) {
@@ -177,7 +177,6 @@
 	fs.StringVar(&o.Shape, "shape", "thesiswell", "")
 	fs.IntVar(&o.Entries, "entries", defaultEntries, "")
 	fs.IntVar(&o.ControlHosts, "controls", defaultControlHosts, "")
-	fs.StringVar(&l.targets, "target", "", "")
 	fs.StringVar(&o.Scenario, "scenario", "", "")
 	fs.Float64Var(&o.Rate, "rate", defaultRate, "")
 	fs.DurationVar(&o.Duration, "duration", defaultDuration, "")
@@ -187,6 +186,7 @@
 	fs.StringVar(&o.FaultListen, "fault-listen", "", "")
 	fs.StringVar(&o.Out, "out", "", "")
 	fs.StringVar(&l.hosts, "hosts", "", "")
+	fs.StringVar(&o.Role, "role", defaultRole, "")
 	fs.StringVar(&o.CA, "ca", "", "")
 	fs.StringVar(&o.Cert, "cert", "", "")
 	fs.StringVar(&o.Key, "key", "", "")
--- a/internal/option/usage.go
+++ b/internal/option/usage.go
@@ -63,6 +63,7 @@
   -shards LIST           shards it holds
   -slots N               requests run at once
   -conn-limit N          connections accepted
+  -fault-listen IP:PORT  address that its faults are set through
   -conn-cost DURATION    cost of a new connection
   -service-time DURATION median time to answer
   -seed N                seed of documents and faults
@@ -71,8 +72,7 @@
   -shape NAME            thesiswell or hanbit
   -entries N             number of entry hosts
   -controls N            number of control hosts
-  -target LIST           load: HTTP addresses of entry hosts (default: an own deployment)
-  -scenario FILE         load: scenario with callers and faults
+  -scenario NAME         load: scenario file or built-in scenario
   -rate N                load: requests a second
   -duration DURATION     load: length of the run
   -report FILE           load: write an HTML report
@@ -85,6 +85,7 @@
   -fault-listen IP:PORT  proxy: address that faults are set through
   -out FOLDER            keys: folder for the certificates
   -hosts LIST            keys: hosts, ID=IP each
+  -role ROLE             keys: control, entry or operator
 
 TLS (all processes and operator commands)
   -ca FILE               certificate authority
