limit: do not pace queries that are too rare to cause a slowdown

Cause: in a run with real stand-ins at 60 requests/s over 4 entry hosts, Standard searches (9/s, 30 shards) waited in the queue although the upstreams were idle. A latency above 1.5 times the unloaded one, from scheduling on the machine, started the pace, whose interval is a multiple of the mean gap between admissions: 400 ms at this rate. Ruled out: the concurrency limit, since Critical queries of the same host were not held. Change: a host whose gap between admissions is over 8 run times is not paced.

--- a/pkg/engine/admit.go
+++ b/pkg/engine/admit.go
@@ -75,7 +75,7 @@
 // shed last is not paced.
 func (e *Engine) paced(now ident.Instant, q *query) bool {
 	return e.cfg.Policy != PolicyTolerant || q.limits.ShedOrder == q.preset.Limits(preset.Critical).ShedOrder ||
-		now >= q.index.pace.Next()
+		q.index.pace.Sparse(q.index.run) || now >= q.index.pace.Next()
 }
 
 type admission uint8
--- a/pkg/limit/const.go
+++ b/pkg/limit/const.go
@@ -51,6 +51,11 @@
 	// classes. Beyond it only the important classes cause the slowdown.
 	paceMost = 4
 
+	// sparse is the gap between admissions, in run times of a query, beyond which
+	// a host is not paced. 25 hosts that each send a query every 6 run times keep
+	// the 4 slots of a service busy; pacing rarer queries only delayed them.
+	sparse = 8
+
 	// intervalShare weighs a new interval between two admissions.
 	intervalShare = 0.1
 )
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -185,3 +185,17 @@
 	}
 	return rest
 }
+
+// Guards against pacing rare queries, which waited seconds for upstreams that
+// were slow for another reason.
+func TestPaceOfRareQueriesIsSparse(t *testing.T) {
+	is := is.New(t)
+	const run = 10 * time.Millisecond
+	var rare, busy limit.Pace
+	for i := range 100 {
+		rare.Admitted(ident.Instant(0).Add(time.Duration(i+1) * 20 * run))
+		busy.Admitted(ident.Instant(0).Add(time.Duration(i+1) * run))
+	}
+	is.True(rare.Sparse(run))
+	is.True(!busy.Sparse(run))
+}
--- a/pkg/limit/pace.go
+++ b/pkg/limit/pace.go
@@ -53,6 +53,10 @@
 	}
 }
 
+// Sparse reports whether admissions are so far apart, for queries that take
+// run, that this host cannot be the cause of a slowdown.
+func (p *Pace) Sparse(run time.Duration) bool { return p.gap > sparse*float64(run) }
+
 // Next returns the earliest time of the next paced admission.
 func (p *Pace) Next() ident.Instant { return p.next }
 
