--- a/internal/ctrl/const.go
+++ b/internal/ctrl/const.go
@@ -43,6 +43,24 @@
 	// controlRole is the role in the certificates of control hosts.
 	controlRole = "control"
 
+	// expireEvery is how often reservations are looked at for expiry, and
+	// pruneEvery how often finished filings are.
+	expireEvery = 2 * time.Second
+	pruneEvery  = time.Hour
+
+	// maxUnresolved bounds the list of filings for operators.
+	maxUnresolved = 1000
+
+	// keptDeltas is the number of changes kept for subscribers that are behind.
+	keptDeltas = 1024
+
+	// deltasPerUpdate and upstreamsPerPart keep messages well below the limit of the link.
+	deltasPerUpdate  = 256
+	upstreamsPerPart = 2048
+
+	// aliveEvery is the time between updates that only tell the version.
+	aliveEvery = time.Second
+
 	maxBody         = 1 << 20 // bytes
 	readTimeout     = 5 * time.Second
 	idleTimeout     = time.Minute
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -78,7 +78,8 @@
 
 	inbox    chan quorum.Message
 	requests chan request
-	views    chan chan view
+	asks     chan func(*owner)
+	feed     *feed
 	owner    *owner
 	done     chan struct{}
 }
@@ -115,7 +116,8 @@
 		log:      cfg.Log,
 		inbox:    make(chan quorum.Message, inboxSize),
 		requests: make(chan request),
-		views:    make(chan chan view),
+		asks:     make(chan func(*owner)),
+		feed:     newFeed(),
 		done:     make(chan struct{}),
 	}
 	if err := h.open(); err != nil {
--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -38,6 +38,9 @@
 		}
 	}
 	o.compact()
+	if o.node.Meta().Index > 0 {
+		o.host.feed.set(o.parts.config.machine.State, o.parts.config.deltas)
+	}
 }
 
 func (o *owner) send(m quorum.Message) {
@@ -68,7 +71,7 @@
 func (o *owner) reply(r quorum.Reply) {
 	a := Answer{
 		Remedy: r.Reason,
-		Retry:  r.Kind == quorum.NotRun,
+		Retry:  r.Kind == quorum.NotRun && !r.Invalid,
 	}
 	switch r.Kind {
 	case quorum.Committed:
--- /dev/null
+++ b/internal/ctrl/feed.go
@@ -0,0 +1,171 @@
+package ctrl
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/spread"
+)
+
+// feed hands the applied configuration to the goroutines that serve entry
+// hosts. The state is immutable, and deltas is only appended to. The state is
+// nil until a host that joins a group has received it.
+type feed struct {
+	mu      sync.Mutex
+	state   *config.State
+	deltas  []spread.Delta
+	changed chan struct{}
+}
+
+func newFeed() *feed { return &feed{changed: make(chan struct{})} }
+
+func (f *feed) set(s *config.State, deltas []spread.Delta) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s == f.state {
+		return
+	}
+	f.state, f.deltas = s, deltas
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// get returns the current state and a channel that is closed on the next change.
+func (f *feed) get() (*config.State, []spread.Delta, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state, f.deltas, f.changed
+}
+
+// cursor is what one subscriber has.
+type cursor struct {
+	have   ident.ConfigVersion
+	digest uint64
+}
+
+// updates returns the messages that bring a subscriber to state s: the deltas
+// after its version, or a full copy in parts if these are no longer kept or
+// its digest shows other content. It is empty for a subscriber that is ahead.
+func (c *cursor) updates(s *config.State, deltas []spread.Delta) []*proto.Update {
+	if s == nil || s.Version.Less(c.have) || c.have == s.Version && c.digest == s.Digest {
+		return nil
+	}
+	missing, ok := after(c.have, c.digest, deltas)
+	c.have, c.digest = s.Version, s.Digest
+	if !ok {
+		return fullCopy(s)
+	}
+	var list []*proto.Update
+	for len(missing) > 0 {
+		n := min(len(missing), deltasPerUpdate)
+		list = append(list, &proto.Update{
+			Version: s.Version,
+			Deltas:  missing[:n],
+		})
+		missing = missing[n:]
+	}
+	return list
+}
+
+// after returns the deltas behind a version that is known with that digest.
+func after(v ident.ConfigVersion, digest uint64, deltas []spread.Delta) ([]spread.Delta, bool) {
+	for i := len(deltas) - 1; i >= 0; i-- {
+		if deltas[i].Version == v {
+			return deltas[i+1:], deltas[i].Digest == digest && i+1 < len(deltas)
+		}
+	}
+	return nil, false
+}
+
+func fullCopy(s *config.State) []*proto.Update {
+	var list []*proto.Update
+	rest := s.Upstreams
+	for first := true; first || len(rest) > 0; first = false {
+		n := min(len(rest), upstreamsPerPart)
+		part := &proto.CopyPart{
+			Version:   s.Version,
+			Digest:    s.Digest,
+			Upstreams: rest[:n],
+			First:     first,
+			Last:      n == len(rest),
+		}
+		if first {
+			part.InForce, part.Presets, part.Seats = s.InForce, s.Presets, s.Seats
+		}
+		rest = rest[n:]
+		list = append(list, &proto.Update{
+			Version: s.Version,
+			Part:    part,
+		})
+	}
+	return list
+}
+
+// watch serves one subscriber until ctx ends. Without changes it tells the
+// version once a second, so that the subscriber notices a silent source.
+func (h *Host) watch(ctx context.Context, in *proto.Watch, send func(*proto.Update) error) error {
+	c := cursor{
+		have:   in.Have,
+		digest: in.Digest,
+	}
+	alive := time.NewTicker(aliveEvery)
+	defer alive.Stop()
+	for {
+		state, deltas, changed := h.feed.get()
+		for _, u := range c.updates(state, deltas) {
+			if err := send(u); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-h.done:
+			return nil
+		case <-changed:
+		case <-alive.C:
+			if state == nil {
+				continue
+			}
+			if err := send(&proto.Update{Version: state.Version}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (h *Host) pull(_ context.Context, in *proto.Pull, send func(*proto.Update) error) error {
+	c := cursor{
+		have:   in.Have,
+		digest: in.Digest,
+	}
+	state, deltas, _ := h.feed.get()
+	for _, u := range c.updates(state, deltas) {
+		if err := send(u); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveEntries registers the methods that entry hosts call.
+func (h *Host) serveEntries(s *link.Server) {
+	link.HandleStream(s, proto.MethodWatch, h.watch)
+	link.HandleStream(s, proto.MethodPull, h.pull)
+	link.Handle(s, proto.MethodVersion, func(context.Context, *proto.VersionQuery) (*proto.VersionAnswer, error) {
+		state, _, _ := h.feed.get()
+		if state == nil {
+			return &proto.VersionAnswer{}, nil
+		}
+		return &proto.VersionAnswer{
+			Version: state.Version,
+			Digest:  state.Digest,
+		}, nil
+	})
+	h.serveFilings(s)
+}
--- /dev/null
+++ b/internal/ctrl/filing.go
@@ -0,0 +1,85 @@
+package ctrl
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
+)
+
+// serveFilings registers the methods by which entry hosts reserve filings.
+func (h *Host) serveFilings(s *link.Server) {
+	link.Handle(s, proto.MethodReserve, func(ctx context.Context, in *proto.Reserve) (*proto.FilingAnswer, error) {
+		a := h.File(ctx, ledger.Reserve{
+			Request:  in.Request,
+			BodyHash: in.BodyHash,
+			Host:     in.Host,
+			Attempt:  in.Attempt,
+		})
+		return &a, nil
+	})
+	link.Handle(s, proto.MethodComplete, func(ctx context.Context, in *proto.Complete) (*proto.FilingAnswer, error) {
+		a := h.File(ctx, ledger.Complete{
+			Request: in.Request,
+			Fence:   in.Fence,
+			Receipt: in.Receipt,
+		})
+		return &a, nil
+	})
+	link.Handle(s, proto.MethodRelease, func(ctx context.Context, in *proto.Release) (*proto.FilingAnswer, error) {
+		a := h.File(ctx, ledger.Release{
+			Request: in.Request,
+			Fence:   in.Fence,
+		})
+		return &a, nil
+	})
+}
+
+// ResolveFiling is an operator's decision about a filing that is Unknown.
+type ResolveFiling struct {
+	Request ident.RequestID `json:"Request"`
+	// Status is Done or NotRun.
+	Status  ledger.Status `json:"Status"`
+	Receipt string        `json:"Receipt,omitempty"`
+}
+
+func (h *Host) serveUnresolved(w http.ResponseWriter, r *http.Request) {
+	list, err := h.Unresolved(r.Context())
+	if err != nil {
+		writeRefusal(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Filings []ledger.UnknownFiling `json:"Filings"`
+	}{Filings: append([]ledger.UnknownFiling{}, list...)})
+}
+
+func (h *Host) serveResolve(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	var in ResolveFiling
+	if err := parseStrict(body, &in); err != nil {
+		writeRefusal(w, http.StatusBadRequest, "request cannot be decoded: send Request, Status and Receipt: "+err.Error())
+		return
+	}
+	a := h.File(r.Context(), ledger.Resolve{
+		Request: in.Request,
+		Status:  in.Status,
+		Receipt: in.Receipt,
+	})
+	status := http.StatusOK
+	switch {
+	case a.Kind == proto.FilingNotRun:
+		status = http.StatusServiceUnavailable
+	case a.Kind == proto.FilingUnknown:
+		status = http.StatusGatewayTimeout
+	case a.Result.Kind != ledger.Applied:
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, a)
+}
--- a/internal/ctrl/http.go
+++ b/internal/ctrl/http.go
@@ -15,6 +15,7 @@
 	PathConfig   = "/v1/config"   // GET, answers config.State
 	PathStatus   = "/v1/status"   // GET, answers Status
 	PathMembers  = "/v1/members"  // POST MembersRequest, answers config.Outcome
+	PathFilings  = "/v1/filings"  // GET the unresolved ones, POST ResolveFiling
 )
 
 func typeName(v any) string { return fmt.Sprintf("%T", v) }
@@ -23,6 +24,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathCommands, h.serveCommand)
 	mux.HandleFunc("POST "+PathMembers, h.serveMembers)
+	mux.HandleFunc("GET "+PathFilings, h.serveUnresolved)
+	mux.HandleFunc("POST "+PathFilings, h.serveResolve)
 	mux.HandleFunc("GET "+PathConfig, h.serveConfig)
 	mux.HandleFunc("GET "+PathStatus, h.serveStatus)
 	return mux
--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -26,6 +26,9 @@
 	results chan diskResult
 	stopped chan struct{}
 
+	// office is the last term in which this member held the lease.
+	office quorum.Term
+
 	lastID  quorum.ProposalID
 	waiting map[quorum.ProposalID]chan<- Answer
 
@@ -223,6 +226,7 @@
 	case <-tick:
 		o.step(quorum.Tick{Now: o.host.now()})
 		o.reopen()
+		o.routine()
 	case m := <-o.host.inbox:
 		o.step(quorum.Receive{
 			Now:     o.host.now(),
@@ -230,8 +234,8 @@
 		})
 	case r := <-o.host.requests:
 		o.take(r)
-	case v := <-o.host.views:
-		v <- o.view()
+	case ask := <-o.host.asks:
+		ask(o)
 	}
 }
 
@@ -251,18 +255,12 @@
 		case r.Members != nil:
 			o.changeMembers(o.lastID, *r.Members)
 		case r.Command != nil:
-			data, err := proto.Marshal(*r.Command)
-			if err != nil {
-				o.answer(o.lastID, Answer{
-					Kind:   config.NotRun,
-					Remedy: err.Error(),
+			if data, ok := o.prepare(o.lastID, *r.Command); ok {
+				batch = append(batch, quorum.Proposal{
+					ID:   o.lastID,
+					Data: data,
 				})
-				break
 			}
-			batch = append(batch, quorum.Proposal{
-				ID:   o.lastID,
-				Data: data,
-			})
 		}
 		select {
 		case r = <-o.host.requests:
@@ -276,6 +274,81 @@
 	})
 }
 
+// inOffice reports whether this member may propose for parts that have a say
+// in it, and lets them know when that begins.
+func (o *owner) inOffice() bool {
+	s := o.node.Status(o.host.now())
+	if s.Lease && s.Term != o.office {
+		o.office = s.Term
+		for _, part := range o.parts.all {
+			if p, ok := part.(Proposer); ok {
+				p.TakeOffice(o.host.now())
+			}
+		}
+	}
+	return s.Lease
+}
+
+// prepare returns the log entry for a command. If there is none, the command
+// is answered.
+func (o *owner) prepare(id quorum.ProposalID, c PartCommand) ([]byte, bool) {
+	part, err := o.parts.find(c.Part)
+	if p, ok := part.(Proposer); err == nil && ok {
+		if !o.inOffice() {
+			// The reducer refuses or accepts; a command without its time must not be accepted.
+			a := notRun("this member does not lead or was just elected: send it again in a moment")
+			o.answer(id, a)
+			return nil, false
+		}
+		c.Data, err = p.Prepare(o.host.now(), c.Data)
+	}
+	var data []byte
+	if err == nil {
+		data, err = proto.Marshal(c)
+	}
+	if err != nil {
+		o.answer(id, Answer{
+			Kind:   config.NotRun,
+			Remedy: err.Error(),
+		})
+	}
+	return data, err == nil
+}
+
+// routine proposes what parts owe without a request.
+func (o *owner) routine() {
+	if o.fault != nil || !o.inOffice() {
+		return
+	}
+	for _, part := range o.parts.all {
+		p, ok := part.(Proposer)
+		if !ok {
+			continue
+		}
+		data, err := p.Routine(o.host.now())
+		if err == nil && data != nil {
+			data, err = proto.Marshal(PartCommand{
+				Part: p.Name(),
+				Data: data,
+			})
+		}
+		if err != nil {
+			o.fatal = err
+		}
+		if data == nil || err != nil {
+			continue
+		}
+		o.lastID++
+		o.step(quorum.Propose{
+			Now: o.host.now(),
+			Proposals: []quorum.Proposal{{
+				ID:   o.lastID,
+				Data: data,
+			}},
+		})
+	}
+}
+
 func (o *owner) changeMembers(id quorum.ProposalID, m MembersRequest) {
 	c, ok := m.change()
 	if !ok {
--- a/internal/ctrl/part.go
+++ b/internal/ctrl/part.go
@@ -7,6 +7,8 @@
 
 	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/spread"
 )
 
 // Part is one state machine that the control group replicates. All methods
@@ -24,6 +26,18 @@
 	Restore(state []byte) error
 }
 
+// Proposer is a Part with a say in what the leader proposes for it.
+type Proposer interface {
+	Part
+	// TakeOffice runs when this member may propose in a new term: it holds
+	// the lease and has applied everything committed before.
+	TakeOffice(now ident.Instant)
+	// Prepare completes a command before it is proposed.
+	Prepare(now ident.Instant, command []byte) ([]byte, error)
+	// Routine returns a command that is due without a request, or nil.
+	Routine(now ident.Instant) ([]byte, error)
+}
+
 // PartCommand is a command for one part. It is the data of a log entry.
 type PartCommand struct {
 	Part string
@@ -39,14 +53,17 @@
 // parts is the whole replicated state.
 type parts struct {
 	config *configPart
+	ledger *ledgerPart
 	all    []Part
 }
 
 func newParts(extra []Part) *parts {
 	c := &configPart{machine: config.NewMachine(config.NewState())}
+	l := newLedgerPart()
 	return &parts{
 		config: c,
-		all:    append([]Part{c}, extra...),
+		ledger: l,
+		all:    append([]Part{c, l}, extra...),
 	}
 }
 
@@ -114,7 +131,11 @@
 const configName = "config"
 
 // configPart replicates the configuration.
-type configPart struct{ machine *config.Machine }
+type configPart struct {
+	machine *config.Machine
+	// deltas are the last changes, the oldest first. Only appended to or replaced.
+	deltas []spread.Delta
+}
 
 // Name implements Part.
 func (p *configPart) Name() string { return configName }
@@ -125,7 +146,19 @@
 	if err := proto.Unmarshal(command, &c); err != nil {
 		return nil, errors.Wrap(err, "configuration command cannot be decoded: update this host")
 	}
-	return proto.Marshal(p.machine.Run(c))
+	before := p.machine.State
+	out := p.machine.Run(c)
+	if s := p.machine.State; s != before {
+		if len(p.deltas) >= 2*keptDeltas {
+			p.deltas = slices.Clone(p.deltas[keptDeltas:])
+		}
+		p.deltas = append(p.deltas, spread.Delta{
+			Version: s.Version,
+			Change:  c.Change,
+			Digest:  s.Digest,
+		})
+	}
+	return proto.Marshal(out)
 }
 
 // Freeze implements Part. State is immutable; the lists are copied.
@@ -150,6 +183,6 @@
 	if err := m.State.Verify(); err != nil {
 		return err
 	}
-	p.machine = m
+	p.machine, p.deltas = m, nil
 	return nil
 }
--- a/internal/ctrl/peer.go
+++ b/internal/ctrl/peer.go
@@ -126,6 +126,7 @@
 		learned:  map[ident.HostID]string{},
 	}
 	link.Handle(server, proto.MethodPeer, p.serve)
+	h.serveEntries(server)
 	return p, nil
 }
 
--- a/internal/ctrl/request.go
+++ b/internal/ctrl/request.go
@@ -132,13 +132,21 @@
 }
 
 func (h *Host) view(ctx context.Context) (view, error) {
-	reply := make(chan view, 1)
+	var v view
+	err := h.ask(ctx, func(o *owner) { v = o.view() })
+	return v, err
+}
+
+// ask runs fn on the goroutine that owns the state and waits for it.
+func (h *Host) ask(ctx context.Context, fn func(*owner)) error {
+	ran := make(chan struct{})
 	select {
-	case h.views <- reply:
-		return <-reply, nil
+	case h.asks <- func(o *owner) { fn(o); close(ran) }:
+		<-ran
+		return nil
 	case <-ctx.Done():
-		return view{}, errors.New("this host is busy: send it again later")
+		return errors.New("this host is busy: send it again later")
 	case <-h.done:
-		return view{}, errors.New("this host stops: send it to another member")
+		return errors.New("this host stops: send it to another member")
 	}
 }
--- a/pkg/quorum/change.go
+++ b/pkg/quorum/change.go
@@ -13,14 +13,22 @@
 	if reason == "" {
 		reason = n.changeRefusal()
 	}
-	var next []Member
-	if reason == "" {
-		next, reason = n.changed(ev.Change)
-	}
-	if reason == "" {
-		reason = n.majorityRefusal(next)
+	if reason != "" {
+		n.reply(ev.ID, NotRun, reason)
+		return
 	}
+	next, reason := n.changed(ev.Change)
 	if reason != "" {
+		n.effects = append(n.effects, Reply{
+			Proposal: ev.ID,
+			Kind:     NotRun,
+			Leader:   n.leader,
+			Reason:   reason,
+			Invalid:  true,
+		})
+		return
+	}
+	if reason = n.majorityRefusal(next); reason != "" {
 		n.reply(ev.ID, NotRun, reason)
 		return
 	}
--- a/pkg/quorum/effect.go
+++ b/pkg/quorum/effect.go
@@ -46,6 +46,9 @@
 	Leader ident.HostID
 	// Reason says what to do; empty if committed.
 	Reason string
+	// Invalid is set on NotRun if the request itself is at fault, so that
+	// sending it again does not help.
+	Invalid bool
 }
 
 // ReplyKind is the kind of result of a proposal.
