--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/span"
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 )
@@ -17,16 +18,19 @@
 // attempt is one Send in flight.
 type attempt struct {
 	send      engine.Send
+	span      *span.Span
 	began     time.Time
 	cancel    context.CancelFunc
 	cancelled atomic.Bool
 }
 
-// Send starts an attempt. traceparent is passed on to the upstream unless empty.
-func (c *Client) Send(s engine.Send, traceparent string) {
+// Send starts an attempt. traceparent is passed on to the upstream unless
+// empty; hop is the span of the attempt, if it is recorded.
+func (c *Client) Send(s engine.Send, traceparent string, hop *span.Span) {
 	ctx, cancel := context.WithTimeout(c.base, s.Remaining)
 	a := &attempt{
 		send:   s,
+		span:   hop,
 		began:  time.Now(),
 		cancel: cancel,
 	}
@@ -101,10 +105,10 @@
 	c.mu.Unlock()
 	if c.config.Observe != nil {
 		c.config.Observe(Ended{
-			Send:      a.send,
+			Send:      &a.send,
+			Span:      a.span,
 			Kind:      kind,
 			Cancelled: a.cancelled.Load(),
-			Began:     a.began,
 			Took:      time.Since(a.began),
 		})
 	}
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/jujubethread/jujubethread/internal/span"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
@@ -58,12 +59,13 @@
 
 // Ended describes a finished attempt for telemetry.
 type Ended struct {
-	Send engine.Send
+	Send *engine.Send
+	// Span is the span that Send was given.
+	Span *span.Span
 	// Kind is empty when the attempt was answered.
 	Kind engine.FailKind
 	// Cancelled tells that the engine cancelled the attempt before it ended.
 	Cancelled bool
-	Began     time.Time
 	Took      time.Duration
 }
 
--- a/internal/dial/dial_test.go
+++ b/internal/dial/dial_test.go
@@ -116,7 +116,7 @@
 		Shard:     "s",
 		Version:   1,
 		Remaining: remaining,
-	}, "")
+	}, "", nil)
 }
 
 // event returns the next event.
--- a/internal/host/call.go
+++ b/internal/host/call.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/span"
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -16,9 +17,10 @@
 
 // call is what every caller request has.
 type call struct {
-	id          ident.RequestID
-	named       bool // the caller gave the id
-	traceparent string
+	id    ident.RequestID
+	named bool // the caller gave the id
+	span  *span.Span
+	began time.Time
 }
 
 // fault is a request that was refused because of its form.
@@ -49,16 +51,17 @@
 
 // begin reads the headers that all requests share. The call always has an id:
 // an id that is not valid is replaced, so that it is never echoed.
-func begin(r *http.Request) (*call, *fault) {
+func (h *Host) begin(r *http.Request) (*call, *fault) {
 	id, err := wire.RequestIDFrom(r.Header)
 	c := &call{
-		id:          id,
-		named:       id != "" && err == nil,
-		traceparent: wire.TraceFrom(r.Header),
+		id:    id,
+		named: id != "" && err == nil,
+		began: time.Now(),
 	}
 	if !c.named {
 		c.id = ident.RequestID(uuid.NewString())
 	}
+	c.span = h.config.Tracer.Caller(wire.TraceFrom(r.Header), c.id)
 	if err != nil {
 		return c, newFault(err)
 	}
--- a/internal/host/const.go
+++ b/internal/host/const.go
@@ -21,5 +21,8 @@
 	// 30 s after which a reservation becomes Unknown.
 	filingLimit = 20 * time.Second
 
+	// showInterval is how often gauges are set.
+	showInterval = time.Second
+
 	retryAfterSeconds = "1"
 )
--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -275,6 +275,16 @@
 	return resp.StatusCode
 }
 
+// read returns the body of a page.
+func (r *rig) read(path string) []byte {
+	resp, err := r.client.Get(r.url + path)
+	r.is.NoErr(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	r.is.NoErr(err)
+	return body
+}
+
 // eventually polls for a state that has no event to wait on.
 func (r *rig) eventually(ok func() bool) {
 	end := time.Now().Add(waitLimit)
--- a/internal/host/filing.go
+++ b/internal/host/filing.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
@@ -16,7 +17,7 @@
 )
 
 func (h *Host) file(w http.ResponseWriter, r *http.Request) {
-	call, fault := begin(r)
+	call, fault := h.begin(r)
 	var req wire.FilingRequest
 	var budget time.Duration
 	if fault == nil {
@@ -58,6 +59,8 @@
 	case end.Outcome == engine.Unknown:
 		status = http.StatusGatewayTimeout
 	}
+	h.config.Stats.Filing(end.Outcome)
+	c.span.Answered(end.Outcome)
 	h.answer(w, c, status, wire.FilingAnswer{
 		RequestID: c.id,
 		Outcome:   end.Outcome,
@@ -86,16 +89,27 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, order.Deadline)
 	defer cancel()
-	got, fail := h.client.File(ctx, up.ID, raw, order.Until, c.traceparent)
+	hop := c.span.Attempt(&engine.Send{
+		Shard:    shard,
+		Upstream: up.ID,
+		Reason:   engine.First,
+	})
+	traceparent := c.span.Traceparent()
+	if hop != nil {
+		traceparent = hop.Traceparent()
+	}
+	got, fail := h.client.File(ctx, up.ID, raw, order.Until, traceparent)
+	kind := engine.FailKind("")
 	switch {
 	case fail != nil:
+		kind = fail.Kind
 		h.config.Log.Warn("filing was not answered", "RequestID", string(c.id), "Upstream", string(up.ID), "Error", fail.Error())
-		return "", fail.Kind
 	case got.Request != c.id || got.Fence != order.Fence:
+		kind = engine.Malformed
 		h.config.Log.Warn("filing was answered with another one's receipt", "RequestID", string(c.id), "Upstream", string(up.ID))
-		return "", engine.Malformed
 	}
-	return got.Receipt, ""
+	hop.Ended(orDefault(kind, stats.Answered))
+	return got.Receipt, kind
 }
 
 // filingTargets returns the shard that a filing belongs to, chosen by its id,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -31,6 +31,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jujubethread/jujubethread/internal/dial"
+	"github.com/jujubethread/jujubethread/internal/span"
+	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -67,6 +69,13 @@
 	MaxRequests int
 	// Log takes log lines. Defaults to none.
 	Log *slog.Logger
+	// Stats and Tracer take metrics and spans; nil means none. The host does
+	// not close them.
+	Stats  *stats.Stats
+	Tracer *span.Tracer
+	// Depths fills in the queue lengths and budgets that gauges show. It is
+	// called by the goroutine that owns the engine. Optional.
+	Depths func(*stats.Snapshot)
 }
 
 func (c Config) withDefaults() Config {
@@ -135,6 +144,7 @@
 	h := &Host{config: c}
 	h.seat.Store(engine.SeatNone)
 	c.Dial.Emit = func(ev engine.Event) { h.loop.post(ev) }
+	c.Dial.Observe = h.observe
 	h.client = dial.New(c.Dial)
 	h.loop = newLoop(c.Engine, h.client)
 	h.server = &http.Server{
@@ -192,13 +202,17 @@
 	return errors.Wrap(h.server.Shutdown(ctx), "callers' server did not shut down")
 }
 
-// follow turns configurations and seats into events.
+// follow turns configurations and seats into events and shows the gauges.
 func (h *Host) follow(ctx context.Context) error {
+	tick := time.NewTicker(showInterval)
+	defer tick.Stop()
 	configs, seats := h.config.Control.Configs(), h.config.Control.Seats()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-tick.C:
+			h.loop.send(mail{look: h.show})
 		case s, ok := <-configs:
 			if !ok {
 				configs = nil
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -13,6 +13,8 @@
 	"github.com/matryer/is"
 
 	"github.com/jujubethread/jujubethread/internal/host"
+	"github.com/jujubethread/jujubethread/internal/span"
+	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -223,3 +225,32 @@
 	is.Equal(body["Version"], 7.0)
 	is.Equal(len(body["Documents"].([]any)), 2)
 }
+
+// Guards against telemetry that is not connected to the path of a query.
+func TestTelemetryOfAQuery(t *testing.T) {
+	is := is.New(t)
+	tracer, err := span.New(span.Config{Host: "h1"})
+	is.NoErr(err)
+	defer tracer.Close(context.Background())
+	counts := stats.New()
+	defer counts.Close()
+	headers := make(chan string, 1)
+	r := newRig(t, func(c *host.Config) { c.Tracer, c.Stats = tracer, counts }, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		headers <- req.Header.Get(wire.HeaderTrace)
+		answering(w, req)
+	}))
+	const trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+	_, _, body := r.post(wire.PathSearch, `{"Index":"review-panel"}`, wire.HeaderTrace, "00-"+trace+"-00f067aa0ba902b7-01", wire.HeaderRequestID, "req-1")
+	is.Equal(body["Outcome"], "Done")
+	toLeaf := <-headers
+	is.True(strings.HasPrefix(toLeaf, "00-"+trace) && strings.HasSuffix(toLeaf, "-01"))
+	var got struct{ Spans []span.Record }
+	is.NoErr(json.Unmarshal(r.read("/v1/traces?Request=req-1"), &got))
+	is.Equal(len(got.Spans), 3)
+	r.eventually(func() bool {
+		text := string(r.read(wire.PathMetrics))
+		return strings.Contains(text, `entry_queries{class="Standard",outcome="Done"} 1`) &&
+			strings.Contains(text, `entry_attempts{reason="First",result="Answered"} 1`) &&
+			strings.Contains(text, `entry_seat{state="None"} 1`)
+	})
+}
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jujubethread/jujubethread/internal/dial"
+	"github.com/jujubethread/jujubethread/internal/span"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
@@ -15,14 +16,16 @@
 type query struct {
 	// reply receives the one Reply; it has room for it.
 	reply chan engine.Reply
-	// traceparent is passed on to the upstreams.
-	traceparent string
+	// span is the query's hop; its attempts are children of it.
+	span *span.Span
 }
 
-// mail is one event with the query it brings.
+// mail is one event with the query it brings, or a function that looks at
+// what the loop owns.
 type mail struct {
 	event engine.Event
 	query *query
+	look  func()
 }
 
 // loop owns the engine. Events arrive in a mailbox that never blocks its
@@ -114,6 +117,10 @@
 }
 
 func (l *loop) handle(m mail) {
+	if m.look != nil {
+		m.look()
+		return
+	}
 	switch ev := m.event.(type) {
 	case engine.QueryArrived:
 		l.queries[ev.Query] = m.query
@@ -135,11 +142,7 @@
 func (l *loop) carryOut(ef engine.Effect) {
 	switch ef := ef.(type) {
 	case engine.Send:
-		traceparent := ""
-		if q := l.queries[ef.Query]; q != nil {
-			traceparent = q.traceparent
-		}
-		l.client.Send(ef, traceparent)
+		l.sendOut(ef)
 	case engine.Cancel:
 		l.client.Cancel(ef.Attempt)
 	case engine.Reply:
@@ -156,6 +159,18 @@
 	}
 }
 
+func (l *loop) sendOut(ef engine.Send) {
+	var query *span.Span
+	if q := l.queries[ef.Query]; q != nil {
+		query = q.span
+	}
+	if hop := query.Attempt(&ef); hop != nil {
+		l.client.Send(ef, hop.Traceparent(), hop)
+		return
+	}
+	l.client.Send(ef, query.Traceparent(), nil)
+}
+
 func (l *loop) wakeAt(at ident.Instant) {
 	i, found := slices.BinarySearchFunc(l.wakes, at, func(a, b ident.Instant) int { return int(b.Sub(a)) })
 	if !found {
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -6,17 +6,24 @@
 	"net/http"
 	"time"
 
+	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/preset"
 )
 
+// pathTraces serves the spans in memory.
+const pathTraces = "/v1/traces"
+
 func (h *Host) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathSearch, h.search)
 	mux.HandleFunc("POST "+wire.PathFilings, h.file)
 	mux.HandleFunc("GET "+wire.PathHealth, h.health)
 	mux.HandleFunc("GET "+wire.PathStatus, h.status)
+	mux.Handle("GET "+wire.PathMetrics, h.config.Stats)
+	mux.Handle("GET "+pathTraces, h.config.Tracer)
 	return h.bounded(mux)
 }
 
@@ -49,7 +56,7 @@
 }
 
 func (h *Host) search(w http.ResponseWriter, r *http.Request) {
-	call, fault := begin(r)
+	call, fault := h.begin(r)
 	var ev engine.QueryArrived
 	if fault == nil {
 		ev, fault = h.parseSearch(w, r, call)
@@ -60,21 +67,26 @@
 	}
 	leave, refused := h.admit()
 	if leave == nil {
-		h.answerSearch(w, call, notRun(call, refused))
+		h.answerSearch(w, call, ev.Class, &engine.Reply{
+			Outcome: engine.NotRun,
+			Remedy:  refused,
+		})
 		return
 	}
 	defer leave()
 	ev.Query = ident.QueryID(h.lastQuery.Add(1))
-	if rep, ok := h.ask(r.Context(), ev, call); ok {
-		h.answerSearch(w, call, rep)
+	rep, ok := h.ask(r.Context(), ev, call)
+	if !ok {
+		rep = engine.Reply{Outcome: stats.Gone}
 	}
+	h.answerSearch(w, call, ev.Class, &rep)
 }
 
 // ask runs a query. It reports false when the caller left first.
-func (h *Host) ask(ctx context.Context, ev engine.QueryArrived, call *call) (engine.Reply, bool) {
+func (h *Host) ask(ctx context.Context, ev engine.QueryArrived, c *call) (engine.Reply, bool) {
 	q := &query{
-		reply:       make(chan engine.Reply, 1),
-		traceparent: call.traceparent,
+		reply: make(chan engine.Reply, 1),
+		span:  c.span.Entry(&ev),
 	}
 	h.loop.send(mail{
 		event: ev,
@@ -82,24 +94,25 @@
 	})
 	select {
 	case rep := <-q.reply:
+		q.span.Answered(rep.Outcome)
 		return rep, true
 	case <-ctx.Done():
 		h.loop.post(engine.QueryCancelled{Query: ev.Query})
+		q.span.Answered(stats.Gone)
 		return engine.Reply{}, false
 	}
 }
 
-func notRun(c *call, remedy string) engine.Reply {
-	return engine.Reply{
-		Request: c.id,
-		Outcome: engine.NotRun,
-		Remedy:  remedy,
-	}
-}
-
-func (h *Host) answerSearch(w http.ResponseWriter, c *call, rep engine.Reply) {
+// answerSearch counts and writes the answer to a search. A caller that left
+// gets none.
+func (h *Host) answerSearch(w http.ResponseWriter, c *call, class preset.Class, rep *engine.Reply) {
+	h.config.Stats.Query(class, rep, time.Since(c.began))
+	c.span.Answered(rep.Outcome)
 	status := http.StatusOK
-	if rep.Outcome == engine.NotRun {
+	switch rep.Outcome {
+	case stats.Gone:
+		return
+	case engine.NotRun:
 		status = http.StatusServiceUnavailable
 	}
 	h.answer(w, c, status, wire.SearchAnswer{
@@ -130,6 +143,7 @@
 }
 
 func (h *Host) answerFault(w http.ResponseWriter, c *call, f *fault) {
+	c.span.Answered(engine.NotRun)
 	h.answer(w, c, f.status, struct {
 		RequestID ident.RequestID `json:"RequestID"`
 		Outcome   engine.Outcome  `json:"Outcome"`
