Add recording and replay of reducer events

Change: internal/audit wraps a reducer, records its events and effects as bounded JSON lines under a versioned header with the set-up and seed, and replays a record through a fresh reducer. The first difference names its event, the expected and the actual effect. A digest chained over the lines finds an edit that changes no effect. Unknown types and fields are rejected by name. Engine and filing reducers are known; others pass a codec and a step.

Conclusion: a host can be recorded by passing audit.RecordEngine as Engine.

--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,206 @@
+package audit_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/audit"
+	"github.com/jujubethread/jujubethread/internal/jsonl"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// record drives a real engine through queries and returns the lines.
+func record(t *testing.T) []string {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "record")
+	rec, err := audit.RecordEngine(path, engine.Config{
+		Host: "h1",
+		Seed: 7,
+	}, nil)
+	is.NoErr(err)
+	state := config.NewState()
+	for i := range 6 {
+		state, err = state.Apply(config.AddUpstream{Upstream: config.Upstream{
+			ID:        ident.Upstream(fmt.Sprint("u", i)),
+			Address:   fmt.Sprint("10.0.0.", i, ":1"),
+			Index:     "x",
+			Service:   ident.Service(fmt.Sprint("s", i/2)),
+			Shards:    []ident.Shard{ident.Shard(fmt.Sprint("s", i/2))},
+			Slots:     2,
+			ConnLimit: 50,
+		}})
+		is.NoErr(err)
+	}
+	now := ident.Instant(1)
+	step := func(ev engine.Event) []engine.Effect {
+		now = now.Add(time.Millisecond)
+		return rec.Step(now, ev)
+	}
+	step(engine.ConfigApplied{State: state})
+	step(engine.SeatChanged{Seat: engine.SeatHeld})
+	for _, u := range state.Upstreams {
+		step(engine.UpstreamReported{
+			Upstream: u.ID,
+			Health:   engine.HealthReady,
+			Held: []engine.Held{{
+				Shard:    u.Shards[0],
+				Versions: []ident.IndexVersion{4},
+			}},
+		})
+	}
+	for q := range ident.QueryID(20) {
+		for _, ef := range step(engine.QueryArrived{
+			Query:   q + 1,
+			Request: "r",
+			Index:   "x",
+		}) {
+			if send, ok := ef.(engine.Send); ok {
+				step(engine.AttemptAnswered{
+					Attempt: send.Attempt,
+					Answer: engine.Answer{
+						Request:   "r",
+						Attempt:   send.Attempt,
+						Shard:     send.Shard,
+						Version:   send.Version,
+						Documents: []engine.Document{{ID: "d", Score: 0.1}},
+					},
+				})
+			}
+		}
+	}
+	is.NoErr(rec.Close())
+	raw, err := os.ReadFile(path)
+	is.NoErr(err)
+	return strings.Split(strings.TrimSpace(string(raw)), "\n")
+}
+
+func replay(lines []string) (audit.Report, error) {
+	return audit.Run(strings.NewReader(strings.Join(lines, "\n")))
+}
+
+// Guards against a record that does not carry all that the engine decides by.
+func TestReplayAgreesWithTheRecord(t *testing.T) {
+	is := is.New(t)
+	lines := record(t)
+	rep, err := replay(lines)
+	is.NoErr(err)
+	is.Equal(rep.Difference, nil)
+	is.True(rep.Ended)
+	is.Equal(rep.Events, len(lines)-2)
+	is.True(strings.Contains(strings.Join(lines, ""), `"Outcome":"Done"`)) // the record has answers
+	rep, err = replay(lines[:len(lines)-1])
+	is.NoErr(err)
+	is.Equal(rep.Ended, false) // cut off
+}
+
+// Guards against an edit that goes unnoticed because no effect depends on it,
+// or because the editor made the digests anew.
+func TestTamperedEventIsDetected(t *testing.T) {
+	is := is.New(t)
+	lines := record(t)
+	at := len(lines) - 2
+	for !strings.Contains(lines[at], `"Type":"AttemptAnswered"`) || !strings.Contains(lines[at], `"Outcome":"Done"`) {
+		at--
+	}
+	edited := append([]string{}, lines...)
+	edited[at] = strings.Replace(lines[at], `"Load":{"Running":0`, `"Load":{"Running":1`, 1)
+	is.True(edited[at] != lines[at])
+	rep, err := replay(edited)
+	is.NoErr(err)
+	is.Equal(rep.Difference.Kind, audit.Tampered)
+	is.Equal(rep.Difference.Line, at+1)
+
+	// A rewritten record has valid digests but another decision.
+	rep = replayThroughOther(t, lines)
+	is.Equal(rep.Difference.Kind, audit.Decided)
+	is.Equal(rep.Difference.Expected.Type, "Reply")
+	is.True(strings.Contains(rep.Difference.String(), `"Outcome":"Partial"`))
+}
+
+// replayThroughOther replays through an engine that gives another outcome.
+func replayThroughOther(t *testing.T, lines []string) audit.Report {
+	rep, err := audit.Replay(strings.NewReader(strings.Join(lines, "\n")), audit.EngineEvents,
+		func(h audit.Header) (audit.Step[engine.Event, engine.Effect], error) {
+			var c engine.Config
+			err := json.Unmarshal(h.Setup, &c)
+			e := engine.NewEngine(c)
+			return func(now ident.Instant, ev engine.Event) []engine.Effect {
+				out := e.Step(now, ev)
+				for i, ef := range out {
+					if rep, ok := ef.(engine.Reply); ok {
+						rep.Outcome = engine.Partial
+						out[i] = rep
+					}
+				}
+				return out
+			}, err
+		})
+	is.New(t).NoErr(err)
+	return rep
+}
+
+// Guards against records of another version that are replayed as if known.
+func TestUnknownPartsAreRejectedByName(t *testing.T) {
+	for _, tc := range []struct{ old, new, want string }{
+		{`"Version":1`, `"Version":2`, "version 2"},
+		{`"Reducer":"engine"`, `"Reducer":"brain"`, `"brain"`},
+		{`"Seed":7`, `"Seed":7,"Mood":1`, `"Mood"`},
+	} {
+		is := is.New(t)
+		lines := record(t)
+		lines[0] = strings.Replace(lines[0], tc.old, tc.new, 1)
+		_, err := replay(lines)
+		is.True(err != nil && strings.Contains(err.Error(), tc.want))
+	}
+	is := is.New(t)
+	type Odd struct{ engine.Ticked }
+	path := filepath.Join(t.TempDir(), "record")
+	rec, err := audit.NewRecorder(audit.Config{
+		Path:    path,
+		Reducer: audit.ReducerEngine,
+		Setup:   engine.Config{},
+	}, func(ident.Instant, engine.Event) []engine.Effect { return nil })
+	is.NoErr(err)
+	rec.Step(1, Odd{})
+	is.NoErr(rec.Close())
+	raw, err := os.ReadFile(path)
+	is.NoErr(err)
+	_, err = audit.Run(bytes.NewReader(raw))
+	is.True(err != nil && strings.Contains(err.Error(), `"Odd"`))
+}
+
+// Guards against a record that grows without bound, and against a host that
+// stops deciding because its record is full.
+func TestFullRecordStopsRecordingOnly(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "record")
+	var failed []error
+	rec, err := audit.NewRecorder(audit.Config{
+		Path:     path,
+		MaxBytes: 1000,
+		Reducer:  audit.ReducerEngine,
+		Setup:    engine.Config{},
+		Failed:   func(err error) { failed = append(failed, err) },
+	}, func(ident.Instant, engine.Event) []engine.Effect { return []engine.Effect{engine.Wake{}} })
+	is.NoErr(err)
+	for range 100 {
+		is.Equal(len(rec.Step(1, engine.Ticked{})), 1)
+	}
+	is.Equal(len(failed), 1)
+	is.True(errors.Is(failed[0], jsonl.ErrFull))
+	is.NoErr(rec.Close())
+	info, err := os.Stat(path)
+	is.NoErr(err)
+	is.True(info.Size() <= 1000)
+}
--- /dev/null
+++ b/internal/audit/replay.go
@@ -0,0 +1,160 @@
+package audit
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/jsonl"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// Kind says what a difference is.
+type Kind string
+
+// The kinds of difference.
+const (
+	// Decided means that the reducer gave other effects than recorded.
+	Decided Kind = "Decided"
+	// Tampered means that the line does not match its digest.
+	Tampered Kind = "Tampered"
+)
+
+// Difference is the first place where a replay differs from its record.
+type Difference struct {
+	Kind Kind `json:"Kind"`
+	// Line is the line of the file, from 1.
+	Line  int             `json:"Line"`
+	At    ident.Instant   `json:"At"`
+	Type  string          `json:"Type"`
+	Event json.RawMessage `json:"Event"`
+	// Effect is the place of the effect, from 0. Expected is what the record
+	// has there and Actual what the replay gave; either may be missing.
+	Effect   int     `json:"Effect"`
+	Expected *Effect `json:"Expected,omitempty"`
+	Actual   *Effect `json:"Actual,omitempty"`
+}
+
+// String describes the difference in one line.
+func (d *Difference) String() string {
+	at := fmt.Sprintf("line %d, %s at %d ns", d.Line, d.Type, d.At)
+	if d.Kind == Tampered {
+		return at + ": the line does not match its digest, the record was changed: " + string(d.Event)
+	}
+	return fmt.Sprintf("%s, effect %d: expected %s, got %s, after event %s", at, d.Effect, d.Expected, d.Actual, d.Event)
+}
+
+// String returns the effect with its type.
+func (e *Effect) String() string {
+	if e == nil {
+		return "none"
+	}
+	return e.Type + " " + string(e.Effect)
+}
+
+// Report is the result of a replay.
+type Report struct {
+	Reducer string `json:"Reducer"`
+	Events  int    `json:"Events"`
+	Effects int    `json:"Effects"`
+	// Ended tells that the record has its last line.
+	Ended bool `json:"Ended"`
+	// Difference is nil when the replay agrees with the record.
+	Difference *Difference `json:"Difference,omitempty"`
+}
+
+// Replay runs a record through a fresh reducer, which fresh makes from the
+// header. It stops at the first difference. An error means that the record
+// cannot be read; it names the line and any unknown type or field.
+func Replay[E, F any](r io.Reader, codec Codec[E], fresh func(Header) (Step[E, F], error)) (Report, error) {
+	in := jsonl.NewReader(r)
+	var head Header
+	if err := in.Read(&head); err != nil {
+		return Report{}, errors.Wrap(err, "record has no header")
+	}
+	rep := Report{Reducer: head.Reducer}
+	if err := head.check(); err != nil {
+		return rep, err
+	}
+	raw, err := json.Marshal(head)
+	if err != nil {
+		return rep, errors.Wrap(err, "header cannot be encoded")
+	}
+	step, err := fresh(head)
+	if err != nil {
+		return rep, err
+	}
+	chain := newChain(raw)
+	for {
+		var l line
+		err := in.Read(&l)
+		if errors.Is(err, io.EOF) {
+			return rep, nil
+		}
+		if err != nil {
+			return rep, err
+		}
+		if rep.Ended {
+			return rep, errors.Errorf("line %d follows the end of the record: remove it", in.Line())
+		}
+		if err := replayLine(&rep, &l, in.Line(), chain, codec, step); err != nil || rep.Difference != nil {
+			return rep, err
+		}
+	}
+}
+
+func replayLine[E, F any](rep *Report, l *line, number int, chain *chain, codec Codec[E], step Step[E, F]) error {
+	if chain.next(l) != l.Digest {
+		rep.Difference = newDifference(Tampered, l, number)
+		return nil
+	}
+	if l.Type == typeEnd {
+		rep.Ended = true
+		return nil
+	}
+	ev, err := codec.decode(l.Type, l.Event)
+	if err != nil {
+		return errors.Wrapf(err, "line %d", number)
+	}
+	got, err := encodeEffects(step(l.At, ev))
+	if err != nil {
+		return errors.Wrapf(err, "line %d", number)
+	}
+	rep.Events++
+	rep.Effects += len(got)
+	rep.Difference = compare(l, number, got)
+	return nil
+}
+
+func newDifference(kind Kind, l *line, number int) *Difference {
+	return &Difference{
+		Kind:  kind,
+		Line:  number,
+		At:    l.At,
+		Type:  l.Type,
+		Event: l.Event,
+	}
+}
+
+// compare returns the first difference of the effects, or nil.
+func compare(l *line, number int, got []Effect) *Difference {
+	for i := range max(len(l.Effects), len(got)) {
+		var want, have *Effect
+		if i < len(l.Effects) {
+			want = &l.Effects[i]
+		}
+		if i < len(got) {
+			have = &got[i]
+		}
+		if want != nil && have != nil && want.Type == have.Type && bytes.Equal(want.Effect, have.Effect) {
+			continue
+		}
+		d := newDifference(Decided, l, number)
+		d.Effect, d.Expected, d.Actual = i, want, have
+		return d
+	}
+	return nil
+}
--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -208,6 +208,7 @@
 	client  *http.Client
 	stop    context.CancelFunc
 	done    chan error
+	ending  sync.Once
 }
 
 func newRig(t *testing.T, edit func(*host.Config), upstreams ...http.Handler) *rig {
@@ -255,16 +256,21 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	go func() { r.done <- h.Run(ctx) }()
-	t.Cleanup(func() {
-		stop()
-		r.client.CloseIdleConnections()
-		r.is.NoErr(<-r.done)
-	})
+	t.Cleanup(r.end)
 	r.control.configs <- state
 	r.eventually(func() bool { return r.get(wire.PathHealth) == http.StatusOK })
 	return r
 }
 
+// end stops the host and waits for it, once.
+func (r *rig) end() {
+	r.ending.Do(func() {
+		r.stop()
+		r.client.CloseIdleConnections()
+		r.is.NoErr(<-r.done)
+	})
+}
+
 func (r *rig) get(path string) int {
 	resp, err := r.client.Get(r.url + path)
 	if err != nil {
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/jujubethread/jujubethread/internal/audit"
 	"github.com/jujubethread/jujubethread/internal/host"
 	"github.com/jujubethread/jujubethread/internal/span"
 	"github.com/jujubethread/jujubethread/internal/stats"
@@ -190,7 +193,8 @@
 	}
 }
 
-// Guards against a runtime and an engine that disagree about their interface.
+// Guards against a runtime and an engine that disagree about their interface,
+// and against a record of a running host that does not replay.
 func TestEngineAnswersThroughTheHost(t *testing.T) {
 	is := is.New(t)
 	leaf := func(shard ident.Shard) http.HandlerFunc {
@@ -208,12 +212,13 @@
 			})
 		}
 	}
-	r := newRig(t, func(c *host.Config) {
-		c.Engine = engine.NewEngine(engine.Config{
-			Host: "h1",
-			Seed: 1,
-		})
-	}, leaf("review-panel/a"), leaf("review-panel/b"))
+	path := filepath.Join(t.TempDir(), "record")
+	rec, err := audit.RecordEngine(path, engine.Config{
+		Host: "h1",
+		Seed: 1,
+	}, nil)
+	is.NoErr(err)
+	r := newRig(t, func(c *host.Config) { c.Engine = rec }, leaf("review-panel/a"), leaf("review-panel/b"))
 	status, _, body := r.post(wire.PathSearch, `{"Index":"review-panel"}`)
 	is.Equal(status, http.StatusServiceUnavailable) // no seat yet
 	is.Equal(body["Outcome"], "NotRun")
@@ -224,6 +229,15 @@
 	})
 	is.Equal(body["Version"], 7.0)
 	is.Equal(len(body["Documents"].([]any)), 2)
+	r.end()
+	is.NoErr(rec.Close())
+	file, err := os.Open(path)
+	is.NoErr(err)
+	defer file.Close()
+	rep, err := audit.Run(file)
+	is.NoErr(err)
+	is.Equal(rep.Difference, nil)
+	is.True(rep.Ended)
 }
 
 // Guards against telemetry that is not connected to the path of a query.
