--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -4,6 +4,7 @@
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/ledger"
+	"github.com/jujubethread/jujubethread/pkg/member"
 	"github.com/jujubethread/jujubethread/pkg/preset"
 	"github.com/jujubethread/jujubethread/pkg/spread"
 )
@@ -66,47 +67,17 @@
 	Digest  uint64              `json:"Digest"`
 }
 
-// Heartbeat tells the control leader that an entry host is alive.
+// Heartbeat tells the control leader that an entry host is alive. Its Call is
+// set by the leader.
 type Heartbeat struct {
-	Host   ident.HostID `json:"Host"`
-	Domain ident.Domain `json:"Domain"`
-	// Boot differs between two processes of the same host.
-	Boot uint64 `json:"Boot"`
-	// Address is where the host serves the configuration to its peers.
-	Address string              `json:"Address"`
-	Version ident.ConfigVersion `json:"Version"`
-	// Holds tells that the host's lease of seat Seat still runs.
-	Holds bool `json:"Holds,omitempty"`
-	Seat  int  `json:"Seat,omitempty"`
-	// Leaving gives the seat back.
-	Leaving bool `json:"Leaving,omitempty"`
-	// PeersDigest is that of the last list of peers received.
-	PeersDigest uint64 `json:"PeersDigest,omitempty"`
+	Beat member.Beat `json:"Beat"`
 }
 
-// HeartbeatAnswer is the leader's answer to a Heartbeat.
+// HeartbeatAnswer is the answer to a Heartbeat.
 type HeartbeatAnswer struct {
-	// Leader is the address of the leader when the asked host is not the
-	// leader; empty when the heartbeat was taken.
+	Answer member.Answer `json:"Answer"`
+	// Leader is the address of the leader, if known and not the asked host.
 	Leader string `json:"Leader,omitempty"`
-	// Taken is false when the asked host is not the leader.
-	Taken bool `json:"Taken"`
-	// Granted tells that the host holds Seat for LeaseMillis from the time at
-	// which it sent the heartbeat.
-	Granted     bool                `json:"Granted,omitempty"`
-	Seat        int                 `json:"Seat,omitempty"`
-	LeaseMillis ident.Millis        `json:"LeaseMillis,omitempty"`
-	Version     ident.ConfigVersion `json:"Version"`
-	// Peers is a bounded list of live peers; sent when PeersDigest differs.
-	Peers       []PeerHost `json:"Peers,omitempty"`
-	PeersDigest uint64     `json:"PeersDigest,omitempty"`
-}
-
-// PeerHost names an entry host that serves the configuration.
-type PeerHost struct {
-	Host    ident.HostID `json:"Host"`
-	Domain  ident.Domain `json:"Domain"`
-	Address string       `json:"Address"`
 }
 
 // Reserve asks for the right to send a filing once; see ledger.Reserve.
