Run a control group in the example deployment; add control, replay, trace and filing commands

Cause: the deployment ran one control host, and the tools had no command. Change: the deployment bootstraps a group of control hosts and keeps their first members' addresses next to the data folders, since the group remembers them; entry hosts trace and count; the commands are wired. Ruled out: new addresses at each start, which left the restarted group without a leader (TestSearchPresetAndRestart failed after 20 s). Conclusion: entry hosts still follow the first control host in process, until the agent over the link is there.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return cmd, config.Outcome{}, errors.Wrap(err, "command cannot be encoded")
 	}
-	out, err := c.post(ctx, ctrl.PathCommands, body)
+	out, err := c.post(ctx, ctrl.PathCommands, body, outcomeOf)
 	return cmd, out, err
 }
 
@@ -135,19 +135,19 @@
 	if err != nil {
 		return config.Outcome{}, errors.Wrap(err, "member change cannot be encoded")
 	}
-	return c.post(ctx, ctrl.PathMembers, body)
+	return c.post(ctx, ctrl.PathMembers, body, outcomeOf)
 }
 
 // post tries the control hosts in turn until one gives a final outcome. A
 // lost answer makes the outcome Unknown unless a later host knows better:
 // commands are idempotent, so sending the same id again is safe.
-func (c *Client) post(ctx context.Context, path string, body []byte) (config.Outcome, error) {
+func (c *Client) post(ctx context.Context, path string, body []byte, parse parser) (config.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
 	var last error
 	var notRun, unknown *config.Outcome
 	for _, address := range c.cfg.Controls {
-		out, err := c.postOne(ctx, address, path, body)
+		out, err := c.postOne(ctx, address, path, body, parse)
 		switch {
 		case err != nil && notSent(err):
 			last = err
@@ -174,7 +174,7 @@
 	}
 }
 
-func (c *Client) postOne(ctx context.Context, address, path string, body []byte) (config.Outcome, error) {
+func (c *Client) postOne(ctx context.Context, address, path string, body []byte, parse parser) (config.Outcome, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(address, path), bytes.NewReader(body))
 	if err != nil {
 		return config.Outcome{}, err
@@ -185,8 +185,19 @@
 		return config.Outcome{}, err
 	}
 	defer res.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return config.Outcome{}, errors.Wrap(err, "answer cannot be read")
+	}
+	return parse(raw)
+}
+
+// parser turns the body of an answer into an outcome.
+type parser func(raw []byte) (config.Outcome, error)
+
+func outcomeOf(raw []byte) (config.Outcome, error) {
 	var out config.Outcome
-	return out, decode(res.Body, &out)
+	return out, unmarshal(raw, &out)
 }
 
 func (c *Client) get(ctx context.Context, address, path string, into any) error {
@@ -225,5 +236,9 @@
 	if err != nil {
 		return errors.Wrap(err, "answer cannot be read")
 	}
-	return errors.Wrap(json.Unmarshal(b, into), "answer cannot be decoded: is the address that of a control host?")
+	return unmarshal(b, into)
+}
+
+func unmarshal(raw []byte, into any) error {
+	return errors.Wrap(json.Unmarshal(raw, into), "answer cannot be decoded: is the address that of a control host?")
 }
--- /dev/null
+++ b/internal/admin/filing.go
@@ -0,0 +1,66 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/ctrl"
+	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
+)
+
+// Unresolved lists the filings whose outcome is Unknown, from the first
+// control host that answers.
+func (c *Client) Unresolved(ctx context.Context) ([]ledger.UnknownFiling, error) {
+	var last error
+	for _, address := range c.cfg.Controls {
+		var list struct {
+			Filings []ledger.UnknownFiling `json:"Filings"`
+		}
+		if last = c.get(ctx, address, ctrl.PathFilings, &list); last == nil {
+			return list.Filings, nil
+		}
+	}
+	return nil, c.unreachable(last)
+}
+
+// Resolve records an operator's decision about an Unknown filing. It is
+// idempotent: a filing that is resolved already refuses another outcome.
+func (c *Client) Resolve(ctx context.Context, r ctrl.ResolveFiling) (config.Outcome, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return config.Outcome{}, errors.Wrap(err, "decision cannot be encoded")
+	}
+	return c.post(ctx, ctrl.PathFilings, body, func(raw []byte) (config.Outcome, error) {
+		var a proto.FilingAnswer
+		if err := unmarshal(raw, &a); err != nil {
+			return config.Outcome{}, err
+		}
+		return resolved(a), nil
+	})
+}
+
+func resolved(a proto.FilingAnswer) config.Outcome {
+	switch {
+	case a.Kind == proto.FilingApplied && a.Result.Kind == ledger.Applied:
+		return config.Outcome{Kind: config.Accepted}
+	case a.Kind == proto.FilingApplied:
+		return config.Outcome{
+			Kind:   config.Conflict,
+			Remedy: a.Result.Remedy,
+		}
+	case a.Kind == proto.FilingUnknown:
+		return config.Outcome{
+			Kind:   config.Unknown,
+			Remedy: "the answer was lost: send the same decision again",
+		}
+	default:
+		return config.Outcome{
+			Kind:   config.NotRun,
+			Remedy: a.Remedy,
+		}
+	}
+}
--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -19,6 +19,8 @@
 	"github.com/jujubethread/jujubethread/internal/host"
 	"github.com/jujubethread/jujubethread/internal/leaf"
 	"github.com/jujubethread/jujubethread/internal/shape"
+	"github.com/jujubethread/jujubethread/internal/span"
+	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -32,6 +34,8 @@
 	Factor float64
 	// Entries is the number of entry hosts, spread over the domains.
 	Entries int
+	// Controls is the number of control hosts; zero means 1.
+	Controls int
 	// Folder holds the data folders of the control hosts.
 	Folder string
 	// EntryListen and ControlListen are the addresses of the first entry and
@@ -44,6 +48,8 @@
 	Seed uint64
 	// Service is the distribution of service times; a zero Median means 4 ms.
 	Service leaf.Service
+	// TraceRatio is the share of requests that are traced, 0 to 1.
+	TraceRatio float64
 	// Grace is the time between a failing health check and refused requests.
 	Grace time.Duration
 	// Log may be nil.
@@ -111,6 +117,7 @@
 	if c.Factor == 0 {
 		c.Factor = 1
 	}
+	c.Controls = max(c.Controls, 1)
 	if c.Service.Median == 0 {
 		c.Service = leaf.Service{
 			Median: defaultMedian,
@@ -156,22 +163,37 @@
 	return nil
 }
 
+// startControl starts the control hosts.
 func (d *Deployment) startControl(ctx context.Context) error {
-	h, err := ctrl.New(ctrl.Config{
-		Folder:   filepath.Join(d.cfg.Folder, "control-1"),
-		Listen:   d.cfg.ControlListen,
-		Address:  freePort,
-		NewGroup: true,
-		Log:      d.cfg.Log,
-	})
+	members, err := firstMembers(d.cfg.Folder, d.cfg.Controls, d.controlFolder)
 	if err != nil {
 		return err
 	}
-	d.Controls = append(d.Controls, h)
-	d.back.Go(func() error { return h.Run(ctx) })
+	for i, m := range members {
+		listen := freePort
+		if i == 0 {
+			listen = d.cfg.ControlListen
+		}
+		h, err := ctrl.New(ctrl.Config{
+			Folder:    d.controlFolder(i),
+			Listen:    listen,
+			Address:   m.Address,
+			Bootstrap: members,
+			Log:       d.cfg.Log,
+		})
+		if err != nil {
+			return err
+		}
+		d.Controls = append(d.Controls, h)
+		d.back.Go(func() error { return h.Run(ctx) })
+	}
 	return nil
 }
 
+func (d *Deployment) controlFolder(i int) string {
+	return filepath.Join(d.cfg.Folder, fmt.Sprintf("control-%d", i+1))
+}
+
 // addUpstreams puts the upstreams into the configuration. A data folder that
 // is used again knows them by old addresses, so these are replaced.
 func (d *Deployment) addUpstreams(ctx context.Context) error {
@@ -207,23 +229,25 @@
 	return nil
 }
 
-// leader waits until the first control host leads with its whole log applied
-// and returns its configuration.
+// leader waits until a control host leads with its whole log applied and
+// returns its configuration.
 func (d *Deployment) leader(ctx context.Context) (*config.State, error) {
 	tick := time.NewTicker(retryPause)
 	defer tick.Stop()
 	for {
-		st, err := d.Controls[0].Status(ctx)
-		if err != nil {
-			return nil, err
-		}
-		if st.Lease && st.Applied == st.Last {
-			return d.Controls[0].Config(ctx)
+		for _, h := range d.Controls {
+			st, err := h.Status(ctx)
+			if err != nil {
+				return nil, err
+			}
+			if st.Lease && st.Applied == st.Last {
+				return h.Config(ctx)
+			}
 		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			return nil, errors.Wrap(ctx.Err(), "control host did not become leader")
+			return nil, errors.Wrap(ctx.Err(), "no control host became leader")
 		}
 	}
 }
@@ -241,6 +265,14 @@
 		id := ident.HostID(fmt.Sprintf("entry-%d", i+1))
 		domain := d.Shape.Domains[i%len(d.Shape.Domains)]
 		link := newLink(d.Controls[0])
+		tracer, err := span.New(span.Config{
+			Host:  id,
+			Ratio: d.cfg.TraceRatio,
+		})
+		if err != nil {
+			return err
+		}
+		meter := stats.New()
 		h, err := host.New(host.Config{
 			ID:       id,
 			Domain:   domain,
@@ -253,6 +285,8 @@
 			}),
 			Control: link,
 			Grace:   d.cfg.Grace,
+			Stats:   meter,
+			Tracer:  tracer,
 			Log:     d.cfg.Log.With("Host", string(id), "Domain", string(domain)),
 		})
 		if err != nil {
@@ -260,7 +294,10 @@
 		}
 		d.Entries = append(d.Entries, h)
 		d.front.Go(func() error { return link.run(ctx) })
-		d.front.Go(func() error { return h.Run(ctx) })
+		d.front.Go(func() error {
+			err := h.Run(ctx)
+			return firstOf(err, tracer.Close(context.WithoutCancel(ctx)), meter.Close())
+		})
 	}
 	return nil
 }
--- a/internal/devel/devel_test.go
+++ b/internal/devel/devel_test.go
@@ -53,11 +53,12 @@
 func TestSearchPresetAndRestart(t *testing.T) {
 	is := is.New(t)
 	cfg := devel.Config{
-		Shape:   "thesiswell",
-		Entries: 2,
-		Folder:  t.TempDir(),
-		Grace:   time.Millisecond,
-		Seed:    1,
+		Shape:    "thesiswell",
+		Entries:  2,
+		Controls: 3,
+		Folder:   t.TempDir(),
+		Grace:    time.Millisecond,
+		Seed:     1,
 	}
 	d, err := devel.Start(cfg)
 	is.NoErr(err)
--- /dev/null
+++ b/internal/launch/control.go
@@ -0,0 +1,73 @@
+package launch
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/jujubethread/jujubethread/internal/ctrl"
+	"github.com/jujubethread/jujubethread/internal/keys"
+	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/logs"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
+)
+
+// control serves a control host until it is interrupted; a leader hands over
+// before it ends.
+func (j *job) control(ctx context.Context) error {
+	o := j.opt
+	if len(o.Args) > 0 {
+		return j.identify()
+	}
+	log, err := logs.New(j.err, logs.Config{
+		Host:   o.Host,
+		Domain: o.Domain,
+		Level:  o.LogLevel,
+	})
+	if err != nil {
+		return err
+	}
+	cfg := ctrl.Config{
+		Folder:   o.Data,
+		Listen:   o.Listen,
+		Address:  o.LinkListen,
+		Link:     j.linkConfig(),
+		NewGroup: o.NewGroup,
+		Log:      log,
+	}
+	for _, p := range o.Bootstrap {
+		cfg.Bootstrap = append(cfg.Bootstrap, quorum.Member{
+			ID:      ident.HostID(p.Name),
+			Address: p.Address,
+			Voter:   true,
+		})
+	}
+	h, err := ctrl.New(cfg)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(j.out, "control host %s: member id %s, operators at %s, other hosts at %s\n", o.Host, h.ID(), h.Addr(), h.LinkAddr())
+	return h.Run(ctx)
+}
+
+// identify prints the member id of a data folder, which it makes if needed,
+// so that the first members of a group can be listed before they start.
+func (j *job) identify() error {
+	id, err := ctrl.Identify(j.opt.Data)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(j.out, id)
+	return nil
+}
+
+func (j *job) linkConfig() link.Config {
+	return link.Config{
+		Keys: keys.Files{
+			Cert: j.opt.Cert,
+			Key:  j.opt.Key,
+			CA:   j.opt.CA,
+		},
+		AllowPlain: j.opt.AllowPlaintext,
+	}
+}
--- a/internal/launch/dev.go
+++ b/internal/launch/dev.go
@@ -64,12 +64,14 @@
 		folder, clean = temp, func() { _ = os.RemoveAll(temp) }
 	}
 	return devel.Config{
-		Shape:   j.opt.Shape,
-		Entries: j.opt.Entries,
-		Folder:  folder,
-		Seed:    j.opt.Seed,
-		Grace:   j.opt.Grace,
-		Log:     j.logger(),
+		Shape:      j.opt.Shape,
+		Entries:    j.opt.Entries,
+		Controls:   j.opt.ControlHosts,
+		Folder:     folder,
+		Seed:       j.opt.Seed,
+		TraceRatio: j.opt.TraceRatio,
+		Grace:      j.opt.Grace,
+		Log:        j.logger(),
 	}, clean, nil
 }
 
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -64,6 +64,8 @@
 		return j.dev(ctx)
 	case option.Demo:
 		return j.demo(ctx)
+	case option.Control:
+		return j.control(ctx)
 	case option.Leaf:
 		return j.leaf(ctx)
 	case option.Proxy:
@@ -72,6 +74,10 @@
 		return j.keys(ctx)
 	case option.Load:
 		return j.load(ctx)
+	case option.Replay:
+		return j.replay(ctx)
+	case option.Trace:
+		return j.trace(ctx)
 	case option.Bench:
 		return j.bench(ctx)
 	case option.Status:
--- a/internal/launch/operate.go
+++ b/internal/launch/operate.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -14,7 +15,9 @@
 	"github.com/jujubethread/jujubethread/internal/ctrl"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
 	"github.com/jujubethread/jujubethread/pkg/preset"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
 func (j *job) client() *admin.Client {
@@ -242,13 +245,57 @@
 	fmt.Fprintf(j.out, "control host %s (%s): %s, term %d, leader %s, configuration %s, applied %d of %d\n",
 		s.ID, h.Address, s.Role, s.Term, s.Leader, s.Version, s.Applied, s.Last)
 	for _, m := range s.Members {
-		fmt.Fprintf(j.out, "  member %s at %s: voter %t, reached %t, lag %d\n", m.ID, m.Address, m.Voter, m.Reached, m.Lag)
+		fmt.Fprintf(j.out, "  member %s at %s: voter %t", m.ID, m.Address, m.Voter)
+		if s.Role == quorum.Leader { // only the leader knows the others
+			fmt.Fprintf(j.out, ", reached %t, lag %d", m.Reached, m.Lag)
+		}
+		fmt.Fprintln(j.out)
 	}
 	for _, f := range s.Faults {
 		fmt.Fprintf(j.out, "  wrong: %s: %s; remedy: %s\n", f.Kind, f.Detail, f.Remedy)
 	}
 }
 
-func (j *job) filing(context.Context) error {
-	return &usageError{text: "this control group keeps no filings: start control hosts with a ledger"}
+func (j *job) filing(ctx context.Context) error {
+	switch {
+	case j.words("list", 0):
+		return j.listFilings(ctx)
+	case j.words("resolve", 2):
+		status, ok := decisions[j.opt.Args[2]]
+		if !ok {
+			return j.wrongWords()
+		}
+		out, err := j.client().Resolve(ctx, ctrl.ResolveFiling{
+			Request: ident.RequestID(j.opt.Args[1]),
+			Status:  status,
+			Receipt: "resolved by an operator",
+		})
+		if err != nil {
+			return err
+		}
+		return j.outcome(ident.CommandID(j.opt.Args[1]), out)
+	default:
+		return j.wrongWords()
+	}
+}
+
+var decisions = map[string]ledger.Status{
+	"done":   ledger.Done,
+	"notrun": ledger.NotRun,
+}
+
+func (j *job) listFilings(ctx context.Context) error {
+	list, err := j.client().Unresolved(ctx)
+	if err != nil {
+		return err
+	}
+	if j.opt.JSON {
+		return json.NewEncoder(j.out).Encode(list)
+	}
+	w := tabwriter.NewWriter(j.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "REQUEST\tAGE\tENTRY HOST\tFENCE")
+	for _, f := range list {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", f.Filing.Request, f.Age.Round(time.Second), f.Filing.Host, f.Filing.Fence)
+	}
+	return w.Flush()
 }
--- a/internal/option/check.go
+++ b/internal/option/check.go
@@ -43,7 +43,7 @@
 	var faults []string
 	o.Host, o.Domain = ident.HostID(l.host), ident.Domain(l.domain)
 	o.Index, o.Service = ident.Index(l.index), ident.Service(l.service)
-	o.Controls, o.Peers, o.Join = items(l.controls), items(l.peers), items(l.join)
+	o.Controls, o.Peers = items(l.controls), items(l.peers)
 	o.From = items(l.from)
 	for _, s := range items(l.shards) {
 		o.Shards = append(o.Shards, ident.Shard(s))
@@ -67,7 +67,6 @@
 	f := &faults{}
 	f.addresses("control", o.Controls)
 	f.addresses("peers", o.Peers)
-	f.addresses("join", o.Join)
 	f.require((o.Cert == "") == (o.Key == "") && (o.Cert == "" || o.CA != ""), "-ca, -cert and -key belong together: give all three or none")
 	f.require(o.LogLevel == "debug" || o.LogLevel == "info" || o.LogLevel == "warn" || o.LogLevel == "error",
 		"-log-level is "+strconv.Quote(o.LogLevel)+": use debug, info, warn or error")
@@ -78,9 +77,13 @@
 		f.require(o.TraceRatio >= 0 && o.TraceRatio <= 1, "-trace-ratio is out of range: use 0 to 1")
 		f.require(o.Grace >= 0, "-grace is negative: use 0s or more")
 	case Control:
-		o.checkHost(f)
 		f.require(o.Data != "", "-data is empty: name the data folder")
-		f.require(len(o.Bootstrap) == 0 || len(o.Join) == 0, "-bootstrap and -join exclude each other: use -bootstrap only for a new deployment")
+		if len(o.Args) > 0 {
+			f.require(len(o.Args) == 1 && o.Args[0] == "id", "control takes no argument but id: run jujubethread -h for its forms")
+			return f.list
+		}
+		o.checkHost(f)
+		f.require(len(o.Bootstrap) == 0 || !o.NewGroup, "-bootstrap and -new-group exclude each other: use -new-group for a group that starts with one member")
 	case Leaf:
 		o.checkLeaf(f)
 	case Dev, Demo, Load, Bench:
--- a/internal/option/option.go
+++ b/internal/option/option.go
@@ -58,8 +58,8 @@
 	RecordFile string
 
 	Data      string
+	NewGroup  bool
 	Bootstrap []Pair
-	Join      []string
 
 	ID      string
 	Expect  *ident.ConfigVersion
@@ -137,9 +137,9 @@
 
 // lists holds flags that need a second step of parsing.
 type lists struct {
-	host, domain, index, service     string
-	controls, peers, bootstrap, join string
-	shards, from, hosts, expect      string
+	host, domain, index, service string
+	controls, peers, bootstrap   string
+	shards, from, hosts, expect  string
 }
 
 func (o *Options) register(fs *flag.FlagSet, l *lists) {
@@ -153,11 +153,11 @@
 	fs.StringVar(&l.peers, "peers", "", "")
 	fs.DurationVar(&o.Grace, "grace", defaultGrace, "")
 	fs.StringVar(&o.TraceFile, "trace-file", "", "")
-	fs.Float64Var(&o.TraceRatio, "trace-ratio", defaultTraceRatio, "")
+	fs.Float64Var(&o.TraceRatio, "trace-ratio", o.defaultTraceRatio(), "")
 	fs.StringVar(&o.RecordFile, "record-file", "", "")
 	fs.StringVar(&o.Data, "data", "", "")
+	fs.BoolVar(&o.NewGroup, "new-group", false, "")
 	fs.StringVar(&l.bootstrap, "bootstrap", "", "")
-	fs.StringVar(&l.join, "join", "", "")
 	fs.StringVar(&o.ID, "id", "", "")
 	fs.StringVar(&l.expect, "expect", "", "")
 	fs.DurationVar(&o.Timeout, "timeout", defaultTimeout, "")
@@ -211,6 +211,14 @@
 	return ""
 }
 
+// defaultTraceRatio traces everything in a deployment that is for trying out.
+func (o *Options) defaultTraceRatio() float64 {
+	if o.Command == Dev || o.Command == Demo {
+		return 1
+	}
+	return defaultTraceRatio
+}
+
 func (o *Options) isOperator() bool {
 	switch o.Command {
 	case Status, Preset, Upstream, Member, Filing:
--- a/internal/option/usage.go
+++ b/internal/option/usage.go
@@ -10,13 +10,14 @@
 Daemons
   entry                  serve callers
   control                keep the configuration and the filings; has a disk
+  control id             print the member id of -data, which it makes if needed
   leaf                   stand-in upstream
 
 Operator commands (-control names control hosts; -json prints JSON)
   status                 members, roles, versions in force, what is wrong
   preset list|switch NAME|put FILE
   upstream list|add FILE|retire ID|remove ID|place ID SHARD[,SHARD...]
-  member list|add ID|remove ID|replace OLD NEW
+  member list|add ID=IP:PORT|remove ID|replace OLD NEW=IP:PORT
   filing list|resolve REQUEST done|notrun
 
 Tools
@@ -47,8 +48,10 @@
 
 Control host
   -data FOLDER           data folder
-  -bootstrap LIST        first members, ID=IP:PORT each; only for a new deployment
-  -join LIST             link addresses of members that this host joins through
+  -new-group             start a group with this host as its only member
+  -bootstrap LIST        first members of a group, ID=IP:PORT each, the same on
+                         all; both act only while the data folder is empty, and
+                         without them a host waits until it is added as a member
 
 Operator commands
   -control LIST          HTTP addresses of control hosts
