--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,7 +14,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/jujubethread/jujubethread/internal/audit"
 	"github.com/jujubethread/jujubethread/internal/host"
+	"github.com/jujubethread/jujubethread/internal/span"
+	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -188,7 +193,8 @@
 	}
 }
 
-// Guards against a runtime and an engine that disagree about their interface.
+// Guards against a runtime and an engine that disagree about their interface,
+// and against a record of a running host that does not replay.
 func TestEngineAnswersThroughTheHost(t *testing.T) {
 	is := is.New(t)
 	leaf := func(shard ident.Shard) http.HandlerFunc {
@@ -206,12 +212,13 @@
 			})
 		}
 	}
-	r := newRig(t, func(c *host.Config) {
-		c.Engine = engine.NewEngine(engine.Config{
-			Host: "h1",
-			Seed: 1,
-		})
-	}, leaf("review-panel/a"), leaf("review-panel/b"))
+	path := filepath.Join(t.TempDir(), "record")
+	rec, err := audit.RecordEngine(path, engine.Config{
+		Host: "h1",
+		Seed: 1,
+	}, nil)
+	is.NoErr(err)
+	r := newRig(t, func(c *host.Config) { c.Engine = rec }, leaf("review-panel/a"), leaf("review-panel/b"))
 	status, _, body := r.post(wire.PathSearch, `{"Index":"review-panel"}`)
 	is.Equal(status, http.StatusServiceUnavailable) // no seat yet
 	is.Equal(body["Outcome"], "NotRun")
@@ -222,4 +229,42 @@
 	})
 	is.Equal(body["Version"], 7.0)
 	is.Equal(len(body["Documents"].([]any)), 2)
+	r.end()
+	is.NoErr(rec.Close())
+	file, err := os.Open(path)
+	is.NoErr(err)
+	defer file.Close()
+	rep, err := audit.Run(file)
+	is.NoErr(err)
+	is.Equal(rep.Difference, nil)
+	is.True(rep.Ended)
+}
+
+// Guards against telemetry that is not connected to the path of a query.
+func TestTelemetryOfAQuery(t *testing.T) {
+	is := is.New(t)
+	tracer, err := span.New(span.Config{Host: "h1"})
+	is.NoErr(err)
+	defer tracer.Close(context.Background())
+	counts := stats.New()
+	defer counts.Close()
+	headers := make(chan string, 1)
+	r := newRig(t, func(c *host.Config) { c.Tracer, c.Stats = tracer, counts }, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		headers <- req.Header.Get(wire.HeaderTrace)
+		answering(w, req)
+	}))
+	const trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+	_, _, body := r.post(wire.PathSearch, `{"Index":"review-panel"}`, wire.HeaderTrace, "00-"+trace+"-00f067aa0ba902b7-01", wire.HeaderRequestID, "req-1")
+	is.Equal(body["Outcome"], "Done")
+	toLeaf := <-headers
+	is.True(strings.HasPrefix(toLeaf, "00-"+trace) && strings.HasSuffix(toLeaf, "-01"))
+	var got struct{ Spans []span.Record }
+	is.NoErr(json.Unmarshal(r.read("/v1/traces?Request=req-1"), &got))
+	is.Equal(len(got.Spans), 3)
+	r.eventually(func() bool {
+		text := string(r.read(wire.PathMetrics))
+		return strings.Contains(text, `entry_queries{class="Standard",outcome="Done"} 1`) &&
+			strings.Contains(text, `entry_attempts{reason="First",result="Answered"} 1`) &&
+			strings.Contains(text, `entry_seat{state="None"} 1`)
+	})
 }
