--- a/internal/ctrl/part.go
+++ b/internal/ctrl/part.go
@@ -5,7 +5,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/spread"
 )
 
 // Part is one state machine that the control group replicates. All methods
@@ -23,6 +26,18 @@
 	Restore(state []byte) error
 }
 
+// Proposer is a Part with a say in what the leader proposes for it.
+type Proposer interface {
+	Part
+	// TakeOffice runs when this member may propose in a new term: it holds
+	// the lease and has applied everything committed before.
+	TakeOffice(now ident.Instant)
+	// Prepare completes a command before it is proposed.
+	Prepare(now ident.Instant, command []byte) ([]byte, error)
+	// Routine returns a command that is due without a request, or nil.
+	Routine(now ident.Instant) ([]byte, error)
+}
+
 // PartCommand is a command for one part. It is the data of a log entry.
 type PartCommand struct {
 	Part string
@@ -38,14 +53,17 @@
 // parts is the whole replicated state.
 type parts struct {
 	config *configPart
+	ledger *ledgerPart
 	all    []Part
 }
 
 func newParts(extra []Part) *parts {
 	c := &configPart{machine: config.NewMachine(config.NewState())}
+	l := newLedgerPart()
 	return &parts{
 		config: c,
-		all:    append([]Part{c}, extra...),
+		ledger: l,
+		all:    append([]Part{c, l}, extra...),
 	}
 }
 
@@ -60,7 +78,7 @@
 
 func (p *parts) apply(data []byte) ([]byte, error) {
 	var c PartCommand
-	if err := decoding.Unmarshal(data, &c); err != nil {
+	if err := proto.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "command cannot be decoded: update this host")
 	}
 	part, err := p.find(c.Part)
@@ -89,13 +107,13 @@
 				Data: data,
 			})
 		}
-		return encoding.Marshal(states)
+		return proto.Marshal(states)
 	}
 }
 
 func (p *parts) restore(data []byte) error {
 	var states []partState
-	if err := decoding.Unmarshal(data, &states); err != nil {
+	if err := proto.Unmarshal(data, &states); err != nil {
 		return errors.Wrap(err, "snapshot cannot be decoded: update this host")
 	}
 	for _, s := range states {
@@ -113,7 +131,11 @@
 const configName = "config"
 
 // configPart replicates the configuration.
-type configPart struct{ machine *config.Machine }
+type configPart struct {
+	machine *config.Machine
+	// deltas are the last changes, the oldest first. Only appended to or replaced.
+	deltas []spread.Delta
+}
 
 // Name implements Part.
 func (p *configPart) Name() string { return configName }
@@ -121,11 +143,22 @@
 // Apply implements Part. The command is a config.Command, the result a config.Outcome.
 func (p *configPart) Apply(command []byte) ([]byte, error) {
 	var c config.Command
-	if err := decoding.Unmarshal(command, &c); err != nil {
+	if err := proto.Unmarshal(command, &c); err != nil {
 		return nil, errors.Wrap(err, "configuration command cannot be decoded: update this host")
 	}
-	c.Change = plainChange(c.Change)
-	return encoding.Marshal(p.machine.Run(c))
+	before := p.machine.State
+	out := p.machine.Run(c)
+	if s := p.machine.State; s != before {
+		if len(p.deltas) >= 2*keptDeltas {
+			p.deltas = slices.Clone(p.deltas[keptDeltas:])
+		}
+		p.deltas = append(p.deltas, spread.Delta{
+			Version: s.Version,
+			Change:  c.Change,
+			Digest:  s.Digest,
+		})
+	}
+	return proto.Marshal(out)
 }
 
 // Freeze implements Part. State is immutable; the lists are copied.
@@ -135,13 +168,13 @@
 		Recent:  slices.Clone(p.machine.Recent),
 		History: slices.Clone(p.machine.History),
 	}
-	return func() ([]byte, error) { return encoding.Marshal(frozen) }
+	return func() ([]byte, error) { return proto.Marshal(frozen) }
 }
 
 // Restore implements Part.
 func (p *configPart) Restore(state []byte) error {
 	m := &config.Machine{}
-	if err := decoding.Unmarshal(state, m); err != nil {
+	if err := proto.Unmarshal(state, m); err != nil {
 		return err
 	}
 	if m.State == nil {
@@ -150,6 +183,6 @@
 	if err := m.State.Verify(); err != nil {
 		return err
 	}
-	p.machine = m
+	p.machine, p.deltas = m, nil
 	return nil
 }
--- /dev/null
+++ b/internal/dial/const.go
@@ -0,0 +1,25 @@
+package dial
+
+import "time"
+
+const (
+	defaultDialTimeout  = time.Second
+	defaultProbeTimeout = time.Second
+	defaultProbes       = 16
+
+	// maxHeader bounds the header of an answer.
+	maxHeader = 16 << 10 // bytes
+
+	// maxIdle is above any connection share, so only Warm bounds a pool.
+	maxIdle = 10_000
+
+	// lingerLimit bounds the wait for an upstream to close its end of a
+	// connection that this host has closed.
+	lingerLimit = 500 * time.Millisecond
+
+	firstRedial = 50 * time.Millisecond
+	lastRedial  = 2 * time.Second
+
+	readBuffer  = 4 << 10 // bytes
+	writeBuffer = 4 << 10 // bytes
+)
