--- a/internal/launch/dev.go
+++ b/internal/launch/dev.go
@@ -80,8 +80,9 @@
 	if err := level.UnmarshalText([]byte(j.opt.LogLevel)); err != nil {
 		level = slog.LevelInfo
 	}
-	if j.opt.Command == option.Dev || j.opt.Command == option.Demo {
-		level = max(level, slog.LevelWarn)
+	switch j.opt.Command {
+	case option.Dev, option.Demo, option.Load, option.Bench:
+		level = max(level, slog.LevelWarn) // the hosts share the terminal
 	}
 	return slog.New(slog.NewJSONHandler(j.err, &slog.HandlerOptions{Level: level}))
 }
--- a/internal/launch/load.go
+++ b/internal/launch/load.go
@@ -29,6 +29,7 @@
 		}
 		defer clean()
 		cfg.Seed = sc.DocumentSeed
+		cfg.Shape = shapeOf(sc, cfg.Shape)
 		d, err := devel.Start(cfg)
 		if err != nil {
 			return err
@@ -59,9 +60,9 @@
 		sc, err := scene.Example(j.opt.Scenario)
 		return sc, errors.Wrapf(err, "scenario %q is neither a file nor one of %v", j.opt.Scenario, scene.Examples())
 	}
-	mix := "amman"
+	mix := mixThesiswell
 	if j.opt.Shape == "hanbit" {
-		mix = "kr-cap"
+		mix = mixHanbit
 	}
 	return &scene.Scenario{
 		Name:           "callers",
@@ -75,6 +76,24 @@
 	}, nil
 }
 
+// shapeOf returns the shape that serves the callers of a scenario.
+func shapeOf(sc *scene.Scenario, chosen string) string {
+	switch sc.Mix {
+	case mixHanbit:
+		return "hanbit"
+	case mixThesiswell:
+		return "thesiswell"
+	default:
+		return chosen
+	}
+}
+
+// The mixes of callers are named after the deployments of the shapes.
+const (
+	mixThesiswell = "amman"
+	mixHanbit     = "kr-cap"
+)
+
 const loadWarmup ident.Millis = 2000
 
 func targets(d *devel.Deployment) []scene.Target {
