Check the engine under random faults, roll-over and shard moves

Cause: the guarantees of the design page were checked in single cases only.

Change: a rapid test mixes lost, silent, slow, draining and misleading upstreams, crossed, doubled and false answers, version roll-over, shard moves, retirements, seats, presets and shutdown, and compares every answer with what the fakes hold. Another one bounds the calls of a full outage. RollRun asks 100,000 queries during roll-over and moves. An upstream counts as heard only if its answer states the versions it holds, so one that never does is still probed.

--- a/internal/drive/const.go
+++ b/internal/drive/const.go
@@ -22,6 +22,9 @@
 	connLimit = 50
 	seats     = 25
 
+	// maxShards bounds the shards of a driven deployment.
+	maxShards = 200
+
 	// docsPerShard is the number of documents in every shard. One further
 	// document is in all shards, with the shard's number as revision.
 	docsPerShard = 2
--- a/internal/drive/leaf.go
+++ b/internal/drive/leaf.go
@@ -32,9 +32,10 @@
 	Calls int
 
 	d       *Driver
+	domain  ident.Domain
 	running int
 	waiting []*call
-	retired ident.Instant // when all hosts knew; 0 is never
+	retired bool // all hosts know
 }
 
 // call is one attempt on its way or in a leaf.
@@ -47,11 +48,13 @@
 }
 
 func (d *Driver) addLeaf(i, j int) {
-	shard := shardName(i)
+	shard := ShardName(i)
 	l := &Leaf{
 		ID:   ident.Upstream(fmt.Sprintf("u%03d-%d", i, j)),
 		Held: map[ident.Shard][]ident.IndexVersion{shard: {1}},
 		d:    d,
+
+		domain: domain(j),
 	}
 	d.Leaves = append(d.Leaves, l)
 	d.byID[l.ID] = l
@@ -67,7 +70,16 @@
 	}})
 }
 
-func shardName(i int) ident.Shard { return ident.Shard(fmt.Sprintf("%s/%03d", Index, i)) }
+// ShardName returns the name of the numbered shard.
+func ShardName(i int) ident.Shard { return shardNames[i] }
+
+// shardNames holds all names, since formatting them took most of a run.
+var shardNames = func() (names [maxShards]ident.Shard) {
+	for i := range names {
+		names[i] = ident.Shard(fmt.Sprintf("%s/%03d", Index, i))
+	}
+	return names
+}()
 
 func (h *host) send(s engine.Send) {
 	d := h.d
@@ -197,7 +209,8 @@
 	c.h.step(ev)
 }
 
-// distort makes an answer crossed, false in one field, or doubled.
+// distort makes an answer crossed, foreign in one field with the documents
+// that belong to it, or doubled.
 func (d *Driver) distort(c *call, ev *engine.AttemptAnswered) {
 	d.Stats.Distorted++
 	switch d.Rand.IntN(6) {
@@ -207,12 +220,16 @@
 		}
 	case 1:
 		ev.Answer.Request = "other"
+		ev.Answer.Documents = documents(c.Shard, c.Version, "other")
 	case 2:
 		ev.Answer.Attempt++
+		ev.Answer.Documents = documents(c.Shard, c.Version, "other")
 	case 3:
-		ev.Answer.Shard = shardName(d.Rand.IntN(d.Setup.Shards) + 1)
+		ev.Answer.Shard = "other/999"
+		ev.Answer.Documents = documents("other/999", c.Version, c.Terms)
 	case 4:
 		ev.Answer.Version++
+		ev.Answer.Documents = documents(c.Shard, c.Version+1, c.Terms)
 	default:
 		again := *ev
 		h := c.h
@@ -226,20 +243,21 @@
 		Attempt:   c.Attempt,
 		Shard:     c.Shard,
 		Version:   c.Version,
-		Documents: documents(c.Shard, c.Version),
+		Documents: documents(c.Shard, c.Version, c.Terms),
 		Load: engine.Load{
 			Running: c.leaf.running,
 			Waiting: len(c.leaf.waiting),
 		},
+		Held: c.leaf.held(),
 	}
 }
 
 func (l *Leaf) held() []engine.Held {
 	var held []engine.Held
 	for i := range l.d.Setup.Shards {
-		if vs, ok := l.Held[shardName(i)]; ok {
+		if vs, ok := l.Held[ShardName(i)]; ok {
 			held = append(held, engine.Held{
-				Shard:    shardName(i),
+				Shard:    ShardName(i),
 				Versions: slices.Clone(vs),
 			})
 		}
--- a/internal/drive/scene.go
+++ b/internal/drive/scene.go
@@ -124,7 +124,7 @@
 	queries, calls := 0, map[ident.QueryID]int{}
 	total := 0
 	d.Sent = func(s engine.Send) {
-		if s.Shard == shardName(lost) && d.Now() < end {
+		if s.Shard == ShardName(lost) && d.Now() < end {
 			calls[s.Query]++
 			total++
 			out.WorstCalls = max(out.WorstCalls, calls[s.Query])
@@ -137,7 +137,7 @@
 		case at < end.Add(-2*time.Second):
 			queries++
 			m := r.Coverage.Missing
-			if r.Outcome != engine.Partial || len(m) != 1 || m[0].Shard != shardName(lost) {
+			if r.Outcome != engine.Partial || len(m) != 1 || m[0].Shard != ShardName(lost) {
 				out.BadAnswers++
 			}
 		case at < end:
@@ -200,7 +200,7 @@
 	for i := range d.Setup.Shards {
 		d.Leaves[i*d.Setup.Replicas+int(d.Rand.IntN(d.Setup.Replicas))].Mode = how
 	}
-	d.Load(200, 30*time.Second, preset.Critical)
+	d.Load(200, 12*time.Second, preset.Critical)
 	out.Stats = d.End()
 	return out
 }
--- a/internal/drive/scene_test.go
+++ b/internal/drive/scene_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jujubethread/jujubethread/internal/drive"
+	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/preset"
 )
@@ -20,6 +21,7 @@
 
 // Guards against hedges that come too late, cost too much or lose shards.
 func TestStragglers(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	plain := drive.StragglerRun(1, engine.PolicyPlain, 60*time.Second)
 	tolerant := drive.StragglerRun(1, engine.PolicyTolerant, 60*time.Second)
@@ -35,6 +37,7 @@
 // Guards against a retry storm, a slow recovery and a wrong missing shard
 // while a service is out.
 func TestOutage(t *testing.T) {
+	t.Parallel()
 	for name, how := range map[string]drive.Mode{"refusing": drive.Refusing, "silent": drive.Silent, "misleading": drive.Misleading} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -52,6 +55,7 @@
 
 // Guards against errors that last after one replica of every service is lost.
 func TestLoss(t *testing.T) {
+	t.Parallel()
 	for name, how := range map[string]drive.Mode{"refusing": drive.Refusing, "silent": drive.Silent, "draining": drive.Draining, "misleading": drive.Misleading} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -66,6 +70,7 @@
 // Guards against goodput that collapses under overload, against extra calls,
 // and against Critical queries that suffer for others.
 func TestOverload(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	run := func(rate float64) drive.Overload {
 		o := drive.OverloadRun(1, engine.PolicyTolerant, 1, rate, 20*time.Second)
@@ -86,3 +91,44 @@
 	standard, tolerant := over.Stats.Class[preset.Standard], over.Stats.Class[preset.Tolerant]
 	is.True(float64(tolerant.NotRun)/float64(tolerant.Asked) > 2*float64(standard.NotRun)/float64(standard.Asked))
 }
+
+// Guards against mixed versions, false coverage and duplicates while versions
+// roll over, shards move and upstreams lie.
+func TestRollOver(t *testing.T) {
+	t.Parallel()
+	out := drive.RollRun(1, 100_000)
+	t.Logf("queries %d done %d partial %d not run %d distorted %d retries %d", out.Queries, out.Done, out.Partial, out.NotRun, out.Stats.Distorted, out.Stats.Retries)
+	noFaults(t, out.Stats)
+	if out.Queries < 99_000 || out.Done < out.Queries*9/10 {
+		t.Fatalf("%d of %d queries done", out.Done, out.Queries)
+	}
+}
+
+// Guards against a choice that depends on map order or on anything else than
+// the events and the seed, which would break replay of recorded traces.
+func TestSameSeedSameCalls(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	run := func() []engine.Send {
+		d := drive.New(drive.Setup{
+			Seed:        3,
+			Hosts:       2,
+			Shards:      8,
+			Replicas:    3,
+			SlowPercent: 2,
+			SlowFactor:  20,
+			Wrong:       0.01,
+		})
+		var sends []engine.Send
+		d.Sent = func(s engine.Send) { sends = append(sends, s) }
+		d.Spread()
+		d.Roll(1, time.Second, 0.5)
+		d.Load(600, time.Second, preset.Critical, preset.Tolerant)
+		d.Leaves[0].Mode = drive.Silent
+		d.Change(config.SwitchPreset{Name: preset.Peak})
+		d.Load(600, 2*time.Second, preset.Critical, preset.Tolerant)
+		noFaults(t, d.End())
+		return sends
+	}
+	is.Equal(run(), run())
+}
--- /dev/null
+++ b/pkg/engine/chaos_test.go
@@ -0,0 +1,129 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/jujubethread/jujubethread/internal/drive"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+// chaos is a driver with the random actions of one test case.
+type chaos struct {
+	*drive.Driver
+	t       *rapid.T
+	version ident.IndexVersion
+}
+
+func (c *chaos) leaf() *drive.Leaf {
+	return c.Leaves[rapid.IntRange(0, len(c.Leaves)-1).Draw(c.t, "leaf")]
+}
+
+func (c *chaos) act() {
+	ms := time.Duration(rapid.IntRange(1, 400).Draw(c.t, "ms")) * time.Millisecond
+	switch rapid.IntRange(0, 10).Draw(c.t, "action") {
+	case 0, 1:
+		c.leaf().Mode = rapid.SampledFrom([]drive.Mode{drive.Up, drive.Refusing, drive.Silent, drive.Draining, drive.Misleading}).Draw(c.t, "mode")
+	case 2:
+		c.leaf().Slow = rapid.SampledFrom([]float64{1, 10, 100}).Draw(c.t, "slow")
+	case 3:
+		c.Roll(c.version, 2*ms, rapid.Float64Range(0, 1).Draw(c.t, "early"))
+		c.version++
+	case 4:
+		shard := drive.ShardName(rapid.IntRange(0, 3).Draw(c.t, "shard"))
+		c.Move(shard, c.leaf(), c.leaf(), ms)
+	case 5:
+		if rapid.IntRange(0, 3).Draw(c.t, "retire") == 0 {
+			c.Retire(c.leaf())
+		}
+	case 6:
+		c.Change(config.SwitchPreset{Name: rapid.SampledFrom([]preset.Name{preset.Ordinary, preset.Peak, preset.Maintenance}).Draw(c.t, "preset")})
+	case 7:
+		seat := rapid.SampledFrom([]engine.Seat{engine.SeatHeld, engine.SeatHeld, engine.SeatExpired, engine.SeatNone}).Draw(c.t, "seat")
+		c.Seat(rapid.IntRange(0, 1).Draw(c.t, "host"), seat)
+	case 8:
+		c.Change(config.SetSeats{Seats: rapid.IntRange(1, 60).Draw(c.t, "seats")})
+	case 9:
+		for range rapid.IntRange(1, 60).Draw(c.t, "burst") {
+			id := c.Ask(rapid.SampledFrom(preset.Classes[:]).Draw(c.t, "class"), time.Duration(rapid.IntRange(-1, 300).Draw(c.t, "budget"))*time.Millisecond)
+			if rapid.IntRange(0, 5).Draw(c.t, "hang up") == 0 {
+				c.After(ms/8, func() { c.HangUp(id) })
+			}
+		}
+	default:
+		if rapid.IntRange(0, 9).Draw(c.t, "drain") == 0 {
+			c.Drain(rapid.IntRange(0, 1).Draw(c.t, "host"))
+		}
+	}
+	c.Load(float64(rapid.IntRange(1, 400).Draw(c.t, "rate")), ms, preset.Critical, preset.Standard, preset.Tolerant)
+}
+
+// Guards against mixed versions, false coverage, duplicates, an answer that is
+// missing, late or doubled, a NotRun that ran, confusion of crossed answers,
+// work for retired upstreams or without a seat, and hedges beyond the budget,
+// under any mix of faults.
+func TestChaos(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &chaos{
+			Driver: drive.New(drive.Setup{
+				Seed:        rapid.Uint64().Draw(t, "seed"),
+				Hosts:       2,
+				Shards:      4,
+				Replicas:    2,
+				SlowPercent: 2,
+				SlowFactor:  20,
+				Wrong:       rapid.SampledFrom([]float64{0, 0.01, 0.3}).Draw(t, "wrong"),
+			}),
+			t:       t,
+			version: 1,
+		}
+		c.Spread()
+		for range rapid.IntRange(1, 12).Draw(t, "actions") {
+			c.act()
+		}
+		s := c.End()
+		if s.FaultCount > 0 {
+			t.Fatalf("%d faults: %q", s.FaultCount, s.Faults)
+		}
+		if 20*s.Hedges > s.Firsts {
+			t.Fatalf("%d hedges for %d first attempts", s.Hedges, s.Firsts)
+		}
+		for _, held := range c.Retained() {
+			if held != (engine.Retained{}) {
+				t.Fatalf("state is left after all queries ended: %+v", held)
+			}
+		}
+	})
+}
+
+// Guards against a retry storm when every upstream fails while health reports
+// stay good, which ejection and probes cannot see.
+func TestFullOutageCost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := drive.New(drive.Setup{
+			Seed:     rapid.Uint64().Draw(t, "seed"),
+			Shards:   4,
+			Replicas: rapid.IntRange(1, 3).Draw(t, "replicas"),
+		})
+		d.Load(200, 2*time.Second, preset.Critical)
+		for _, l := range d.Leaves {
+			l.Mode = drive.Misleading
+		}
+		before := d.Stats.Sends()
+		done := d.Stats.Done + d.Stats.Partial
+		d.Load(200, 2*time.Second, preset.Critical, preset.Standard)
+		s := d.End()
+		queries := s.Done + s.Partial - done
+		if queries < 200 {
+			t.Fatalf("%d queries ran", queries)
+		}
+		if calls := float64(s.Sends()-before) / float64(4*queries); calls > 1.2 {
+			t.Fatalf("%.3f calls per query and shard", calls)
+		}
+	})
+}
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -123,3 +123,25 @@
 }
 
 func (e *Engine) emit(eff Effect) { e.out = append(e.out, eff) }
+
+// Retained counts the state that belongs to queries in flight.
+type Retained struct {
+	Queries  int
+	Attempts int
+	Waiting  int // queries in queues and tasks that wait for room
+}
+
+// Retained returns how much state of queries is held.
+func (e *Engine) Retained() Retained {
+	r := Retained{
+		Queries:  len(e.queries),
+		Attempts: len(e.attempts),
+	}
+	for _, n := range e.waiting {
+		r.Waiting += n
+	}
+	for _, s := range e.shards {
+		r.Waiting += len(s.waiting)
+	}
+	return r
+}
--- a/pkg/engine/result.go
+++ b/pkg/engine/result.go
@@ -16,7 +16,7 @@
 		return
 	}
 	u, latency := a.up, now.Sub(a.sentAt)
-	e.hear(now, u)
+	e.hear(now, u, len(ans.Held) > 0)
 	u.peer.Answered(now, latency)
 	u.peer.Reported(now, ans.Load.Running+ans.Load.Waiting)
 	u.index.pace.Observe(now, u.limit.Slowdown(latency))
--- a/pkg/engine/upstream.go
+++ b/pkg/engine/upstream.go
@@ -19,7 +19,8 @@
 	peer     route.Peer
 	limit    *limit.Adaptive
 	timer    timer // next probe
-	heard    ident.Instant
+	// heard is when the upstream last said which versions it holds.
+	heard ident.Instant
 	// probing is set while a probe is out.
 	probing  bool
 	draining bool
@@ -156,9 +157,11 @@
 	u.index.pin.dirty = true
 }
 
-// hear notes that u answered.
-func (e *Engine) hear(now ident.Instant, u *upstream) {
-	u.heard = now
+// hear notes that u answered, and whether it said what it holds.
+func (e *Engine) hear(now ident.Instant, u *upstream, held bool) {
+	if held {
+		u.heard = now
+	}
 	if u.unreachable {
 		u.unreachable = false
 		u.index.pin.dirty = true
@@ -170,7 +173,7 @@
 	if u == nil {
 		return
 	}
-	e.hear(now, u)
+	e.hear(now, u, true)
 	u.peer.Reachable(now)
 	if ev.Health == HealthCold && !u.reported {
 		u.peer.Cold(now)
