ctrl: answer heartbeats of entry hosts and grant seats

Cause: entry hosts had nowhere to claim a connection seat. Change: the leader runs the table of pkg/member from the term in which it gets its lease until it stops to lead; other control hosts name the leader. Seats are granted at once only by the first possible leader of a group (term 2); later ones wait until leases of earlier leaders have ended. The status lists the entry hosts by failure domain. Conclusion: seats, configuration and filings are served by every control host, or by the leader that it names or forwards to.

--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -165,6 +165,7 @@
 		waiting: len(o.waiting),
 		log:     o.logBytes,
 		snap:    o.snapSize,
+		domains: o.seating.table.Domains(),
 	}
 	for _, f := range []*store.Error{o.fault, o.slow} {
 		if f != nil {
--- a/internal/ctrl/feed.go
+++ b/internal/ctrl/feed.go
@@ -168,4 +168,5 @@
 		}, nil
 	})
 	h.serveFilings(s)
+	h.serveSeats(s)
 }
--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -8,6 +8,7 @@
 	"github.com/jujubethread/jujubethread/internal/store"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/member"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
@@ -18,6 +19,8 @@
 	store *store.Store
 	node  *quorum.Node
 	parts *parts
+	// seating is empty unless this member leads.
+	seating *seating
 
 	// jobs wait for the disk goroutine, which has one list at a time.
 	jobs    []job
@@ -57,12 +60,14 @@
 	log     int64
 	snap    int64
 	faults  []*store.Error
+	domains []member.DomainState
 }
 
 func newOwner(h *Host) (*owner, error) {
 	o := &owner{
 		host:    h,
 		waiting: map[quorum.ProposalID]chan<- Answer{},
+		seating: newSeating(),
 	}
 	return o, o.open()
 }
@@ -226,6 +231,7 @@
 	case <-tick:
 		o.step(quorum.Tick{Now: o.host.now()})
 		o.reopen()
+		o.followLead()
 		o.routine()
 	case m := <-o.host.inbox:
 		o.step(quorum.Receive{
--- a/internal/ctrl/request.go
+++ b/internal/ctrl/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
 // Command runs an operator command through the leader and returns its
@@ -66,12 +67,13 @@
 
 // route runs a request here if this member leads, else on the leader.
 func (h *Host) route(ctx context.Context, r Request) Answer {
-	v, err := h.view(ctx)
+	var leader quorum.Member
+	var elsewhere bool
+	err := h.ask(ctx, func(o *owner) { leader, elsewhere = leaderOf(o.node.Status(h.now())) })
 	if err != nil {
 		return notRun(err.Error())
 	}
-	leader, ok := leaderOf(v.quorum)
-	if !ok {
+	if !elsewhere {
 		return h.Local(ctx, r)
 	}
 	a, err := h.cfg.Transport.Forward(ctx, leader, r)
--- a/internal/ctrl/serve_test.go
+++ b/internal/ctrl/serve_test.go
@@ -17,6 +17,7 @@
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/ledger"
+	"github.com/jujubethread/jujubethread/pkg/member"
 )
 
 func newClient(t *testing.T) *link.Client {
@@ -177,3 +178,41 @@
 		is.NoErr(ctx.Err())
 	}
 }
+
+// Guards against seats granted by a host that does not lead, two processes on
+// one seat, and an entry host that is not told where the leader is.
+func TestSeatsComeFromTheLeader(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3, nil)
+	l, _ := g.leader(-1)
+	c := newClient(t)
+	beat := func(i int, host ident.HostID) proto.HeartbeatAnswer {
+		var a proto.HeartbeatAnswer
+		is.NoErr(c.Call(t.Context(), g.hosts[i].LinkAddr(), proto.MethodHeartbeat, &proto.Heartbeat{Beat: member.Beat{
+			Host:   host,
+			Domain: "d1",
+			Boot:   1,
+		}}, &a))
+		return a
+	}
+	seen := map[int]bool{}
+	for _, host := range []ident.HostID{"h1", "h2", "h3"} {
+		for i := range g.hosts {
+			a := beat(i, host)
+			is.Equal(a.Answer.Taken, i == l)
+			if i != l {
+				is.Equal(a.Leader, g.hosts[l].LinkAddr())
+				continue
+			}
+			// A leader of a later term waits until leases of earlier ones have ended.
+			is.Equal(a.Answer.Granted, g.status(l).Term == 2)
+			is.Equal(a.Answer.Undecided, !a.Answer.Granted)
+			is.True(!a.Answer.Granted || !seen[a.Answer.Seat])
+			seen[a.Answer.Seat] = true
+		}
+	}
+	is.Equal(g.status(l).Domains[0].Live, 3)
+	g.stop(l)
+	next, _ := g.leader(l)
+	is.True(beat(next, "h4").Answer.Undecided) // leases of the old leader may run
+}
--- a/internal/ctrl/status.go
+++ b/internal/ctrl/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/member"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
@@ -25,7 +26,9 @@
 	LogBytes      int64          `json:"LogBytes"`
 	SnapshotBytes int64          `json:"SnapshotBytes"`
 	Members       []MemberStatus `json:"Members"`
-	Faults        []Fault        `json:"Faults"`
+	// Domains counts the entry hosts of each failure domain; leader only.
+	Domains []member.DomainState `json:"Domains"`
+	Faults  []Fault              `json:"Faults"`
 }
 
 // MemberStatus describes one member. Match, Lag and Reached are known to the
@@ -69,6 +72,7 @@
 		LogBytes:      v.log,
 		SnapshotBytes: v.snap,
 		Members:       memberStatus(q),
+		Domains:       append([]member.DomainState{}, v.domains...),
 		Faults:        []Fault{},
 	}
 	for _, f := range v.faults {
