Split the control host into ctrl, state, feed and peer

Change: internal/state has the replicated parts (configuration, ledger), internal/feed serves the applied configuration to subscribers, internal/peer carries messages and forwarded requests between control hosts. Conclusion: each package has one concern.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -15,7 +15,10 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/jujubethread/jujubethread/internal/feed"
 	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/peer"
+	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/internal/store"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
@@ -42,7 +45,7 @@
 	// Transport replaces the link to the other members in tests.
 	Transport Transport
 	// Parts are replicated besides the configuration.
-	Parts []Part
+	Parts []state.Part
 
 	ElectionTimeout time.Duration
 	Heartbeat       time.Duration
@@ -73,13 +76,13 @@
 	id       ident.HostID
 	start    time.Time
 	listener net.Listener
-	peers    *peers
+	link     *peer.Link
 	log      *slog.Logger
 
 	inbox    chan quorum.Message
 	requests chan request
 	asks     chan func(*owner)
-	feed     *feed
+	feed     *feed.Feed
 	owner    *owner
 	done     chan struct{}
 }
@@ -117,7 +120,7 @@
 		inbox:    make(chan quorum.Message, inboxSize),
 		requests: make(chan request),
 		asks:     make(chan func(*owner)),
-		feed:     newFeed(),
+		feed:     feed.New(),
 		done:     make(chan struct{}),
 	}
 	if err := h.open(); err != nil {
@@ -132,11 +135,14 @@
 		h.cfg.Link.Log = h.log
 	}
 	if h.cfg.Transport == nil {
-		p, err := newPeers(h)
+		l, err := peer.Listen(h.cfg.Link, h.cfg.Address)
 		if err != nil {
 			return err
 		}
-		h.peers, h.cfg.Transport, h.cfg.Address = p, p, p.address
+		h.link, h.cfg.Transport, h.cfg.Address = l, l, l.Address()
+		h.feed.Register(l.Server())
+		h.serveFilings(l.Server())
+		h.serveSeats(l.Server())
 	}
 	lis, err := net.Listen("tcp", h.cfg.Listen)
 	if err != nil {
@@ -155,9 +161,8 @@
 
 // close releases what open has taken when it failed.
 func (h *Host) close() {
-	if h.peers != nil {
-		_ = h.peers.listener.Close()
-		_ = h.peers.client.Close()
+	if h.link != nil {
+		h.link.Close()
 	}
 	if h.listener != nil {
 		_ = h.listener.Close()
@@ -185,8 +190,8 @@
 	g, ctx := errgroup.WithContext(ctx)
 	// The link outlives ctx, since a leader hands over when ctx ends.
 	lctx, unlink := context.WithCancel(context.WithoutCancel(ctx))
-	if h.peers != nil {
-		g.Go(func() error { return h.peers.run(lctx) })
+	if h.link != nil {
+		g.Go(func() error { return h.link.Run(lctx, h.id, h) })
 	}
 	g.Go(func() error {
 		defer unlink()
--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -28,7 +28,7 @@
 				install: &e.Snapshot,
 			})
 		case quorum.Restore:
-			if err := o.parts.restore(e.Snapshot.Data); err != nil {
+			if err := o.parts.Restore(e.Snapshot.Data); err != nil {
 				o.fatal = err
 			}
 		case quorum.Apply:
@@ -39,7 +39,7 @@
 	}
 	o.compact()
 	if o.node.Applied() > 0 {
-		o.host.feed.set(o.parts.config.machine.State, o.parts.config.deltas)
+		o.host.feed.Set(o.parts.Config(), o.parts.Deltas())
 	}
 }
 
@@ -57,7 +57,7 @@
 	if a.Entry.Kind != quorum.Command {
 		return
 	}
-	data, err := o.parts.apply(a.Entry.Data)
+	data, err := o.parts.Apply(a.Entry.Data)
 	if err != nil {
 		o.fatal = errors.Wrapf(err, "entry %d cannot be applied", a.Entry.Index)
 		return
@@ -92,7 +92,7 @@
 	}
 	o.freezing = true
 	o.jobs = append(o.jobs, job{
-		freeze: o.parts.freeze(),
+		freeze: o.parts.Freeze(),
 		meta:   o.node.Meta(),
 	})
 }
@@ -161,7 +161,7 @@
 func (o *owner) view() view {
 	v := view{
 		quorum:  o.node.Status(o.host.now()),
-		config:  o.parts.config.machine.State,
+		config:  o.parts.Config(),
 		waiting: len(o.waiting),
 		log:     o.logBytes,
 		snap:    o.snapSize,
--- a/internal/ctrl/filing.go
+++ b/internal/ctrl/filing.go
@@ -6,10 +6,49 @@
 
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/internal/state"
+	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/ledger"
 )
 
+// File runs a ledger command through the leader, which sets its time. The
+// answer tells whether it was applied, will never be, or may be.
+func (h *Host) File(ctx context.Context, c ledger.Command) proto.FilingAnswer {
+	cmd, err := state.FilingCommand(c)
+	if err != nil {
+		return proto.FilingAnswer{
+			Kind:   proto.FilingNotRun,
+			Remedy: err.Error(),
+		}
+	}
+	a := h.Submit(ctx, Request{Command: &cmd})
+	out := proto.FilingAnswer{
+		Kind:   proto.FilingUnknown,
+		Remedy: a.Remedy,
+	}
+	switch a.Kind {
+	case config.NotRun, config.Conflict:
+		out.Kind = proto.FilingNotRun
+	case config.Unknown:
+	case config.Accepted:
+		if err := proto.Unmarshal(a.Data, &out.Result); err != nil {
+			out.Remedy = err.Error()
+			return out
+		}
+		out.Kind = proto.FilingApplied
+	}
+	return out
+}
+
+// Unresolved lists the oldest filings whose outcome is unknown, as this
+// member knows them.
+func (h *Host) Unresolved(ctx context.Context) ([]ledger.UnknownFiling, error) {
+	var list []ledger.UnknownFiling
+	err := h.ask(ctx, func(o *owner) { list = o.parts.Ledger().Unresolved(maxUnresolved) })
+	return list, err
+}
+
 // serveFilings registers the methods by which entry hosts reserve filings.
 func (h *Host) serveFilings(s *link.Server) {
 	link.Handle(s, proto.MethodReserve, func(ctx context.Context, in *proto.Reserve) (*proto.FilingAnswer, error) {
--- a/internal/ctrl/http.go
+++ b/internal/ctrl/http.go
@@ -54,7 +54,7 @@
 		writeRefusal(w, http.StatusBadRequest, "request cannot be decoded: name one of Add, Remove and Replace: "+err.Error())
 		return
 	}
-	if _, ok := m.change(); !ok {
+	if _, ok := m.Change(); !ok {
 		writeRefusal(w, http.StatusBadRequest, "name exactly one of Add, Remove and Replace")
 		return
 	}
--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/internal/store"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -18,7 +19,7 @@
 	host  *Host
 	store *store.Store
 	node  *quorum.Node
-	parts *parts
+	parts *state.Set
 	// seating is empty unless this member leads.
 	seating *seating
 
@@ -96,7 +97,7 @@
 
 func (o *owner) build() error {
 	cfg, s := o.host.cfg, o.store
-	o.parts = newParts(cfg.Parts)
+	o.parts = state.NewSet(cfg.Parts...)
 	stored := s.Stored()
 	if r := s.Report(); r.CutBytes > 0 {
 		o.host.log.Warn("cut a torn record at the end of the log", "file", r.CutFile, "bytes", r.CutBytes)
@@ -114,7 +115,7 @@
 		}
 	}
 	if stored.Snapshot.Meta.Index > 0 {
-		if err := o.parts.restore(stored.Snapshot.Data); err != nil {
+		if err := o.parts.Restore(stored.Snapshot.Data); err != nil {
 			return err
 		}
 	}
@@ -155,7 +156,7 @@
 			Folder: cfg.Folder,
 		}
 	}
-	data, err := o.parts.freeze()()
+	data, err := o.parts.Freeze()()
 	return quorum.Bootstrap(members, data), true, err
 }
 
@@ -286,10 +287,8 @@
 	s := o.node.Status(o.host.now())
 	if s.Lease && s.Term != o.office {
 		o.office = s.Term
-		for _, part := range o.parts.all {
-			if p, ok := part.(Proposer); ok {
-				p.TakeOffice(o.host.now())
-			}
+		for _, p := range o.parts.Proposers() {
+			p.TakeOffice(o.host.now())
 		}
 	}
 	return s.Lease
@@ -297,9 +296,9 @@
 
 // prepare returns the log entry for a command. If there is none, the command
 // is answered.
-func (o *owner) prepare(id quorum.ProposalID, c PartCommand) ([]byte, bool) {
-	part, err := o.parts.find(c.Part)
-	if p, ok := part.(Proposer); err == nil && ok {
+func (o *owner) prepare(id quorum.ProposalID, c state.Command) ([]byte, bool) {
+	part, err := o.parts.Find(c.Part)
+	if p, ok := part.(state.Proposer); err == nil && ok {
 		if !o.inOffice() {
 			// The reducer refuses or accepts; a command without its time must not be accepted.
 			a := notRun("this member does not lead or was just elected: send it again in a moment")
@@ -326,14 +325,10 @@
 	if o.fault != nil || !o.inOffice() {
 		return
 	}
-	for _, part := range o.parts.all {
-		p, ok := part.(Proposer)
-		if !ok {
-			continue
-		}
+	for _, p := range o.parts.Proposers() {
 		data, err := p.Routine(o.host.now())
 		if err == nil && data != nil {
-			data, err = proto.Marshal(PartCommand{
+			data, err = proto.Marshal(state.Command{
 				Part: p.Name(),
 				Data: data,
 			})
@@ -356,7 +351,7 @@
 }
 
 func (o *owner) changeMembers(id quorum.ProposalID, m MembersRequest) {
-	c, ok := m.change()
+	c, ok := m.Change()
 	if !ok {
 		o.answer(id, Answer{
 			Kind:   config.NotRun,
--- a/internal/ctrl/request.go
+++ b/internal/ctrl/request.go
@@ -6,7 +6,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/peer"
 	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
@@ -14,17 +16,14 @@
 // Command runs an operator command through the leader and returns its
 // outcome. It waits up to 3 s for a leader.
 func (h *Host) Command(ctx context.Context, c config.Command) config.Outcome {
-	data, err := proto.Marshal(c)
+	cmd, err := state.ConfigCommand(c)
 	if err != nil {
 		return config.Outcome{
 			Kind:   config.NotRun,
 			Remedy: err.Error(),
 		}
 	}
-	a := h.Submit(ctx, Request{Command: &PartCommand{
-		Part: configName,
-		Data: data,
-	}})
+	a := h.Submit(ctx, Request{Command: &cmd})
 	if a.Kind != config.Accepted {
 		return config.Outcome{
 			Kind:   a.Kind,
@@ -77,7 +76,7 @@
 		return h.Local(ctx, r)
 	}
 	a, err := h.cfg.Transport.Forward(ctx, leader, r)
-	var unsent *NotSentError
+	var unsent *peer.NotSentError
 	switch {
 	case errors.As(err, &unsent):
 		return notRun(err.Error())
--- a/internal/ctrl/seats.go
+++ b/internal/ctrl/seats.go
@@ -30,7 +30,7 @@
 func (o *owner) followLead() bool {
 	s, now := o.seating, o.host.now()
 	q := o.node.Status(now)
-	state := o.parts.config.machine.State
+	cfg := o.parts.Config()
 	if q.Role != quorum.Leader {
 		if s.term != 0 {
 			s.term = 0
@@ -40,17 +40,17 @@
 	}
 	switch {
 	case q.Lease && s.term != q.Term:
-		s.term, s.seats = q.Term, state.Seats
+		s.term, s.seats = q.Term, cfg.Seats
 		o.stepTable(member.LeaderStarted{
-			Seats:   state.Seats,
-			Version: state.Version,
+			Seats:   cfg.Seats,
+			Version: cfg.Version,
 			Fresh:   q.Term == firstTerm,
 		})
-	case s.term == q.Term && s.seats != state.Seats:
-		s.seats = state.Seats
+	case s.term == q.Term && s.seats != cfg.Seats:
+		s.seats = cfg.Seats
 		o.stepTable(member.SeatsSet{
-			Seats:   state.Seats,
-			Version: state.Version,
+			Seats:   cfg.Seats,
+			Version: cfg.Version,
 		})
 	}
 	if s.term != 0 && now >= s.wakeAt {
--- a/internal/ctrl/status.go
+++ b/internal/ctrl/status.go
@@ -146,7 +146,7 @@
 // StateBytes returns the size of the encoded replicated state.
 func (h *Host) StateBytes(ctx context.Context) (int64, error) {
 	var encode func() ([]byte, error)
-	if err := h.ask(ctx, func(o *owner) { encode = o.parts.freeze() }); err != nil {
+	if err := h.ask(ctx, func(o *owner) { encode = o.parts.Freeze() }); err != nil {
 		return 0, err
 	}
 	data, err := encode()
--- a/internal/ctrl/feed.go
+++ b/internal/feed/feed.go
@@ -1,4 +1,6 @@
-package ctrl
+// Package feed serves the applied configuration to subscribers: deltas while
+// they are kept and the subscriber's digest matches, else a full copy in parts.
+package feed
 
 import (
 	"context"
@@ -12,19 +14,21 @@
 	"github.com/jujubethread/jujubethread/pkg/spread"
 )
 
-// feed hands the applied configuration to the goroutines that serve entry
-// hosts. The state is immutable, and deltas is only appended to. The state is
+// Feed hands the applied configuration to the goroutines that serve
+// subscribers. The state is immutable, and deltas is only appended to. The state is
 // nil until a host that joins a group has received it.
-type feed struct {
+type Feed struct {
 	mu      sync.Mutex
 	state   *config.State
 	deltas  []spread.Delta
 	changed chan struct{}
 }
 
-func newFeed() *feed { return &feed{changed: make(chan struct{})} }
+// New returns a feed without a configuration.
+func New() *Feed { return &Feed{changed: make(chan struct{})} }
 
-func (f *feed) set(s *config.State, deltas []spread.Delta) {
+// Set publishes a state and the changes that led to it. Both are not changed later.
+func (f *Feed) Set(s *config.State, deltas []spread.Delta) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s == f.state {
@@ -36,7 +40,7 @@
 }
 
 // get returns the current state and a channel that is closed on the next change.
-func (f *feed) get() (*config.State, []spread.Delta, <-chan struct{}) {
+func (f *Feed) get() (*config.State, []spread.Delta, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state, f.deltas, f.changed
@@ -106,9 +110,9 @@
 	return list
 }
 
-// watch serves one subscriber until ctx ends. Without changes it tells the
+// Watch serves one subscriber until ctx ends. Without changes it tells the
 // version once a second, so that the subscriber notices a silent source.
-func (h *Host) watch(ctx context.Context, in *proto.Watch, send func(*proto.Update) error) error {
+func (f *Feed) Watch(ctx context.Context, in *proto.Watch, send func(*proto.Update) error) error {
 	c := cursor{
 		have:   in.Have,
 		digest: in.Digest,
@@ -116,7 +120,7 @@
 	alive := time.NewTicker(aliveEvery)
 	defer alive.Stop()
 	for {
-		state, deltas, changed := h.feed.get()
+		state, deltas, changed := f.get()
 		for _, u := range c.updates(state, deltas) {
 			if err := send(u); err != nil {
 				return err
@@ -125,8 +129,6 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-h.done:
-			return nil
 		case <-changed:
 		case <-alive.C:
 			if state == nil {
@@ -139,12 +141,13 @@
 	}
 }
 
-func (h *Host) pull(_ context.Context, in *proto.Pull, send func(*proto.Update) error) error {
+// Pull brings one subscriber to the current state and ends.
+func (f *Feed) Pull(_ context.Context, in *proto.Pull, send func(*proto.Update) error) error {
 	c := cursor{
 		have:   in.Have,
 		digest: in.Digest,
 	}
-	state, deltas, _ := h.feed.get()
+	state, deltas, _ := f.get()
 	for _, u := range c.updates(state, deltas) {
 		if err := send(u); err != nil {
 			return err
@@ -153,20 +156,21 @@
 	return nil
 }
 
-// serveEntries registers the methods that entry hosts call.
-func (h *Host) serveEntries(s *link.Server) {
-	link.HandleStream(s, proto.MethodWatch, h.watch)
-	link.HandleStream(s, proto.MethodPull, h.pull)
-	link.Handle(s, proto.MethodVersion, func(context.Context, *proto.VersionQuery) (*proto.VersionAnswer, error) {
-		state, _, _ := h.feed.get()
-		if state == nil {
-			return &proto.VersionAnswer{}, nil
-		}
-		return &proto.VersionAnswer{
-			Version: state.Version,
-			Digest:  state.Digest,
-		}, nil
-	})
-	h.serveFilings(s)
-	h.serveSeats(s)
+// Version returns the current version and digest, or zero before the first state.
+func (f *Feed) Version(context.Context, *proto.VersionQuery) (*proto.VersionAnswer, error) {
+	state, _, _ := f.get()
+	if state == nil {
+		return &proto.VersionAnswer{}, nil
+	}
+	return &proto.VersionAnswer{
+		Version: state.Version,
+		Digest:  state.Digest,
+	}, nil
+}
+
+// Register serves the feed on a link.
+func (f *Feed) Register(s *link.Server) {
+	link.HandleStream(s, proto.MethodWatch, f.Watch)
+	link.HandleStream(s, proto.MethodPull, f.Pull)
+	link.Handle(s, proto.MethodVersion, f.Version)
 }
--- a/internal/ctrl/peer.go
+++ b/internal/peer/peer.go
@@ -1,7 +1,10 @@
-package ctrl
+// Package peer carries the messages of the replicated log and requests for
+// the leader between control hosts.
+package peer
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"sync"
 
@@ -86,14 +89,24 @@
 	return m, m.Body != nil
 }
 
-// peers is the Transport over internal/link. Each member has a queue and a
+// Handler is the control host that a Link serves.
+type Handler interface {
+	// Deliver takes a message; it does not block.
+	Deliver(m quorum.Message)
+	// Local runs a request on this host only.
+	Local(ctx context.Context, r Request) Answer
+}
+
+// Link is the Transport over internal/link. Each member has a queue and a
 // goroutine that sends what has gathered in it as one call.
-type peers struct {
-	host     *Host
+type Link struct {
+	log      *slog.Logger
 	client   *link.Client
 	server   *link.Server
 	listener net.Listener
 	address  string
+	id       ident.HostID
+	handler  Handler
 
 	mu      sync.Mutex
 	ctx     context.Context
@@ -102,22 +115,23 @@
 	learned map[ident.HostID]string
 }
 
-// newPeers listens on the address of the host; port 0 takes a free one.
-func newPeers(h *Host) (*peers, error) {
-	client, err := link.NewClient(h.cfg.Link)
+// Listen listens for other hosts on an address; port 0 takes a free one. Run
+// or Close must follow.
+func Listen(cfg link.Config, address string) (*Link, error) {
+	client, err := link.NewClient(cfg)
 	if err != nil {
 		return nil, err
 	}
-	server, err := link.NewServer(h.cfg.Link)
+	server, err := link.NewServer(cfg)
 	if err != nil {
 		return nil, err
 	}
-	lis, err := net.Listen("tcp", h.cfg.Address)
+	lis, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "cannot listen for other hosts on %s", h.cfg.Address)
+		return nil, errors.Wrapf(err, "cannot listen for other hosts on %s", address)
 	}
-	p := &peers{
-		host:     h,
+	p := &Link{
+		log:      cfg.Log,
 		client:   client,
 		server:   server,
 		listener: lis,
@@ -126,14 +140,25 @@
 		learned:  map[ident.HostID]string{},
 	}
 	link.Handle(server, proto.MethodPeer, p.serve)
-	h.serveEntries(server)
 	return p, nil
 }
 
-// run serves other hosts until ctx ends.
-func (p *peers) run(ctx context.Context) error {
+// Address returns the address that is listened on.
+func (p *Link) Address() string { return p.address }
+
+// Server returns the server, to register further methods before Run.
+func (p *Link) Server() *link.Server { return p.server }
+
+// Close releases a Link that was not run.
+func (p *Link) Close() {
+	_ = p.listener.Close()
+	_ = p.client.Close()
+}
+
+// Run serves other hosts for the member id until ctx ends.
+func (p *Link) Run(ctx context.Context, id ident.HostID, h Handler) error {
 	p.mu.Lock()
-	p.ctx = ctx
+	p.ctx, p.id, p.handler = ctx, id, h
 	p.mu.Unlock()
 	err := p.server.Serve(ctx, p.listener)
 	p.senders.Wait()
@@ -142,7 +167,7 @@
 }
 
 // Send implements Transport.
-func (p *peers) Send(to quorum.Member, m quorum.Message) {
+func (p *Link) Send(to quorum.Member, m quorum.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	address := to.Address
@@ -165,7 +190,7 @@
 	}
 }
 
-func (p *peers) drain(ctx context.Context, address string, queue <-chan quorum.Message) {
+func (p *Link) drain(ctx context.Context, address string, queue <-chan quorum.Message) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -206,15 +231,15 @@
 	return 0
 }
 
-func (p *peers) deliver(ctx context.Context, address string, batch []envelope) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+func (p *Link) deliver(ctx context.Context, address string, batch []envelope) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := p.call(ctx, address, packet{Messages: batch}); err != nil {
-		p.host.log.Debug("messages to a member were lost", "address", address, "error", err)
+		p.log.Debug("messages to a member were lost", "address", address, "error", err)
 	}
 }
 
-func (p *peers) call(ctx context.Context, address string, out packet) ([]byte, error) {
+func (p *Link) call(ctx context.Context, address string, out packet) ([]byte, error) {
 	out.Address = p.address
 	payload, err := proto.Marshal(out)
 	if err != nil {
@@ -222,14 +247,14 @@
 	}
 	var answer proto.PeerAnswer
 	err = p.client.Call(ctx, address, proto.MethodPeer, &proto.Peer{
-		From:    p.host.id,
+		From:    p.id,
 		Payload: payload,
 	}, &answer)
 	return answer.Payload, err
 }
 
 // Forward implements Transport.
-func (p *peers) Forward(ctx context.Context, to quorum.Member, r Request) (Answer, error) {
+func (p *Link) Forward(ctx context.Context, to quorum.Member, r Request) (Answer, error) {
 	payload, err := p.call(ctx, to.Address, packet{Request: &r})
 	if link.NotRun(err) {
 		return Answer{}, &NotSentError{
@@ -245,7 +270,7 @@
 }
 
 // serve handles the packets of other members.
-func (p *peers) serve(ctx context.Context, in *proto.Peer) (*proto.PeerAnswer, error) {
+func (p *Link) serve(ctx context.Context, in *proto.Peer) (*proto.PeerAnswer, error) {
 	if from := link.PeerOf(ctx); from.Host != "" && from.Role != controlRole {
 		return nil, errors.Errorf("host %s has the role %q: only control hosts are members", from.Host, from.Role)
 	}
@@ -258,12 +283,12 @@
 	p.mu.Unlock()
 	for _, e := range got.Messages {
 		if m, ok := e.message(); ok {
-			p.host.Deliver(m)
+			p.handler.Deliver(m)
 		}
 	}
 	if got.Request == nil {
 		return &proto.PeerAnswer{}, nil
 	}
-	payload, err := proto.Marshal(p.host.Local(ctx, *got.Request))
+	payload, err := proto.Marshal(p.handler.Local(ctx, *got.Request))
 	return &proto.PeerAnswer{Payload: payload}, err
 }
--- a/internal/ctrl/ledger.go
+++ b/internal/state/ledger.go
@@ -1,13 +1,11 @@
-package ctrl
+package state
 
 import (
-	"context"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/jujubethread/jujubethread/internal/proto"
-	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/ledger"
 )
@@ -89,42 +87,11 @@
 	return proto.Marshal(filingCommand{Command: ledger.Expire{At: p.clock.At(now)}})
 }
 
-// File runs a ledger command through the leader, which sets its time. The
-// answer tells whether it was applied, will never be, or may be.
-func (h *Host) File(ctx context.Context, c ledger.Command) proto.FilingAnswer {
+// FilingCommand returns the command that runs c; the leader sets its time.
+func FilingCommand(c ledger.Command) (Command, error) {
 	data, err := proto.Marshal(filingCommand{Command: c})
-	if err != nil {
-		return proto.FilingAnswer{
-			Kind:   proto.FilingNotRun,
-			Remedy: err.Error(),
-		}
-	}
-	a := h.Submit(ctx, Request{Command: &PartCommand{
+	return Command{
 		Part: ledgerName,
 		Data: data,
-	}})
-	out := proto.FilingAnswer{
-		Kind:   proto.FilingUnknown,
-		Remedy: a.Remedy,
-	}
-	switch a.Kind {
-	case config.NotRun, config.Conflict:
-		out.Kind = proto.FilingNotRun
-	case config.Unknown:
-	case config.Accepted:
-		if err := proto.Unmarshal(a.Data, &out.Result); err != nil {
-			out.Remedy = err.Error()
-			return out
-		}
-		out.Kind = proto.FilingApplied
-	}
-	return out
-}
-
-// Unresolved lists the oldest filings whose outcome is unknown, as this
-// member knows them.
-func (h *Host) Unresolved(ctx context.Context) ([]ledger.UnknownFiling, error) {
-	var list []ledger.UnknownFiling
-	err := h.ask(ctx, func(o *owner) { list = o.parts.ledger.machine.Unresolved(maxUnresolved) })
-	return list, err
+	}, err
 }
--- a/internal/ctrl/part.go
+++ b/internal/state/part.go
@@ -1,13 +1,15 @@
-package ctrl
+// Package state is the replicated state of the control group: the
+// configuration, the ledger of filings and any further part, each a state
+// machine that runs the committed commands of the replicated log.
+package state
 
 import (
-	"slices"
-
 	"github.com/pkg/errors"
 
 	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
 	"github.com/jujubethread/jujubethread/pkg/spread"
 )
 
@@ -38,8 +40,8 @@
 	Routine(now ident.Instant) ([]byte, error)
 }
 
-// PartCommand is a command for one part. It is the data of a log entry.
-type PartCommand struct {
+// Command is a command for one part. It is the data of a log entry.
+type Command struct {
 	Part string
 	Data []byte
 }
@@ -50,25 +52,27 @@
 	Data []byte
 }
 
-// parts is the whole replicated state.
-type parts struct {
+// Set is the whole replicated state. Use it from one goroutine.
+type Set struct {
 	config *configPart
 	ledger *ledgerPart
 	all    []Part
 }
 
-func newParts(extra []Part) *parts {
+// NewSet returns the state of a new group. Extra parts follow the built-in ones.
+func NewSet(extra ...Part) *Set {
 	c := &configPart{machine: config.NewMachine(config.NewState())}
 	l := newLedgerPart()
-	return &parts{
+	return &Set{
 		config: c,
 		ledger: l,
 		all:    append([]Part{c, l}, extra...),
 	}
 }
 
-func (p *parts) find(name string) (Part, error) {
-	for _, part := range p.all {
+// Find returns the part with a name.
+func (s *Set) Find(name string) (Part, error) {
+	for _, part := range s.all {
 		if part.Name() == name {
 			return part, nil
 		}
@@ -76,22 +80,25 @@
 	return nil, errors.Errorf("command is for part %q, which this host does not know: update this host", name)
 }
 
-func (p *parts) apply(data []byte) ([]byte, error) {
-	var c PartCommand
+// Apply runs the command of a log entry and returns its encoded result.
+func (s *Set) Apply(data []byte) ([]byte, error) {
+	var c Command
 	if err := proto.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "command cannot be decoded: update this host")
 	}
-	part, err := p.find(c.Part)
+	part, err := s.Find(c.Part)
 	if err != nil {
 		return nil, err
 	}
 	return part.Apply(c.Data)
 }
 
-func (p *parts) freeze() func() ([]byte, error) {
-	encoders := make([]func() ([]byte, error), 0, len(p.all))
-	names := make([]string, 0, len(p.all))
-	for _, part := range p.all {
+// Freeze captures the state; the returned function encodes it and may be
+// called by another goroutine.
+func (s *Set) Freeze() func() ([]byte, error) {
+	encoders := make([]func() ([]byte, error), 0, len(s.all))
+	names := make([]string, 0, len(s.all))
+	for _, part := range s.all {
 		names = append(names, part.Name())
 		encoders = append(encoders, part.Freeze())
 	}
@@ -111,78 +118,41 @@
 	}
 }
 
-func (p *parts) restore(data []byte) error {
+// Restore replaces the state of all parts.
+func (s *Set) Restore(data []byte) error {
 	var states []partState
 	if err := proto.Unmarshal(data, &states); err != nil {
 		return errors.Wrap(err, "snapshot cannot be decoded: update this host")
 	}
-	for _, s := range states {
-		part, err := p.find(s.Part)
+	for _, st := range states {
+		part, err := s.Find(st.Part)
 		if err != nil {
 			return err
 		}
-		if err := part.Restore(s.Data); err != nil {
-			return errors.Wrapf(err, "state of part %q cannot be restored", s.Part)
+		if err := part.Restore(st.Data); err != nil {
+			return errors.Wrapf(err, "state of part %q cannot be restored", st.Part)
 		}
 	}
 	return nil
 }
 
-const configName = "config"
+// Config returns the configuration, which is immutable.
+func (s *Set) Config() *config.State { return s.config.machine.State }
 
-// configPart replicates the configuration.
-type configPart struct {
-	machine *config.Machine
-	// deltas are the last changes, the oldest first. Only appended to or replaced.
-	deltas []spread.Delta
-}
+// Deltas returns the last changes of the configuration, the oldest first. The
+// list is never changed in place.
+func (s *Set) Deltas() []spread.Delta { return s.config.deltas }
 
-// Name implements Part.
-func (p *configPart) Name() string { return configName }
+// Ledger returns the ledger of filings.
+func (s *Set) Ledger() *ledger.Machine { return s.ledger.machine }
 
-// Apply implements Part. The command is a config.Command, the result a config.Outcome.
-func (p *configPart) Apply(command []byte) ([]byte, error) {
-	var c config.Command
-	if err := proto.Unmarshal(command, &c); err != nil {
-		return nil, errors.Wrap(err, "configuration command cannot be decoded: update this host")
-	}
-	before := p.machine.State
-	out := p.machine.Run(c)
-	if s := p.machine.State; s != before {
-		if len(p.deltas) >= 2*keptDeltas {
-			p.deltas = slices.Clone(p.deltas[keptDeltas:])
+// Proposers returns the parts with a say in what the leader proposes.
+func (s *Set) Proposers() []Proposer {
+	var list []Proposer
+	for _, part := range s.all {
+		if p, ok := part.(Proposer); ok {
+			list = append(list, p)
 		}
-		p.deltas = append(p.deltas, spread.Delta{
-			Version: s.Version,
-			Change:  c.Change,
-			Digest:  s.Digest,
-		})
-	}
-	return proto.Marshal(out)
-}
-
-// Freeze implements Part. State is immutable; the lists are copied.
-func (p *configPart) Freeze() func() ([]byte, error) {
-	frozen := &config.Machine{
-		State:   p.machine.State,
-		Recent:  slices.Clone(p.machine.Recent),
-		History: slices.Clone(p.machine.History),
 	}
-	return func() ([]byte, error) { return proto.Marshal(frozen) }
-}
-
-// Restore implements Part.
-func (p *configPart) Restore(state []byte) error {
-	m := &config.Machine{}
-	if err := proto.Unmarshal(state, m); err != nil {
-		return err
-	}
-	if m.State == nil {
-		return errors.New("it holds no configuration")
-	}
-	if err := m.State.Verify(); err != nil {
-		return err
-	}
-	p.machine, p.deltas = m, nil
-	return nil
+	return list
 }
