quorum, state, ctrl: drop malformed messages, send deltas after a restart

Cause: a message with gaps or negative offsets could make a member index outside its log. The first change after the restart of a control host sent a full copy to every subscriber, since the state before it was forgotten. The status shows a slow sync for one minute instead of for ever. Conclusion: subscribers that were up to date get one delta after a restart.

--- a/internal/ctrl/const.go
+++ b/internal/ctrl/const.go
@@ -25,6 +25,9 @@
 	// reopenPause is the time between attempts to open a failed data folder.
 	reopenPause = time.Second
 
+	// slowShown is how long the status shows the last slow sync.
+	slowShown = time.Minute
+
 	// defaultSnapshotBytes is the least size of the log at which it is
 	// replaced by a snapshot. A larger snapshot raises it to its own size.
 	defaultSnapshotBytes = 512 << 10
--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -101,7 +101,7 @@
 	o.busy = false
 	o.logBytes, o.snapSize = res.logBytes, res.snapSize
 	if res.slow != nil {
-		o.slow = res.slow
+		o.slow, o.slowAt = res.slow, o.host.now()
 		o.host.log.Warn("disk is slow", "error", res.slow)
 	}
 	if res.err != nil {
@@ -167,10 +167,11 @@
 		snap:    o.snapSize,
 		domains: o.seating.table.Domains(),
 	}
-	for _, f := range []*store.Error{o.fault, o.slow} {
-		if f != nil {
-			v.faults = append(v.faults, f)
-		}
+	if o.fault != nil {
+		v.faults = append(v.faults, o.fault)
+	}
+	if o.slow != nil && o.host.now() < o.slowAt.Add(slowShown) {
+		v.faults = append(v.faults, o.slow)
 	}
 	return v
 }
--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -44,6 +44,7 @@
 	fault    *store.Error
 	reopenAt ident.Instant
 	slow     *store.Error
+	slowAt   ident.Instant
 	fatal    error
 }
 
--- a/internal/ctrl/serve_test.go
+++ b/internal/ctrl/serve_test.go
@@ -50,7 +50,6 @@
 	c := newClient(t)
 	stream, err := c.Stream(t.Context(), g.hosts[0].LinkAddr(), proto.MethodWatch, &proto.Watch{})
 	is.NoErr(err)
-	defer stream.Close()
 	first := next(t, stream)
 	is.True(first.Part.First && first.Part.Last)
 	is.Equal(first.Part.Version, ident.ConfigVersion{Number: 1})
@@ -72,7 +71,17 @@
 		is.Equal(next(t, pull).Part != nil, row.copied) // a wrong digest leads to a full copy
 		pull.Close()
 	}
+	stream.Close()
 	g.stop(0)
+	g.start(0) // forgets the changes, but not what the subscriber has
+	stream, err = c.Stream(t.Context(), g.hosts[0].LinkAddr(), proto.MethodWatch, &proto.Watch{
+		Have:   out.Version,
+		Digest: second.Deltas[0].Digest,
+	})
+	is.NoErr(err)
+	defer stream.Close()
+	third := g.run(0, "c3")
+	is.Equal(next(t, stream).Deltas[0].Version, third.Version)
 }
 
 // Guards against a filing that gets a second grant through another control
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -15,10 +15,26 @@
 // configPart replicates the configuration.
 type configPart struct {
 	machine *config.Machine
-	// deltas are the last changes, the oldest first. Only appended to or replaced.
+	// deltas are the last changes, the oldest first. Only appended to or
+	// replaced. The first stands for the state before the others: after a
+	// restart it has no change.
 	deltas []spread.Delta
 }
 
+func newConfigPart() *configPart {
+	p := &configPart{}
+	p.reset(config.NewMachine(config.NewState()))
+	return p
+}
+
+func (p *configPart) reset(m *config.Machine) {
+	p.machine = m
+	p.deltas = []spread.Delta{{
+		Version: m.State.Version,
+		Digest:  m.State.Digest,
+	}}
+}
+
 // Name implements Part.
 func (p *configPart) Name() string { return configName }
 
@@ -65,7 +81,7 @@
 	if err := m.State.Verify(); err != nil {
 		return err
 	}
-	p.machine, p.deltas = m, nil
+	p.reset(m)
 	return nil
 }
 
--- a/internal/state/part.go
+++ b/internal/state/part.go
@@ -61,7 +61,7 @@
 
 // NewSet returns the state of a new group. Extra parts follow the built-in ones.
 func NewSet(extra ...Part) *Set {
-	c := &configPart{machine: config.NewMachine(config.NewState())}
+	c := newConfigPart()
 	l := newLedgerPart()
 	return &Set{
 		config: c,
@@ -140,7 +140,8 @@
 func (s *Set) Config() *config.State { return s.config.machine.State }
 
 // Deltas returns the last changes of the configuration, the oldest first. The
-// list is never changed in place.
+// first only stands for the state before the others and may have no change.
+// The list is never changed in place.
 func (s *Set) Deltas() []spread.Delta { return s.config.deltas }
 
 // Ledger returns the ledger of filings.
--- a/pkg/quorum/message.go
+++ b/pkg/quorum/message.go
@@ -79,6 +79,25 @@
 // TimeoutNow asks the receiver to start an election at once.
 type TimeoutNow struct{}
 
+// wellFormed reports whether a body can come from a correct member, so that
+// a faulty one cannot make this node index outside its log.
+func wellFormed(b Body) bool {
+	switch b := b.(type) {
+	case AppendRequest:
+		for i, e := range b.Entries {
+			if e.Index != b.PrevIndex+1+Index(i) || e.Term == 0 {
+				return false
+			}
+		}
+	case SnapshotRequest:
+		return b.Meta.Index > 0 && b.Meta.Term > 0 && b.Offset >= 0 && b.Offset+len(b.Chunk) <= b.Total
+	case SnapshotReply:
+		return b.Next >= 0
+	case VoteRequest, VoteReply, AppendReply, TimeoutNow:
+	}
+	return b != nil
+}
+
 func (VoteRequest) isBody()     {}
 func (VoteReply) isBody()       {}
 func (AppendRequest) isBody()   {}
--- a/pkg/quorum/node.go
+++ b/pkg/quorum/node.go
@@ -157,7 +157,7 @@
 }
 
 func (n *Node) receive(m Message) {
-	if m.To != n.cfg.ID {
+	if m.To != n.cfg.ID || !wellFormed(m.Body) {
 		return
 	}
 	if v, ok := m.Body.(VoteRequest); ok {
