--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -28,7 +28,7 @@
 				install: &e.Snapshot,
 			})
 		case quorum.Restore:
-			if err := o.parts.restore(e.Snapshot.Data); err != nil {
+			if err := o.parts.Restore(e.Snapshot.Data); err != nil {
 				o.fatal = err
 			}
 		case quorum.Apply:
@@ -39,7 +39,7 @@
 	}
 	o.compact()
 	if o.node.Applied() > 0 {
-		o.host.feed.set(o.parts.config.machine.State, o.parts.config.deltas)
+		o.host.feed.Set(o.parts.Config(), o.parts.Deltas())
 	}
 }
 
@@ -57,7 +57,7 @@
 	if a.Entry.Kind != quorum.Command {
 		return
 	}
-	data, err := o.parts.apply(a.Entry.Data)
+	data, err := o.parts.Apply(a.Entry.Data)
 	if err != nil {
 		o.fatal = errors.Wrapf(err, "entry %d cannot be applied", a.Entry.Index)
 		return
@@ -92,7 +92,7 @@
 	}
 	o.freezing = true
 	o.jobs = append(o.jobs, job{
-		freeze: o.parts.freeze(),
+		freeze: o.parts.Freeze(),
 		meta:   o.node.Meta(),
 	})
 }
@@ -101,7 +101,7 @@
 	o.busy = false
 	o.logBytes, o.snapSize = res.logBytes, res.snapSize
 	if res.slow != nil {
-		o.slow = res.slow
+		o.slow, o.slowAt = res.slow, o.host.now()
 		o.host.log.Warn("disk is slow", "error", res.slow)
 	}
 	if res.err != nil {
@@ -161,15 +161,17 @@
 func (o *owner) view() view {
 	v := view{
 		quorum:  o.node.Status(o.host.now()),
-		config:  o.parts.config.machine.State,
+		config:  o.parts.Config(),
 		waiting: len(o.waiting),
 		log:     o.logBytes,
 		snap:    o.snapSize,
+		domains: o.seating.table.Domains(),
 	}
-	for _, f := range []*store.Error{o.fault, o.slow} {
-		if f != nil {
-			v.faults = append(v.faults, f)
-		}
+	if o.fault != nil {
+		v.faults = append(v.faults, o.fault)
+	}
+	if o.slow != nil && o.host.now() < o.slowAt.Add(slowShown) {
+		v.faults = append(v.faults, o.slow)
 	}
 	return v
 }
