load: verify refusals, drains and connection limits

Cause: three guarantees were not checked from outside: a request refused as NotRun did not run, a leaving upstream gets no work after 2 s, and no upstream is over its connection limit. Change: stand-in upstreams remember the last searches that ran and count work that comes more than 2 s after a drain began; load asks them about every refused search and reports FalseNotRun, LateWork and OverLimit as violations. A lost upstream now reads the body before it hangs: net/http notices only then that the sender left, so connections stayed open and used up the limit.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -30,6 +30,8 @@
 	RanTwice       Kind = "RanTwice"       // a filing that ran more than once
 	FalseDone      Kind = "FalseDone"      // a filing answered Done that did not run
 	FalseNotRun    Kind = "FalseNotRun"    // a request answered NotRun that ran
+	LateWork       Kind = "LateWork"       // work for an upstream that has been leaving for more than 2 s
+	OverLimit      Kind = "OverLimit"      // a connection above the limit of an upstream
 )
 
 // Violation is one broken guarantee.
--- a/internal/leaf/config.go
+++ b/internal/leaf/config.go
@@ -75,10 +75,14 @@
 }
 
 const (
-	coldFactor   = 5.0 // service time of the first request after a cold start
-	dripInterval = 20 * time.Millisecond
-	headerWait   = 10 * time.Second
-	idleWait     = 5 * time.Minute
-	historyKept  = 64               // load samples kept for lagging reports
-	endWait      = 30 * time.Second // what runs at shutdown has this long to end
+	coldFactor    = 5.0 // service time of the first request after a cold start
+	dripInterval  = 20 * time.Millisecond
+	headerWait    = 10 * time.Second
+	idleWait      = 5 * time.Minute
+	maxRemembered = 100_000 // request ids
+	// leaveTime is the time after which an upstream that drains must get no
+	// more work.
+	leaveTime   = 2 * time.Second
+	historyKept = 64               // load samples kept for lagging reports
+	endWait     = 30 * time.Second // what runs at shutdown has this long to end
 )
--- a/internal/leaf/control.go
+++ b/internal/leaf/control.go
@@ -17,6 +17,7 @@
 	PathVersions = "/control/versions" // POST VersionChange
 	PathShards   = "/control/shards"   // POST ShardChange
 	PathReset    = "/control/reset"    // POST Reset
+	PathRan      = "/control/ran"      // POST Asked, answers a list of request ids
 )
 
 // Switch turns something on or off.
@@ -41,9 +42,16 @@
 type Reset struct {
 	Versions []ident.IndexVersion `json:"Versions"`
 	Shards   []ident.Shard        `json:"Shards"`
+	// Remember is the number of searches that the upstream remembers for Ran.
+	Remember int `json:"Remember,omitempty"`
 }
 
-const maxControlBytes = 64 << 10
+// Asked lists requests; those that ran are answered.
+type Asked struct {
+	Requests []ident.RequestID `json:"Requests"`
+}
+
+const maxControlBytes = 1 << 20
 
 func (l *Leaf) controlHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -79,6 +87,14 @@
 			l.DropShard(s.Drop)
 		}
 	}))
+	mux.HandleFunc("POST "+PathRan, func(w http.ResponseWriter, r *http.Request) {
+		var body Asked
+		if err := wire.Strict(r.Body, maxControlBytes, &body); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		_ = wire.Reply(w, http.StatusOK, l.Ran(body.Requests))
+	})
 	mux.HandleFunc("POST "+PathReset, change(l, l.Reset))
 	return mux
 }
--- a/internal/leaf/leaf.go
+++ b/internal/leaf/leaf.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -28,6 +29,7 @@
 	slots    *slots
 	store    *store
 	dice     *dice
+	memory   memory
 	started  time.Time
 	// stop is closed when Run ends, to free requests that a fault holds.
 	stop chan struct{}
@@ -169,7 +171,9 @@
 }
 
 // hang holds a request until its sender gives up or the upstream stops.
+// net/http notices that the sender left only after the body was read.
 func (l *Leaf) hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, wire.MaxFilingBytes))
 	select {
 	case <-r.Context().Done():
 	case <-l.stop:
@@ -220,8 +224,14 @@
 // DropShard removes a shard; what runs in it ends.
 func (l *Leaf) DropShard(s ident.Shard) { l.store.dropShard(s) }
 
-// Reset ends all faults and the drain and sets what the upstream holds.
+// Ran returns those of the given searches that ran, as far as the upstream
+// remembers; see Reset.
+func (l *Leaf) Ran(ids []ident.RequestID) []ident.RequestID { return l.memory.ran(ids) }
+
+// Reset ends all faults and the drain and sets what the upstream holds and
+// remembers.
 func (l *Leaf) Reset(r Reset) {
+	l.memory.resize(min(max(r.Remember, 0), maxRemembered))
 	l.SetFaults(Faults{})
 	l.Drain(false)
 	l.store.set(r.Shards, r.Versions)
--- a/internal/leaf/leaf_test.go
+++ b/internal/leaf/leaf_test.go
@@ -314,6 +314,43 @@
 	}
 }
 
+// Guards against connections to a lost upstream that stay open after their
+// sender gave up, and would use the connection limit up.
+func TestLostUpstreamFreesConnections(t *testing.T) {
+	is := is.New(t)
+	r := start(t, func(c *leaf.Config) { c.Faults.Lost = true })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.post(ctx, wire.PathLeafSearch, ask())
+	}()
+	until(t, "arrival", func() bool { return r.Stats().Requests == 1 })
+	cancel()
+	<-ended
+	until(t, "closed connection", func() bool { return r.Stats().OpenConns == 0 })
+	is.Equal(r.Stats().Runs, uint64(0))
+}
+
+// Guards against a memory of searches that forgets too early or too late.
+func TestRememberedSearches(t *testing.T) {
+	is := is.New(t)
+	r := start(t, nil)
+	r.Reset(leaf.Reset{
+		Versions: []ident.IndexVersion{2},
+		Shards:   []ident.Shard{"a/1"},
+		Remember: 2,
+	})
+	ids := []ident.RequestID{"r-1", "r-2", "r-3"}
+	for _, id := range ids {
+		s := ask()
+		s.Request = id
+		status, _ := r.search(s)
+		is.Equal(status, http.StatusOK)
+	}
+	is.Equal(r.Ran(append(ids, "r-4")), ids[1:])
+}
+
 // Guards against a control path that takes a field it does not know, or that
 // does not act.
 func TestControlPath(t *testing.T) {
--- a/internal/leaf/serve.go
+++ b/internal/leaf/serve.go
@@ -33,6 +33,7 @@
 	// What was held at the start of the run is answered, also when the
 	// version is dropped meanwhile.
 	l.count(func(s *Stats) { s.Runs++ })
+	l.memory.add(ask.Request)
 	start := time.Now()
 	done := l.work(ctx)
 	l.slots.leave(time.Since(start))
@@ -106,6 +107,9 @@
 			s.Filings++
 		}
 		s.LastRequest = time.Now()
+		if l.drain && s.LastRequest.Sub(s.DrainedAt) > leaveTime {
+			s.LateWork++
+		}
 	})
 }
 
--- a/internal/leaf/stats.go
+++ b/internal/leaf/stats.go
@@ -22,7 +22,8 @@
 	Cancelled   uint64 `json:"Cancelled"` // sender went away while waiting or running
 	TimedOut    uint64 `json:"TimedOut"`  // deadline passed while waiting or running
 	Shed        uint64 `json:"Shed"`
-	Drained     uint64 `json:"Drained"` // refused because the upstream drains
+	Drained     uint64 `json:"Drained"`  // refused because the upstream drains
+	LateWork    uint64 `json:"LateWork"` // requests more than 2 s after the start of a drain
 	VersionGone uint64 `json:"VersionGone"`
 	WrongShard  uint64 `json:"WrongShard"`
 	Malformed   uint64 `json:"Malformed"`
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -108,6 +108,7 @@
 
 	mu      sync.Mutex
 	filings []check.Filing
+	refused []refusal
 }
 
 func newDriver(cfg Config, t scene.Target, tell *teller) (*driver, error) {
@@ -183,6 +184,7 @@
 		p.Probe(probe)
 		cancel()
 	}
+	keeper.Go(func() error { return d.checkRefusals(keep) })
 	happened := d.drive(ctx)
 	stopKeeping()
 	if err := keeper.Wait(); err != nil {
@@ -276,6 +278,9 @@
 			busy += s.Running + s.Waiting
 		}
 		if busy == 0 {
+			if err := d.checkRefused(ctx, time.Now()); err != nil {
+				return nil, err
+			}
 			return stats, d.checkFilings(ctx)
 		}
 		select {
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -104,6 +104,15 @@
 	s.Outcome = answer.Outcome
 	s.Coverage = answer.Coverage
 	s.Violations = d.truth.Search(asked, answer)
+	if answer.Outcome == engine.NotRun {
+		d.mu.Lock()
+		d.refused = append(d.refused, refusal{
+			id:    r.id,
+			index: r.flow.Index,
+			at:    time.Now(),
+		})
+		d.mu.Unlock()
+	}
 }
 
 // file sends a filing. A caller that gets no answer, or Unknown, sends it again
--- a/internal/report/table.go
+++ b/internal/report/table.go
@@ -43,11 +43,11 @@
 		}
 	}
 	p.line("")
-	p.line("target\tupstream calls\tfirst calls\textra %%\tshed\tcancelled\tdrained\tversion gone\twrong answers\tfiling runs\trefused conns\tpeak conns %%\tsend lag p99 ms\t")
+	p.line("target\tupstream calls\tfirst calls\textra %%\tshed\tcancelled\tdrained\tlate work\tversion gone\twrong answers\tfiling runs\trefused conns\tpeak conns %%\tsend lag p99 ms\t")
 	for _, target := range r.Targets {
 		u := target.Upstreams
-		p.line("%s\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%s\t", target.Name, u.Calls, u.First, u.ExtraPercent, u.Shed,
-			u.Cancelled, u.Drained, u.VersionGone, u.WrongAnswers, u.FilingRuns, u.RefusedConns, u.PeakConnsPercent, millis(target.LagP99Micros))
+		p.line("%s\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%s\t", target.Name, u.Calls, u.First, u.ExtraPercent, u.Shed,
+			u.Cancelled, u.Drained, u.LateWork, u.VersionGone, u.WrongAnswers, u.FilingRuns, u.RefusedConns, u.PeakConnsPercent, millis(target.LagP99Micros))
 	}
 	if err := t.Flush(); err != nil {
 		return errors.Wrap(err, "table cannot be written")
@@ -123,9 +123,6 @@
 		if t.Upstreams.Restarted > 0 {
 			list = append(list, fmt.Sprintf("%s: %d upstreams restarted; their calls before that are not counted", t.Name, t.Upstreams.Restarted))
 		}
-		if t.Upstreams.RefusedConns > 0 {
-			list = append(list, fmt.Sprintf("%s: upstreams refused %d connections over their limits", t.Name, t.Upstreams.RefusedConns))
-		}
 	}
 	return list
 }
--- a/internal/result/record.go
+++ b/internal/result/record.go
@@ -131,16 +131,25 @@
 
 func (r *Recorder) violate(list []check.Violation) {
 	for _, c := range check.Tally(list) {
-		i, found := slices.BinarySearchFunc(r.broken, c.Kind, func(c check.Count, k check.Kind) int { return cmp.Compare(c.Kind, k) })
-		if !found {
-			r.broken = slices.Insert(r.broken, i, check.Count{Kind: c.Kind})
-		}
-		r.broken[i].Count += c.Count
+		r.broken = addCount(r.broken, c.Kind, uint64(c.Count))
 	}
 	room := min(len(list), maxExamples-len(r.example))
 	r.example = append(r.example, list[:room]...)
 }
 
+// addCount adds to the count of a kind in a list that is sorted by kind.
+func addCount(list []check.Count, kind check.Kind, n uint64) []check.Count {
+	if n == 0 {
+		return list
+	}
+	i, found := slices.BinarySearchFunc(list, kind, func(c check.Count, k check.Kind) int { return cmp.Compare(c.Kind, k) })
+	if !found {
+		list = slices.Insert(list, i, check.Count{Kind: kind})
+	}
+	list[i].Count += int(n)
+	return list
+}
+
 // Progress is the state of a run that is still going on.
 type Progress struct {
 	Total    int64
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -113,9 +113,12 @@
 	VersionGone  uint64  `json:"VersionGone"`
 	WrongAnswers uint64  `json:"WrongAnswers"` // made by faults
 	FilingRuns   uint64  `json:"FilingRuns"`
-	// RefusedConns counts connections over the limit of an upstream, and
+	// LateWork counts requests to upstreams that had been draining for more
+	// than 2 s.
+	LateWork uint64 `json:"LateWork"`
+	// RefusedConns counts connections over the limit of an upstream.
 	// PeakConnsPercent is the most connections at any of them for 100 of its
-	// limit, both since the start of the upstreams.
+	// limit, since the start of the upstreams.
 	RefusedConns     uint64  `json:"RefusedConns"`
 	PeakConnsPercent float64 `json:"PeakConnsPercent"`
 	// Restarted counts upstreams whose counts fell, so that the sums are too low.
--- a/internal/result/sum.go
+++ b/internal/result/sum.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/jujubethread/jujubethread/internal/check"
 	"github.com/jujubethread/jujubethread/internal/leaf"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -23,6 +24,8 @@
 		Upstreams:    sumUpstreams(upstreams, before, after),
 	}
 	t.Upstreams.First = r.first
+	t.Violations = addCount(t.Violations, check.LateWork, t.Upstreams.LateWork)
+	t.Violations = addCount(t.Violations, check.OverLimit, t.Upstreams.RefusedConns)
 	if r.first > 0 {
 		t.Upstreams.ExtraPercent = 100 * (float64(t.Upstreams.Calls)/float64(r.first) - 1)
 	}
@@ -67,7 +70,8 @@
 		sum.Drained += s.Drained - b.Drained
 		sum.VersionGone += s.VersionGone - b.VersionGone
 		sum.WrongAnswers += s.WrongAnswers - b.WrongAnswers
-		sum.RefusedConns += s.RefusedConns
+		sum.RefusedConns += s.RefusedConns - b.RefusedConns
+		sum.LateWork += s.LateWork - b.LateWork
 		if limit := limits[s.Upstream]; limit > 0 {
 			sum.PeakConnsPercent = max(sum.PeakConnsPercent, 100*float64(s.PeakConns)/float64(limit))
 		}
--- a/internal/scene/remote.go
+++ b/internal/scene/remote.go
@@ -24,6 +24,8 @@
 	maxStatsBytes    = 64 << 20
 	maxProblemBytes  = 4 << 10
 	idleControlConns = 2
+	// remembered covers several seconds of one upstream's load.
+	remembered = 5_000
 )
 
 // HookFunc does what an event Hook stands for, and undoes it when on is false.
@@ -183,6 +185,7 @@
 		return leaf.Reset{
 			Versions: versions,
 			Shards:   l.Upstream.Shards,
+			Remember: remembered,
 		}
 	})
 }
@@ -202,6 +205,32 @@
 	return all, err
 }
 
+// Ran returns those of the searches that ran on any upstream of an index.
+func (r *Remote) Ran(ctx context.Context, index ident.Index, ids []ident.RequestID) ([]ident.RequestID, error) {
+	doc, err := wire.Encode(leaf.Asked{Requests: ids})
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	var all []ident.RequestID
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(controlParallel)
+	for _, l := range r.target.Leaves {
+		if l.Upstream.Index != index {
+			continue
+		}
+		group.Go(func() error {
+			var ran []ident.RequestID
+			err := r.send(ctx, http.MethodPost, l.Control, leaf.PathRan, bytes.NewReader(doc), &ran)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, ran...)
+			return errors.Wrapf(err, "upstream %q", l.Upstream.ID)
+		})
+	}
+	return all, group.Wait()
+}
+
 func collect[T any](ctx context.Context, r *Remote, path string) ([]T, error) {
 	list := make([]T, len(r.target.Leaves))
 	group, ctx := errgroup.WithContext(ctx)
