--- a/internal/ctrl/request.go
+++ b/internal/ctrl/request.go
@@ -6,13 +6,14 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/pkg/config"
 )
 
 // Command runs an operator command through the leader and returns its
 // outcome. It waits up to 3 s for a leader.
 func (h *Host) Command(ctx context.Context, c config.Command) config.Outcome {
-	data, err := encoding.Marshal(c)
+	data, err := proto.Marshal(c)
 	if err != nil {
 		return config.Outcome{
 			Kind:   config.NotRun,
@@ -30,7 +31,7 @@
 		}
 	}
 	var out config.Outcome
-	if err := decoding.Unmarshal(a.Data, &out); err != nil {
+	if err := proto.Unmarshal(a.Data, &out); err != nil {
 		return unknown("the outcome cannot be decoded: " + err.Error())
 	}
 	return out
@@ -131,13 +132,21 @@
 }
 
 func (h *Host) view(ctx context.Context) (view, error) {
-	reply := make(chan view, 1)
+	var v view
+	err := h.ask(ctx, func(o *owner) { v = o.view() })
+	return v, err
+}
+
+// ask runs fn on the goroutine that owns the state and waits for it.
+func (h *Host) ask(ctx context.Context, fn func(*owner)) error {
+	ran := make(chan struct{})
 	select {
-	case h.views <- reply:
-		return <-reply, nil
+	case h.asks <- func(o *owner) { fn(o); close(ran) }:
+		<-ran
+		return nil
 	case <-ctx.Done():
-		return view{}, errors.New("this host is busy: send it again later")
+		return errors.New("this host is busy: send it again later")
 	case <-h.done:
-		return view{}, errors.New("this host stops: send it to another member")
+		return errors.New("this host stops: send it to another member")
 	}
 }
--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -18,6 +19,8 @@
 	"github.com/jujubethread/jujubethread/internal/host"
 	"github.com/jujubethread/jujubethread/internal/leaf"
 	"github.com/jujubethread/jujubethread/internal/shape"
+	"github.com/jujubethread/jujubethread/internal/span"
+	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -31,6 +34,8 @@
 	Factor float64
 	// Entries is the number of entry hosts, spread over the domains.
 	Entries int
+	// Controls is the number of control hosts; zero means 1.
+	Controls int
 	// Folder holds the data folders of the control hosts.
 	Folder string
 	// EntryListen and ControlListen are the addresses of the first entry and
@@ -43,6 +48,8 @@
 	Seed uint64
 	// Service is the distribution of service times; a zero Median means 4 ms.
 	Service leaf.Service
+	// TraceRatio is the share of requests that are traced, 0 to 1.
+	TraceRatio float64
 	// Grace is the time between a failing health check and refused requests.
 	Grace time.Duration
 	// Log may be nil.
@@ -56,38 +63,49 @@
 	Controls []*ctrl.Host
 	Entries  []*host.Host
 
-	cfg   Config
-	group *errgroup.Group
-	stop  context.CancelFunc
+	cfg Config
+	// back runs the upstreams and control hosts, front the entry hosts. The
+	// front stops first, so that no request in flight loses its upstreams.
+	back, front         *errgroup.Group
+	stopBack, stopFront context.CancelFunc
 }
 
 // Start starts a deployment and returns when every entry host serves. Stop
 // must follow.
 func Start(cfg Config) (*Deployment, error) {
 	cfg = cfg.withDefaults()
-	ctx, cancel := context.WithCancel(context.Background())
-	group, ctx := errgroup.WithContext(ctx)
+	back, stopBack := context.WithCancel(context.Background())
+	front, stopFront := context.WithCancel(context.Background())
 	d := &Deployment{
-		cfg:   cfg,
-		group: group,
-		stop:  cancel,
+		cfg:       cfg,
+		stopBack:  stopBack,
+		stopFront: stopFront,
 	}
-	for _, step := range []func(context.Context) error{d.startLeaves, d.startControl, d.addUpstreams, d.startEntries} {
-		if err := step(ctx); err != nil {
+	d.back, back = errgroup.WithContext(back)
+	d.front, front = errgroup.WithContext(front)
+	for _, step := range []func() error{
+		func() error { return d.startLeaves(back) },
+		func() error { return d.startControl(back) },
+		func() error { return d.addUpstreams(back) },
+		func() error { return d.startEntries(front) },
+	} {
+		if err := step(); err != nil {
 			return nil, errors.Wrap(firstOf(err, d.Stop()), "deployment did not start")
 		}
 	}
 	return d, nil
 }
 
-// Stop ends all hosts gracefully and waits for them.
+// Stop ends all hosts gracefully, the entry hosts first, and waits for them.
 func (d *Deployment) Stop() error {
-	d.stop()
-	return d.group.Wait()
+	d.stopFront()
+	err := d.front.Wait()
+	d.stopBack()
+	return firstOf(err, d.back.Wait())
 }
 
-// Wait returns when the deployment stopped by itself because a host failed.
-func (d *Deployment) Wait() error { return d.group.Wait() }
+// Wait returns when an entry host stopped by itself, or all of them did.
+func (d *Deployment) Wait() error { return d.front.Wait() }
 
 // EntryAddress returns the address of the first entry host.
 func (d *Deployment) EntryAddress() string { return d.Entries[0].Addr().String() }
@@ -99,6 +117,7 @@
 	if c.Factor == 0 {
 		c.Factor = 1
 	}
+	c.Controls = max(c.Controls, 1)
 	if c.Service.Median == 0 {
 		c.Service = leaf.Service{
 			Median: defaultMedian,
@@ -139,48 +158,58 @@
 		}
 		d.Shape.Leaves[i].Upstream.Address = up.Address()
 		d.Leaves = append(d.Leaves, up)
-		d.group.Go(func() error { return up.Run(ctx) })
+		d.back.Go(func() error { return up.Run(ctx) })
 	}
 	return nil
 }
 
+// startControl starts the control hosts.
 func (d *Deployment) startControl(ctx context.Context) error {
-	h, err := ctrl.New(ctrl.Config{
-		Folder:   filepath.Join(d.cfg.Folder, "control-1"),
-		Listen:   d.cfg.ControlListen,
-		Address:  freePort,
-		NewGroup: true,
-		Log:      d.cfg.Log,
-	})
+	members, err := firstMembers(d.cfg.Folder, d.cfg.Controls, d.controlFolder)
 	if err != nil {
 		return err
 	}
-	d.Controls = append(d.Controls, h)
-	d.group.Go(func() error { return h.Run(ctx) })
+	for i, m := range members {
+		listen := freePort
+		if i == 0 {
+			listen = d.cfg.ControlListen
+		}
+		h, err := ctrl.New(ctrl.Config{
+			Folder:    d.controlFolder(i),
+			Listen:    listen,
+			Address:   m.Address,
+			Bootstrap: members,
+			Log:       d.cfg.Log,
+		})
+		if err != nil {
+			return err
+		}
+		d.Controls = append(d.Controls, h)
+		d.back.Go(func() error { return h.Run(ctx) })
+	}
 	return nil
 }
 
+func (d *Deployment) controlFolder(i int) string {
+	return filepath.Join(d.cfg.Folder, fmt.Sprintf("control-%d", i+1))
+}
+
 // addUpstreams puts the upstreams into the configuration. A data folder that
 // is used again knows them by old addresses, so these are replaced.
 func (d *Deployment) addUpstreams(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	s, err := d.Controls[0].Config(ctx)
+	s, err := d.leader(ctx)
 	if err != nil {
 		return err
 	}
 	version := s.Version
 	run := func(change config.Change) error {
-		cmd := config.Command{
-			ID:     ident.CommandID(fmt.Sprintf("dev-%d-%d", d.cfg.Seed, time.Now().UnixNano())),
+		out := d.Controls[0].Command(ctx, config.Command{
+			ID:     ident.CommandID(uuid.NewString()),
 			Expect: version,
 			Change: change,
-		}
-		out := d.Controls[0].Command(ctx, cmd)
-		for out.Kind == config.NotRun && ctx.Err() == nil && len(s.Upstreams) == 0 && version == s.Version {
-			time.Sleep(retryPause) // the control host is still electing itself
-			out = d.Controls[0].Command(ctx, cmd)
-		}
+		})
 		if out.Kind != config.Accepted {
 			return errors.Errorf("change %T of the example deployment ended as %s: %s", change, out.Kind, out.Remedy)
 		}
@@ -200,6 +229,29 @@
 	return nil
 }
 
+// leader waits until a control host leads with its whole log applied and
+// returns its configuration.
+func (d *Deployment) leader(ctx context.Context) (*config.State, error) {
+	tick := time.NewTicker(retryPause)
+	defer tick.Stop()
+	for {
+		for _, h := range d.Controls {
+			st, err := h.Status(ctx)
+			if err != nil {
+				return nil, err
+			}
+			if st.Lease && st.Applied == st.Last {
+				return h.Config(ctx)
+			}
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil, errors.Wrap(ctx.Err(), "no control host became leader")
+		}
+	}
+}
+
 func (d *Deployment) startEntries(ctx context.Context) error {
 	for i := range d.cfg.Entries {
 		address := freePort
@@ -213,6 +265,14 @@
 		id := ident.HostID(fmt.Sprintf("entry-%d", i+1))
 		domain := d.Shape.Domains[i%len(d.Shape.Domains)]
 		link := newLink(d.Controls[0])
+		tracer, err := span.New(span.Config{
+			Host:  id,
+			Ratio: d.cfg.TraceRatio,
+		})
+		if err != nil {
+			return err
+		}
+		meter := stats.New()
 		h, err := host.New(host.Config{
 			ID:       id,
 			Domain:   domain,
@@ -225,14 +285,19 @@
 			}),
 			Control: link,
 			Grace:   d.cfg.Grace,
+			Stats:   meter,
+			Tracer:  tracer,
 			Log:     d.cfg.Log.With("Host", string(id), "Domain", string(domain)),
 		})
 		if err != nil {
 			return err
 		}
 		d.Entries = append(d.Entries, h)
-		d.group.Go(func() error { return link.run(ctx) })
-		d.group.Go(func() error { return h.Run(ctx) })
+		d.front.Go(func() error { return link.run(ctx) })
+		d.front.Go(func() error {
+			err := h.Run(ctx)
+			return firstOf(err, tracer.Close(context.WithoutCancel(ctx)), meter.Close())
+		})
 	}
 	return nil
 }
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/jujubethread/jujubethread/internal/span"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
@@ -25,8 +26,6 @@
 	// Observe is told about each finished attempt before its event is
 	// emitted. It must not block. Optional.
 	Observe func(Ended)
-	// MaxAnswer bounds the body of an upstream's answer, in bytes.
-	MaxAnswer int64
 	// DialTimeout bounds the opening of one connection.
 	DialTimeout time.Duration
 	// ProbeTimeout bounds one health probe.
@@ -38,9 +37,6 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.MaxAnswer == 0 {
-		c.MaxAnswer = defaultMaxAnswer
-	}
 	if c.DialTimeout == 0 {
 		c.DialTimeout = defaultDialTimeout
 	}
@@ -63,12 +59,13 @@
 
 // Ended describes a finished attempt for telemetry.
 type Ended struct {
-	Send engine.Send
+	Send *engine.Send
+	// Span is the span that Send was given.
+	Span *span.Span
 	// Kind is empty when the attempt was answered.
 	Kind engine.FailKind
 	// Cancelled tells that the engine cancelled the attempt before it ended.
 	Cancelled bool
-	Began     time.Time
 	Took      time.Duration
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,9 +8,10 @@
 //   - Done and Partial: 200. The body states the coverage.
 //   - NotRun: 503 with Retry-After, or 409 when a filing's id was used with
 //     another body, which no repetition can mend.
-//   - Unknown (filings only): 504 when the time ran out, 502 when the
-//     connection to the upstream or the control group broke.
-//   - bad request: 400; body too large: 413; wrong method: 405.
+//   - Unknown (filings only): 504, whatever the cause: the caller does the
+//     same in every case, and 502 would invite proxies to send again.
+//   - bad request: 400; body too slow: 408; body too large: 413; wrong
+//     method: 405.
 //
 // Every answer carries the request id, also that of a refused request.
 //
@@ -30,6 +31,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jujubethread/jujubethread/internal/dial"
+	"github.com/jujubethread/jujubethread/internal/span"
+	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -61,11 +64,18 @@
 	IdleTimeout   time.Duration
 	// MaxHeader and MaxBody bound a request, in bytes.
 	MaxHeader int
-	MaxBody   int64
+	MaxBody   int
 	// MaxRequests bounds the requests in progress; more are refused as NotRun.
 	MaxRequests int
 	// Log takes log lines. Defaults to none.
 	Log *slog.Logger
+	// Stats and Tracer take metrics and spans; nil means none. The host does
+	// not close them.
+	Stats  *stats.Stats
+	Tracer *span.Tracer
+	// Depths fills in the queue lengths and budgets that gauges show. It is
+	// called by the goroutine that owns the engine. Optional.
+	Depths func(*stats.Snapshot)
 }
 
 func (c Config) withDefaults() Config {
@@ -113,6 +123,8 @@
 	seat    atomic.Value // engine.Seat
 	phase   atomic.Int32
 	running atomic.Int64 // requests in progress
+	// lastQuery numbers the queries of this process.
+	lastQuery atomic.Uint64
 }
 
 // phase is a stage of a host's life.
@@ -132,6 +144,7 @@
 	h := &Host{config: c}
 	h.seat.Store(engine.SeatNone)
 	c.Dial.Emit = func(ev engine.Event) { h.loop.post(ev) }
+	c.Dial.Observe = h.observe
 	h.client = dial.New(c.Dial)
 	h.loop = newLoop(c.Engine, h.client)
 	h.server = &http.Server{
@@ -189,13 +202,17 @@
 	return errors.Wrap(h.server.Shutdown(ctx), "callers' server did not shut down")
 }
 
-// follow turns configurations and seats into events.
+// follow turns configurations and seats into events and shows the gauges.
 func (h *Host) follow(ctx context.Context) error {
+	tick := time.NewTicker(showInterval)
+	defer tick.Stop()
 	configs, seats := h.config.Control.Configs(), h.config.Control.Seats()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-tick.C:
+			h.loop.send(mail{look: h.show})
 		case s, ok := <-configs:
 			if !ok {
 				configs = nil
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,9 +14,13 @@
 
 	"github.com/matryer/is"
 
+	"github.com/jujubethread/jujubethread/internal/audit"
 	"github.com/jujubethread/jujubethread/internal/host"
+	"github.com/jujubethread/jujubethread/internal/span"
+	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
 // Guards against a break anywhere on the path from caller to upstream and back.
@@ -40,9 +46,9 @@
 		remedy string
 	}{
 		{`{"Index":"x","Colour":1}`, nil, 400, "Colour"},
-		{`{"Index":"x"}{}`, nil, 400, "after its JSON object"},
+		{`{"Index":"x"}{}`, nil, 400, "more data follows"},
 		{`{"Terms":"x"}`, nil, 400, "Index is empty"},
-		{`{"Index":"x","Class":"First"}`, nil, 400, `class "First"`},
+		{`{"Index":"x","Class":"First"}`, nil, 400, `Class is "First"`},
 		{`{"Index":"x","Limit":-1}`, nil, 400, "Limit is -1"},
 		{`{"Index":"x"}`, []string{wire.HeaderDeadline, "soon"}, 400, "soon"},
 		{`{"Index":"x"}`, []string{wire.HeaderRequestID, "a b"}, 400, wire.HeaderRequestID},
@@ -166,9 +172,9 @@
 		status  int
 		outcome string
 	}{
-		{func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 502, "Unknown"},
+		{func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 504, "Unknown"},
 		{func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() }, 504, "Unknown"},
-		{func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) }, 502, "Unknown"},
+		{func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) }, 504, "Unknown"},
 		{func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			_ = json.NewEncoder(w).Encode(wire.LeafError{Kind: engine.Shed})
@@ -186,3 +192,79 @@
 		r.is.Equal(kept, tc.outcome == "Unknown")
 	}
 }
+
+// Guards against a runtime and an engine that disagree about their interface,
+// and against a record of a running host that does not replay.
+func TestEngineAnswersThroughTheHost(t *testing.T) {
+	is := is.New(t)
+	leaf := func(shard ident.Shard) http.HandlerFunc {
+		return func(w http.ResponseWriter, req *http.Request) {
+			if req.URL.Path != wire.PathLeafHealth {
+				answering(w, req)
+				return
+			}
+			_ = json.NewEncoder(w).Encode(wire.LeafHealth{
+				Health: engine.HealthReady,
+				Held: []engine.Held{{
+					Shard:    shard,
+					Versions: []ident.IndexVersion{7},
+				}},
+			})
+		}
+	}
+	path := filepath.Join(t.TempDir(), "record")
+	rec, err := audit.RecordEngine(path, engine.Config{
+		Host: "h1",
+		Seed: 1,
+	}, nil)
+	is.NoErr(err)
+	r := newRig(t, func(c *host.Config) { c.Engine = rec }, leaf("review-panel/a"), leaf("review-panel/b"))
+	status, _, body := r.post(wire.PathSearch, `{"Index":"review-panel"}`)
+	is.Equal(status, http.StatusServiceUnavailable) // no seat yet
+	is.Equal(body["Outcome"], "NotRun")
+	r.control.seats <- engine.SeatHeld
+	r.eventually(func() bool {
+		_, _, body = r.post(wire.PathSearch, `{"Index":"review-panel"}`)
+		return body["Outcome"] == "Done"
+	})
+	is.Equal(body["Version"], 7.0)
+	is.Equal(len(body["Documents"].([]any)), 2)
+	r.end()
+	is.NoErr(rec.Close())
+	file, err := os.Open(path)
+	is.NoErr(err)
+	defer file.Close()
+	rep, err := audit.Run(file)
+	is.NoErr(err)
+	is.Equal(rep.Difference, nil)
+	is.True(rep.Ended)
+}
+
+// Guards against telemetry that is not connected to the path of a query.
+func TestTelemetryOfAQuery(t *testing.T) {
+	is := is.New(t)
+	tracer, err := span.New(span.Config{Host: "h1"})
+	is.NoErr(err)
+	defer tracer.Close(context.Background())
+	counts := stats.New()
+	defer counts.Close()
+	headers := make(chan string, 1)
+	r := newRig(t, func(c *host.Config) { c.Tracer, c.Stats = tracer, counts }, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		headers <- req.Header.Get(wire.HeaderTrace)
+		answering(w, req)
+	}))
+	const trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+	_, _, body := r.post(wire.PathSearch, `{"Index":"review-panel"}`, wire.HeaderTrace, "00-"+trace+"-00f067aa0ba902b7-01", wire.HeaderRequestID, "req-1")
+	is.Equal(body["Outcome"], "Done")
+	toLeaf := <-headers
+	is.True(strings.HasPrefix(toLeaf, "00-"+trace) && strings.HasSuffix(toLeaf, "-01"))
+	var got struct{ Spans []span.Record }
+	is.NoErr(json.Unmarshal(r.read("/v1/traces?Request=req-1"), &got))
+	is.Equal(len(got.Spans), 3)
+	r.eventually(func() bool {
+		text := string(r.read(wire.PathMetrics))
+		return strings.Contains(text, `entry_queries{class="Standard",outcome="Done"} 1`) &&
+			strings.Contains(text, `entry_attempts{reason="First",result="Answered"} 1`) &&
+			strings.Contains(text, `entry_seat{state="None"} 1`)
+	})
+}
--- a/internal/option/option.go
+++ b/internal/option/option.go
@@ -58,8 +58,8 @@
 	RecordFile string
 
 	Data      string
+	NewGroup  bool
 	Bootstrap []Pair
-	Join      []string
 
 	ID      string
 	Expect  *ident.ConfigVersion
@@ -78,7 +78,6 @@
 	Shape        string
 	Entries      int
 	ControlHosts int
-	Targets      []string
 	Scenario     string
 	Rate         float64
 	Duration     time.Duration
@@ -89,6 +88,7 @@
 	FaultListen string
 	Out         string
 	Hosts       []Pair
+	Role        string
 
 	CA             string
 	Cert           string
@@ -137,9 +137,9 @@
 
 // lists holds flags that need a second step of parsing.
 type lists struct {
-	host, domain, index, service              string
-	controls, peers, bootstrap, join, targets string
-	shards, from, hosts, expect               string
+	host, domain, index, service string
+	controls, peers, bootstrap   string
+	shards, from, hosts, expect  string
 }
 
 func (o *Options) register(fs *flag.FlagSet, l *lists) {
@@ -153,11 +153,11 @@
 	fs.StringVar(&l.peers, "peers", "", "")
 	fs.DurationVar(&o.Grace, "grace", defaultGrace, "")
 	fs.StringVar(&o.TraceFile, "trace-file", "", "")
-	fs.Float64Var(&o.TraceRatio, "trace-ratio", defaultTraceRatio, "")
+	fs.Float64Var(&o.TraceRatio, "trace-ratio", o.defaultTraceRatio(), "")
 	fs.StringVar(&o.RecordFile, "record-file", "", "")
 	fs.StringVar(&o.Data, "data", "", "")
+	fs.BoolVar(&o.NewGroup, "new-group", false, "")
 	fs.StringVar(&l.bootstrap, "bootstrap", "", "")
-	fs.StringVar(&l.join, "join", "", "")
 	fs.StringVar(&o.ID, "id", "", "")
 	fs.StringVar(&l.expect, "expect", "", "")
 	fs.DurationVar(&o.Timeout, "timeout", defaultTimeout, "")
@@ -177,7 +177,6 @@
 	fs.StringVar(&o.Shape, "shape", "thesiswell", "")
 	fs.IntVar(&o.Entries, "entries", defaultEntries, "")
 	fs.IntVar(&o.ControlHosts, "controls", defaultControlHosts, "")
-	fs.StringVar(&l.targets, "target", "", "")
 	fs.StringVar(&o.Scenario, "scenario", "", "")
 	fs.Float64Var(&o.Rate, "rate", defaultRate, "")
 	fs.DurationVar(&o.Duration, "duration", defaultDuration, "")
@@ -187,6 +186,7 @@
 	fs.StringVar(&o.FaultListen, "fault-listen", "", "")
 	fs.StringVar(&o.Out, "out", "", "")
 	fs.StringVar(&l.hosts, "hosts", "", "")
+	fs.StringVar(&o.Role, "role", defaultRole, "")
 	fs.StringVar(&o.CA, "ca", "", "")
 	fs.StringVar(&o.Cert, "cert", "", "")
 	fs.StringVar(&o.Key, "key", "", "")
@@ -211,6 +211,14 @@
 	return ""
 }
 
+// defaultTraceRatio traces everything in a deployment that is for trying out.
+func (o *Options) defaultTraceRatio() float64 {
+	if o.Command == Dev || o.Command == Demo {
+		return 1
+	}
+	return defaultTraceRatio
+}
+
 func (o *Options) isOperator() bool {
 	switch o.Command {
 	case Status, Preset, Upstream, Member, Filing:
--- a/internal/option/usage.go
+++ b/internal/option/usage.go
@@ -10,13 +10,14 @@
 Daemons
   entry                  serve callers
   control                keep the configuration and the filings; has a disk
+  control id             print the member id of -data, which it makes if needed
   leaf                   stand-in upstream
 
 Operator commands (-control names control hosts; -json prints JSON)
   status                 members, roles, versions in force, what is wrong
   preset list|switch NAME|put FILE
   upstream list|add FILE|retire ID|remove ID|place ID SHARD[,SHARD...]
-  member list|add ID|remove ID|replace OLD NEW
+  member list|add ID=IP:PORT|remove ID|replace OLD NEW=IP:PORT
   filing list|resolve REQUEST done|notrun
 
 Tools
@@ -47,8 +48,10 @@
 
 Control host
   -data FOLDER           data folder
-  -bootstrap LIST        first members, ID=IP:PORT each; only for a new deployment
-  -join LIST             link addresses of members that this host joins through
+  -new-group             start a group with this host as its only member
+  -bootstrap LIST        first members of a group, ID=IP:PORT each, the same on
+                         all; both act only while the data folder is empty, and
+                         without them a host waits until it is added as a member
 
 Operator commands
   -control LIST          HTTP addresses of control hosts
@@ -63,6 +66,7 @@
   -shards LIST           shards it holds
   -slots N               requests run at once
   -conn-limit N          connections accepted
+  -fault-listen IP:PORT  address that its faults are set through
   -conn-cost DURATION    cost of a new connection
   -service-time DURATION median time to answer
   -seed N                seed of documents and faults
@@ -71,8 +75,7 @@
   -shape NAME            thesiswell or hanbit
   -entries N             number of entry hosts
   -controls N            number of control hosts
-  -target LIST           load: HTTP addresses of entry hosts (default: an own deployment)
-  -scenario FILE         load: scenario with callers and faults
+  -scenario NAME         load: scenario file or built-in scenario
   -rate N                load: requests a second
   -duration DURATION     load: length of the run
   -report FILE           load: write an HTML report
@@ -85,6 +88,7 @@
   -fault-listen IP:PORT  proxy: address that faults are set through
   -out FOLDER            keys: folder for the certificates
   -hosts LIST            keys: hosts, ID=IP each
+  -role ROLE             keys: control, entry or operator
 
 TLS (all processes and operator commands)
   -ca FILE               certificate authority
