--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -136,10 +135,10 @@
 	}
 }
 
-// call makes one HTTP exchange and decodes the body of a 200 answer. A nil
-// body makes it a GET.
-func (c *Client) call(ctx context.Context, p *pool, target *url.URL, sent *body, traceparent string, decode func(io.Reader) error) *Failure {
-	resp, err := p.transport.RoundTrip(newRequest(target, sent, traceparent).WithContext(ctx))
+// call makes one HTTP exchange and decodes the body of a 200 answer. Requests
+// without a body change nothing at the upstream, so they may be repeated.
+func (c *Client) call(ctx context.Context, p *pool, path *http.Request, sent *body, traceparent string, decode func(io.Reader) error) *Failure {
+	resp, err := p.transport.RoundTrip(newRequest(ctx, path, sent, traceparent))
 	if err != nil {
 		f := &Failure{
 			Kind: failKind(ctx),
@@ -156,31 +155,27 @@
 	return f
 }
 
-func newRequest(target *url.URL, sent *body, traceparent string) *http.Request {
-	req := &http.Request{
-		Method:     http.MethodGet,
-		URL:        target,
-		Host:       target.Host,
-		Proto:      "HTTP/1.1",
-		ProtoMajor: 1,
-		ProtoMinor: 1,
-		Header:     make(http.Header, 2),
-	}
+// header is shared by all requests without trace context; the transport only
+// reads it.
+var header = http.Header{"Content-Type": {"application/json"}}
+
+// newRequest copies the pool's request for a path and gives it its body.
+func newRequest(ctx context.Context, path *http.Request, sent *body, traceparent string) *http.Request {
+	req := path.WithContext(ctx)
 	if sent != nil {
-		req.Method = http.MethodPost
-		req.Header["Content-Type"] = jsonType
 		req.ContentLength = int64(len(sent.raw))
 		req.Body = sent
 		req.GetBody = sent.again
 	}
 	if traceparent != "" {
-		req.Header[wire.HeaderTrace] = []string{traceparent}
+		req.Header = http.Header{
+			"Content-Type":   header["Content-Type"],
+			wire.HeaderTrace: {traceparent},
+		}
 	}
 	return req
 }
 
-var jsonType = []string{"application/json"}
-
 func failKind(ctx context.Context) engine.FailKind {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return engine.TimedOut
--- a/internal/dial/pool.go
+++ b/internal/dial/pool.go
@@ -24,9 +24,10 @@
 	client    *Client
 	address   string
 	transport *http.Transport
-	search    *url.URL
-	file      *url.URL
-	health    *url.URL
+	// search, file and health are the requests for the paths, without body.
+	search *http.Request
+	file   *http.Request
+	health *http.Request
 
 	mu     sync.Mutex
 	want   int
@@ -40,9 +41,9 @@
 	p := &pool{
 		client:  c,
 		address: address,
-		search:  leafURL(address, wire.PathLeafSearch),
-		file:    leafURL(address, wire.PathLeafFile),
-		health:  leafURL(address, wire.PathLeafHealth),
+		search:  pathRequest(http.MethodPost, address, wire.PathLeafSearch),
+		file:    pathRequest(http.MethodPost, address, wire.PathLeafFile),
+		health:  pathRequest(http.MethodGet, address, wire.PathLeafHealth),
 		freed:   make(chan struct{}),
 	}
 	p.transport = &http.Transport{
@@ -56,11 +57,19 @@
 	return p
 }
 
-func leafURL(address, path string) *url.URL {
-	return &url.URL{
-		Scheme: "http",
-		Host:   address,
-		Path:   path,
+func pathRequest(method, address, path string) *http.Request {
+	return &http.Request{
+		Method: method,
+		URL: &url.URL{
+			Scheme: "http",
+			Host:   address,
+			Path:   path,
+		},
+		Host:       address,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header:     header,
 	}
 }
 
--- a/internal/host/call.go
+++ b/internal/host/call.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/google/uuid"
@@ -42,7 +43,7 @@
 	var bad *wire.Error
 	if errors.As(err, &bad) {
 		f.status = bad.Status()
-		if bad.Kind == wire.ReadFailed {
+		if bad.Kind == wire.ReadFailed && errors.Is(bad, os.ErrDeadlineExceeded) {
 			f.status = http.StatusRequestTimeout
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -152,7 +152,7 @@
 		ReadHeaderTimeout: c.HeaderTimeout,
 		IdleTimeout:       c.IdleTimeout,
 		MaxHeaderBytes:    c.MaxHeader,
-		ErrorLog:          slog.NewLogLogger(c.Log.Handler(), slog.LevelDebug),
+		ErrorLog:          slog.NewLogLogger(c.Log.Handler(), slog.LevelWarn),
 	}
 	return h, nil
 }
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -111,10 +111,19 @@
 	status := http.StatusOK
 	switch rep.Outcome {
 	case stats.Gone:
-		return
+		// A handler that returns sends an empty 200, which a caller that has
+		// closed only its sending half would take for an answer.
+		panic(http.ErrAbortHandler)
 	case engine.NotRun:
 		status = http.StatusServiceUnavailable
 	}
+	// Lists are never null, so that callers need no special case.
+	if rep.Documents == nil {
+		rep.Documents = []engine.Document{}
+	}
+	if rep.Coverage.Missing == nil {
+		rep.Coverage.Missing = []engine.Missing{}
+	}
 	h.answer(w, c, status, wire.SearchAnswer{
 		RequestID: c.id,
 		Outcome:   rep.Outcome,
--- /dev/null
+++ b/internal/host/slow_test.go
@@ -0,0 +1,102 @@
+package host_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jujubethread/jujubethread/internal/host"
+	"github.com/jujubethread/jujubethread/internal/wire"
+)
+
+const searchHead = "POST " + wire.PathSearch + " HTTP/1.1\r\nHost: h\r\n"
+
+// raw opens a connection to the host and writes text.
+func (r *rig) raw(text string) *net.TCPConn {
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	r.is.NoErr(err)
+	r.is.NoErr(c.SetDeadline(time.Now().Add(waitLimit)))
+	_, err = c.Write([]byte(text))
+	r.is.NoErr(err)
+	return c.(*net.TCPConn)
+}
+
+// Guards against callers that hold a connection or memory for as long as they
+// like by sending slowly or too much.
+func TestSlowAndLargeRequestsAreBounded(t *testing.T) {
+	r := newRig(t, func(c *host.Config) {
+		c.HeaderTimeout = 50 * time.Millisecond
+		c.BodyTimeout = 50 * time.Millisecond
+		c.MaxHeader = 1000
+	}, http.HandlerFunc(answering))
+	for _, tc := range []struct {
+		text   string
+		status int // 0 means that the connection is closed without an answer
+	}{
+		{searchHead, 0},
+		{searchHead + "Content-Length: 100\r\n\r\n{", http.StatusRequestTimeout},
+		{searchHead + "X: " + strings.Repeat("x", 8000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{searchHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", http.StatusBadRequest},
+		{searchHead + "Content-Length: 0\r\n\r\n", http.StatusBadRequest},
+	} {
+		c := r.raw(tc.text)
+		in := bufio.NewReader(c)
+		resp, err := http.ReadResponse(in, nil)
+		if tc.status == 0 {
+			r.is.Equal(err, io.ErrUnexpectedEOF)
+		} else {
+			r.is.NoErr(err)
+			r.is.Equal(resp.StatusCode, tc.status)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		c.Close()
+	}
+}
+
+// Guards against work for a caller whose half-closed connection looks open.
+func TestHalfClosedCallerIsGone(t *testing.T) {
+	began, cancelled := make(chan struct{}), make(chan struct{})
+	r := newRig(t, nil, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = wire.DecodeLeafSearch(req.Body)
+		close(began)
+		<-req.Context().Done()
+		close(cancelled)
+	}))
+	const body = `{"Index":"review-panel"}`
+	c := r.raw(searchHead + "Content-Length: 24\r\n\r\n" + body)
+	defer c.Close()
+	<-began
+	r.is.NoErr(c.CloseWrite())
+	<-cancelled
+	rest, err := io.ReadAll(c)
+	r.is.NoErr(err)
+	r.is.Equal(len(rest), 0)
+}
+
+// Guards against more requests in progress than the host has memory for.
+func TestRequestsInProgressAreBounded(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(c *host.Config) { c.MaxRequests = 1 }, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		close(began)
+		<-release
+		answering(w, req)
+	}))
+	done := make(chan int)
+	go func() {
+		status, _, _ := r.post(wire.PathSearch, `{"Index":"review-panel"}`)
+		done <- status
+	}()
+	<-began
+	status, header, body := r.post(wire.PathSearch, `{"Index":"review-panel"}`)
+	r.is.Equal(status, http.StatusServiceUnavailable)
+	r.is.Equal(body["Outcome"], "NotRun")
+	r.is.True(header.Get("Retry-After") != "")
+	r.is.Equal(r.get(wire.PathHealth), http.StatusOK)
+	close(release)
+	r.is.Equal(<-done, http.StatusOK)
+}
