Add the agent of entry hosts and the serving parts

Cause: the reducers for distribution, seats and filings need a runtime on the entry host, and control hosts and peers need to serve them.

Change: internal/agent runs the reducers in one goroutine over internal/link, implements host.Control (Configs, Seats, File) and serves the configuration to peers. internal/serve has Feed (watch, pull, version) and Members (heartbeats) for control hosts and peers. internal/meter measures propagation and cost with agents on real links and a stand-in for the control group. proto.Parts and proto.Assembler divide full copies.

Before: no runtime.

Control hosts still have to register serve.Members.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,142 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/jujubethread/jujubethread/internal/agent"
+	"github.com/jujubethread/jujubethread/internal/host"
+	"github.com/jujubethread/jujubethread/internal/meter"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start runs fn until the returned stop function, which waits for its end.
+func start(t *testing.T, fn func(context.Context) error) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- fn(ctx) }()
+	stopped := false
+	stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func group(t *testing.T) (g *meter.Group, stop func()) {
+	t.Helper()
+	began := time.Now()
+	g, err := meter.NewGroup(config.NewState(), []ident.Domain{"d0", "d1"}, func() ledger.Stamp {
+		return ledger.Stamp(time.Since(began)) + 1
+	})
+	is.New(t).NoErr(err)
+	return g, start(t, g.Serve)
+}
+
+func entry(t *testing.T, g *meter.Group, i int) (*agent.Agent, func()) {
+	t.Helper()
+	a, err := agent.New(agent.Config{
+		Host:     ident.HostID(fmt.Sprint("h", i)),
+		Domain:   ident.Domain(fmt.Sprint("d", i%2)),
+		Listen:   "127.0.0.1:0",
+		Controls: g.Sources(),
+	})
+	is.New(t).NoErr(err)
+	return a, start(t, a.Run)
+}
+
+func await(t *testing.T, a *agent.Agent, v ident.ConfigVersion) {
+	t.Helper()
+	late := time.After(20 * time.Second)
+	for {
+		select {
+		case s := <-a.Configs():
+			if s.Version == v {
+				return
+			}
+		case <-late:
+			t.Fatalf("host did not reach %s", v)
+		}
+	}
+}
+
+// Guards against a filing that runs twice through two hosts, that is lost when
+// its send is refused, or that is answered without the ledger's outcome.
+func TestFilings(t *testing.T) {
+	is := is.New(t)
+	g, _ := group(t)
+	a, _ := entry(t, g, 0)
+	b, _ := entry(t, g, 1)
+	is.Equal(<-a.Seats(), engine.SeatHeld)
+
+	sends := 0
+	send := func(_ context.Context, o host.FilingOrder) (string, engine.FailKind) {
+		sends++
+		if o.Earlier == 0 {
+			return "", engine.Refused
+		}
+		return fmt.Sprint("receipt ", o.Fence), ""
+	}
+	f := host.Filing{Request: "r1", Budget: 10 * time.Second}
+	end := a.File(t.Context(), f, send)
+	is.Equal(end, host.FilingEnd{Outcome: engine.Done, Receipt: "receipt 2"})
+	is.Equal(b.File(t.Context(), f, send), end)
+	is.Equal(sends, 2)
+	f.BodyHash[0] = 1
+	is.True(b.File(t.Context(), f, send).BodyDiffers)
+
+	f.Request = "r2"
+	lost := func(context.Context, host.FilingOrder) (string, engine.FailKind) { return "", engine.Broken }
+	is.Equal(a.File(t.Context(), f, lost).Outcome, engine.Unknown)
+	rec, _ := g.Filing("r2")
+	is.Equal(rec.Status, ledger.Reserved)
+}
+
+// Guards against a filing that waits for a control group that is gone, or that
+// is sent without a grant.
+func TestFilingWithoutControl(t *testing.T) {
+	is := is.New(t)
+	g, stop := group(t)
+	a, _ := entry(t, g, 0)
+	await(t, a, ident.ConfigVersion{})
+	stop()
+	end := a.File(t.Context(), host.Filing{Request: "r", Budget: 300 * time.Millisecond}, func(context.Context, host.FilingOrder) (string, engine.FailKind) {
+		t.Error("filing was sent without a grant")
+		return "", ""
+	})
+	is.Equal(end.Outcome, engine.NotRun)
+}
+
+// Guards against a stopped host whose seat stays taken and whose filing is not
+// recorded.
+func TestStopGivesTheSeatBack(t *testing.T) {
+	is := is.New(t)
+	g, _ := group(t)
+	_, err := g.Change(config.SetSeats{Seats: 1})
+	is.NoErr(err)
+	a, stop := entry(t, g, 0)
+	is.Equal(<-a.Seats(), engine.SeatHeld)
+	for i := range 3 {
+		stop()
+		a, stop = entry(t, g, i+1)
+		is.Equal(<-a.Seats(), engine.SeatHeld)
+	}
+}
--- /dev/null
+++ b/internal/agent/effect.go
@@ -0,0 +1,182 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/member"
+	"github.com/jujubethread/jujubethread/pkg/spread"
+)
+
+// stepSpread carries out the effects of one event of the distribution.
+func (a *Agent) stepSpread(event spread.Event) {
+	for _, eff := range a.spread.Step(a.now(), event) {
+		switch eff := eff.(type) {
+		case spread.Watch:
+			a.cfg.Log.Info("watching the configuration", "Source", eff.To, "Version", eff.Have.String())
+			a.stream(eff.Stream, eff.To, proto.MethodWatch, &proto.Watch{
+				From:   a.cfg.Host,
+				Have:   eff.Have,
+				Digest: eff.Digest,
+			})
+		case spread.Pull:
+			a.stream(eff.Stream, eff.To, proto.MethodPull, &proto.Pull{
+				From:   a.cfg.Host,
+				Have:   eff.Have,
+				Digest: eff.Digest,
+			})
+		case spread.CloseStream:
+			if cancel, ok := a.streams[eff.Stream]; ok {
+				delete(a.streams, eff.Stream)
+				cancel()
+			}
+		case spread.AskVersion:
+			a.askVersion(eff)
+		case spread.Apply:
+			a.feed.Set(eff.State, eff.Deltas)
+			offer(a.configs, eff.State)
+			a.stepHolder(member.ConfigApplied{
+				Version: eff.State.Version,
+				Seats:   eff.State.Seats,
+			})
+		case spread.Wake:
+			a.wake(spreadTimer, eff.At)
+		}
+	}
+}
+
+// stream receives one watch or pull stream until it ends or is closed.
+func (a *Agent) stream(id uint64, to, method string, in any) {
+	ctx, cancel := context.WithCancel(a.ctx)
+	a.streams[id] = cancel
+	a.spawn(func(context.Context) {
+		defer cancel()
+		err := a.receive(ctx, id, to, method, in)
+		if ctx.Err() != nil {
+			return
+		}
+		a.cfg.Log.Debug("stream ended", "Source", to, "Method", method, "Error", err)
+		a.post(func() {
+			delete(a.streams, id)
+			a.stepSpread(spread.StreamEnded{Stream: id})
+		})
+	})
+}
+
+func (a *Agent) receive(ctx context.Context, id uint64, to, method string, in any) error {
+	s, err := a.client.Stream(ctx, to, method, in)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	var parts proto.Assembler
+	for {
+		var u proto.Update
+		if err := s.Recv(&u); err != nil {
+			return err
+		}
+		event := spread.Received{
+			Stream:  id,
+			Version: u.Version,
+			Deltas:  u.Deltas,
+		}
+		if u.Part != nil {
+			if event.Copy, err = parts.Add(u.Part); err != nil {
+				return err
+			}
+		}
+		a.post(func() { a.stepSpread(event) })
+	}
+}
+
+func (a *Agent) askVersion(eff spread.AskVersion) {
+	a.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, spread.AskTimeout)
+		defer cancel()
+		var out proto.VersionAnswer
+		err := a.client.Call(ctx, eff.To, proto.MethodVersion, &proto.VersionQuery{}, &out)
+		a.post(func() {
+			if err != nil {
+				a.stepSpread(spread.VersionFailed{Try: eff.Try})
+				return
+			}
+			a.stepSpread(spread.VersionAnswered{
+				Try:     eff.Try,
+				Version: out.Version,
+			})
+		})
+	})
+}
+
+// stepHolder carries out the effects of one event of the heartbeats.
+func (a *Agent) stepHolder(event member.HolderEvent) {
+	for _, eff := range a.holder.Step(a.now(), event) {
+		switch eff := eff.(type) {
+		case member.SendBeat:
+			a.sendBeat(eff)
+		case member.SeatChanged:
+			a.cfg.Log.Info("connection seat changed", "Seat", string(eff.Seat), "Number", eff.Number)
+			offer(a.seats, eff.Seat)
+		case member.PeersChanged:
+			a.stepSpread(spread.PeersChanged{Peers: a.peers(eff.Peers)})
+		case member.WakeHolder:
+			a.wake(holderTimer, eff.At)
+		}
+	}
+}
+
+// peers joins the peers that the leader named with those of the settings.
+func (a *Agent) peers(named []member.Peer) []spread.Source {
+	list := make([]spread.Source, 0, len(named)+len(a.cfg.Peers))
+	seen := map[string]bool{a.cfg.Advertise: true}
+	add := func(address string, domain ident.Domain) {
+		if !seen[address] {
+			seen[address] = true
+			list = append(list, spread.Source{
+				Address: address,
+				Domain:  domain,
+			})
+		}
+	}
+	for _, p := range named {
+		add(p.Address, p.Domain)
+	}
+	for _, p := range a.cfg.Peers {
+		add(p.Address, p.Domain)
+	}
+	return list
+}
+
+func (a *Agent) sendBeat(eff member.SendBeat) {
+	a.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, member.AnswerWait)
+		defer cancel()
+		var out proto.HeartbeatAnswer
+		err := a.call(ctx, eff.To, proto.MethodHeartbeat, &proto.Heartbeat{Beat: eff.Beat}, &out)
+		a.post(func() {
+			if err != nil {
+				a.stepHolder(member.Failed{Try: eff.Try})
+				return
+			}
+			a.stepHolder(member.Answered{
+				Try:    eff.Try,
+				Answer: out.Answer,
+				Leader: out.Leader,
+			})
+		})
+	})
+}
+
+// call makes a call and logs a failure that an operator has to mend.
+func (a *Agent) call(ctx context.Context, to, method string, in, out any) error {
+	began := time.Now()
+	err := a.client.Call(ctx, to, method, in, out)
+	switch link.KindOf(err) {
+	case link.Untrusted, link.Insecure, link.NoMethod, link.Malformed:
+		a.cfg.Log.Error("call failed", "Error", err, "Took", time.Since(began))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/meter/control.go
@@ -0,0 +1,185 @@
+// Package meter measures the distribution of the configuration and the cost
+// of control per entry host, with agents on real loopback links and a stand-in
+// for the control group.
+package meter
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/internal/serve"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
+	"github.com/jujubethread/jujubethread/pkg/member"
+	"github.com/jujubethread/jujubethread/pkg/spread"
+)
+
+// Group stands in for a control group: the state that its control hosts share
+// without a replicated log.
+type Group struct {
+	mu       sync.Mutex
+	machine  *config.State
+	ledger   *ledger.Machine
+	clock    func() ledger.Stamp
+	controls []*Control
+}
+
+// Control stands in for one control host.
+type Control struct {
+	Source  spread.Source
+	group   *Group
+	feed    *serve.Feed
+	members *serve.Members
+	server  *link.Server
+	lis     net.Listener
+}
+
+// NewGroup returns a group with control hosts in the given domains. The first
+// one leads.
+func NewGroup(state *config.State, domains []ident.Domain, clock func() ledger.Stamp) (*Group, error) {
+	g := &Group{
+		machine: state,
+		ledger:  ledger.NewMachine(0),
+		clock:   clock,
+	}
+	for i, d := range domains {
+		server, err := link.NewServer(link.Config{})
+		if err != nil {
+			return nil, err
+		}
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		c := &Control{
+			Source: spread.Source{
+				Address: lis.Addr().String(),
+				Domain:  d,
+			},
+			group:  g,
+			feed:   serve.NewFeed(0),
+			server: server,
+			lis:    lis,
+		}
+		c.members = serve.NewMembers(serve.MembersConfig{
+			Leads:  func() bool { return i == 0 },
+			Leader: func() string { return g.controls[0].Source.Address },
+		})
+		c.register()
+		c.feed.Set(state, nil)
+		g.controls = append(g.controls, c)
+	}
+	return g, nil
+}
+
+// Sources returns the addresses of the control hosts.
+func (g *Group) Sources() []spread.Source {
+	list := make([]spread.Source, 0, len(g.controls))
+	for _, c := range g.controls {
+		list = append(list, c.Source)
+	}
+	return list
+}
+
+// Serve runs the control hosts until ctx ends.
+func (g *Group) Serve(ctx context.Context) error {
+	var wg sync.WaitGroup
+	errs := make(chan error, len(g.controls))
+	for i, c := range g.controls {
+		wg.Go(func() { _ = c.members.Run(ctx) })
+		wg.Go(func() { errs <- c.server.Serve(ctx, c.lis) })
+		if i == 0 {
+			c.members.Post(member.LeaderStarted{
+				Seats:   g.State().Seats,
+				Version: g.State().Version,
+				Fresh:   true,
+			})
+		}
+	}
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// State returns the configuration in force.
+func (g *Group) State() *config.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine
+}
+
+// Change applies a change and hands it to the feeds of all control hosts.
+func (g *Group) Change(c config.Change) (ident.ConfigVersion, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next, err := g.machine.Apply(c)
+	if err != nil {
+		return ident.ConfigVersion{}, err
+	}
+	if next.Seats != g.machine.Seats {
+		g.controls[0].members.Post(member.SeatsSet{
+			Seats:   next.Seats,
+			Version: next.Version,
+		})
+	}
+	g.machine = next
+	for _, control := range g.controls {
+		control.feed.Set(next, []spread.Delta{{
+			Version: next.Version,
+			Change:  c,
+			Digest:  next.Digest,
+		}})
+	}
+	return next.Version, nil
+}
+
+// Filing returns what the ledger has of a filing.
+func (g *Group) Filing(id ident.RequestID) (ledger.Filing, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Find(id)
+}
+
+func (g *Group) file(cmd ledger.Command) (*proto.FilingAnswer, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &proto.FilingAnswer{
+		Kind:   proto.FilingApplied,
+		Result: g.ledger.Run(ledger.Stamped(cmd, g.clock())),
+	}, nil
+}
+
+func (c *Control) register() {
+	c.feed.Register(c.server)
+	c.members.Register(c.server)
+	link.Handle(c.server, proto.MethodReserve, func(_ context.Context, in *proto.Reserve) (*proto.FilingAnswer, error) {
+		return c.group.file(ledger.Reserve{
+			Request:  in.Request,
+			BodyHash: in.BodyHash,
+			Host:     in.Host,
+			Attempt:  in.Attempt,
+		})
+	})
+	link.Handle(c.server, proto.MethodComplete, func(_ context.Context, in *proto.Complete) (*proto.FilingAnswer, error) {
+		return c.group.file(ledger.Complete{
+			Request: in.Request,
+			Fence:   in.Fence,
+			Receipt: in.Receipt,
+		})
+	})
+	link.Handle(c.server, proto.MethodRelease, func(_ context.Context, in *proto.Release) (*proto.FilingAnswer, error) {
+		return c.group.file(ledger.Release{
+			Request: in.Request,
+			Fence:   in.Fence,
+		})
+	})
+}
--- /dev/null
+++ b/internal/serve/feed.go
@@ -0,0 +1,144 @@
+// Package serve has the parts of link servers that control hosts and entry
+// hosts share: the configuration for subscribers, and heartbeats of entry hosts.
+package serve
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/spread"
+)
+
+// deltasPerUpdate bounds the deltas of one message.
+const deltasPerUpdate = 100
+
+// Feed serves the configuration to watching and pulling hosts. It is safe for
+// concurrent use.
+type Feed struct {
+	mu      sync.Mutex
+	history *spread.History
+	changed chan struct{}
+}
+
+// NewFeed returns a feed without a configuration that keeps at most limit
+// deltas; zero means spread.KeptDeltas.
+func NewFeed(limit int) *Feed {
+	return &Feed{
+		history: spread.NewHistory(limit),
+		changed: make(chan struct{}),
+	}
+}
+
+// Set makes state the newest configuration. The deltas lead to it from the
+// one before; without deltas, hosts that are behind get a full copy.
+func (f *Feed) Set(state *config.State, deltas []spread.Delta) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.history.Advance(state, deltas)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Register serves the configuration on s.
+func (f *Feed) Register(s *link.Server) {
+	link.HandleStream(s, proto.MethodWatch, f.watch)
+	link.HandleStream(s, proto.MethodPull, f.pull)
+	link.Handle(s, proto.MethodVersion, f.version)
+}
+
+// cursor is what one subscriber has.
+type cursor struct {
+	have   ident.ConfigVersion
+	digest uint64
+}
+
+// next returns what the subscriber lacks and a channel that is closed on the
+// next change. The version is that of the newest configuration.
+func (f *Feed) next(c *cursor) (updates []*proto.Update, version ident.ConfigVersion, changed <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.history.State()
+	if state == nil {
+		return nil, version, f.changed
+	}
+	deltas, full := f.history.Since(c.have, c.digest)
+	if full != nil {
+		for _, part := range proto.Parts(full) {
+			updates = append(updates, &proto.Update{
+				Version: state.Version,
+				Part:    part,
+			})
+		}
+	}
+	for len(deltas) > 0 {
+		n := min(len(deltas), deltasPerUpdate)
+		updates = append(updates, &proto.Update{
+			Version: state.Version,
+			Deltas:  append([]spread.Delta(nil), deltas[:n]...),
+		})
+		deltas = deltas[n:]
+	}
+	if len(updates) > 0 {
+		c.have, c.digest = state.Version, state.Digest
+	}
+	return updates, state.Version, f.changed
+}
+
+// watch sends what the subscriber lacks until ctx ends, and the version every
+// spread.BeatEvery, so that the subscriber notices a silent source.
+func (f *Feed) watch(ctx context.Context, in *proto.Watch, send func(*proto.Update) error) error {
+	c := cursor{
+		have:   in.Have,
+		digest: in.Digest,
+	}
+	beat := time.NewTicker(spread.BeatEvery)
+	defer beat.Stop()
+	for {
+		updates, version, changed := f.next(&c)
+		for _, u := range updates {
+			if err := send(u); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-beat.C:
+			if err := send(&proto.Update{Version: version}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (f *Feed) pull(_ context.Context, in *proto.Pull, send func(*proto.Update) error) error {
+	updates, _, _ := f.next(&cursor{
+		have:   in.Have,
+		digest: in.Digest,
+	})
+	for _, u := range updates {
+		if err := send(u); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Feed) version(context.Context, *proto.VersionQuery) (*proto.VersionAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.history.State()
+	if state == nil {
+		return &proto.VersionAnswer{}, nil
+	}
+	return &proto.VersionAnswer{
+		Version: state.Version,
+		Digest:  state.Digest,
+	}, nil
+}
--- a/pkg/filing/event.go
+++ b/pkg/filing/event.go
@@ -140,6 +140,8 @@
 	// Outcome is Done, NotRun or Unknown.
 	Outcome engine.Outcome `json:"Outcome"`
 	Receipt string         `json:"Receipt,omitempty"`
+	// BodyDiffers tells that the id was used with another body.
+	BodyDiffers bool `json:"BodyDiffers,omitempty"`
 	// Remedy says what the caller can do. Empty when Done.
 	Remedy string `json:"Remedy,omitempty"`
 }
--- a/pkg/filing/filing.go
+++ b/pkg/filing/filing.go
@@ -62,6 +62,8 @@
 	// unclear is set once a Reserve may have been applied without an answer.
 	unclear  bool
 	inFlight bool
+	// differs is set when the id was used with another body.
+	differs bool
 
 	reply   Reply
 	replied bool
@@ -228,6 +230,7 @@
 		r.replyAs(a, outcomeOf(res.Status), res.Receipt, res.Remedy)
 		r.drop(a)
 	default:
+		a.differs = res.Kind == ledger.BodyDiffers
 		r.replyAs(a, engine.NotRun, "", res.Remedy)
 		r.drop(a)
 	}
@@ -322,11 +325,12 @@
 		remedy = ""
 	}
 	r.emit(Reply{
-		Arrival: a.id,
-		Request: a.request,
-		Outcome: outcome,
-		Receipt: receipt,
-		Remedy:  remedy,
+		Arrival:     a.id,
+		Request:     a.request,
+		Outcome:     outcome,
+		Receipt:     receipt,
+		BodyDiffers: a.differs,
+		Remedy:      remedy,
 	})
 }
 
--- a/pkg/filing/filing_test.go
+++ b/pkg/filing/filing_test.go
@@ -351,6 +351,7 @@
 		res := r.Step(0, filing.Arrived{Arrival: 1, Request: "a", Budget: time.Second})
 		out := r.Step(1, filing.ReserveAnswered{Arrival: 1, Try: res[0].(filing.Reserve).Try, Result: row.res})
 		is.New(t).Equal(out[0].(filing.Reply).Outcome, row.want)
+		is.New(t).Equal(out[0].(filing.Reply).BodyDiffers, row.res.Kind == ledger.BodyDiffers)
 		is.New(t).Equal(r.Open(), 0)
 	}
 }
--- a/pkg/member/const.go
+++ b/pkg/member/const.go
@@ -26,8 +26,8 @@
 	// silent host while no list of the platform is known.
 	keepSilent = time.Minute
 
-	// sweepEvery is the time between two looks at all hosts.
-	sweepEvery = time.Second
+	// SweepEvery is the time between two looks at all hosts.
+	SweepEvery = time.Second
 
 	// maxHosts bounds the hosts that a leader keeps track of.
 	maxHosts = 10_000
--- a/pkg/member/holder.go
+++ b/pkg/member/holder.go
@@ -166,6 +166,10 @@
 	return h.out
 }
 
+// Gone reports whether the host has left and the leader was told, or could
+// not be told at the first attempt.
+func (h *Holder) Gone() bool { return h.left && !h.open }
+
 func (h *Holder) emit(e HolderEffect) { h.out = append(h.out, e) }
 
 func (h *Holder) passed(now ident.Instant) {
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -55,6 +55,9 @@
 // NewTable returns the table of a control host that is not the leader.
 func NewTable() *Table { return &Table{} }
 
+// Leading reports whether the control host is the leader.
+func (t *Table) Leading() bool { return t.leading }
+
 // Step takes one event at the time now and returns what has to be done.
 func (t *Table) Step(now ident.Instant, event Event) []Effect {
 	t.out = nil
@@ -103,7 +106,7 @@
 	if e.Fresh {
 		t.openAt, t.raise = now, raise{}
 	}
-	t.emit(Wake{At: now.Add(sweepEvery)})
+	t.emit(Wake{At: now.Add(SweepEvery)})
 }
 
 func (t *Table) setSeats(e SeatsSet) {
@@ -294,7 +297,7 @@
 		}
 	}
 	t.sweep(now)
-	t.emit(Wake{At: now.Add(sweepEvery)})
+	t.emit(Wake{At: now.Add(SweepEvery)})
 }
 
 // sweep frees the seats of silent processes that may lose them and forgets
--- a/pkg/spread/const.go
+++ b/pkg/spread/const.go
@@ -7,7 +7,7 @@
 	BeatEvery = 500 * time.Millisecond
 
 	// silentAfter is when a source without messages is given up.
-	silentAfter = 1500 * time.Millisecond
+	silentAfter = 2500 * time.Millisecond
 
 	// staleAfter is when a source is given up that stays behind this host's
 	// own version, for example a control host without a majority.
