Restrict methods by role and bound what a message can allocate

Cause: any certificate of the authority could call any method, and 4 MiB of empty array elements decode to about 600 MB.

Change: link.Server.Allow names the roles (organizational unit of the certificate) that may call a method; others get an error of kind Forbidden. Messages of peers are decoded with at most 16,384 elements per array or map; stored data keeps the bound of 1,048,576. Tests for full copies in parts and a fuzz target for the decoder.

An array of 32,768 elements is refused; before, accepted.

Conclusion: control hosts should call Allow(proto.MethodPeer, "control").

--- a/internal/link/error.go
+++ b/internal/link/error.go
@@ -26,6 +26,9 @@
 	Untrusted Kind = "Untrusted"
 	// Insecure says that plaintext is not allowed to the address.
 	Insecure Kind = "Insecure"
+	// Forbidden says that the role in the caller's certificate may not call
+	// the method.
+	Forbidden Kind = "Forbidden"
 	// TooLarge says that a message is larger than the bound.
 	TooLarge Kind = "TooLarge"
 	// NoMethod says that the callee does not serve the method.
@@ -85,6 +88,7 @@
 	codeMalformed     = 1 // the request could not be decoded
 	codeAnswerTooBig  = 2
 	codeTimedOut      = 3 // the caller's deadline passed in the handler
+	codeForbidden     = 4
 	codeUnimplemented = drpcerr.Unimplemented
 )
 
@@ -92,6 +96,7 @@
 	Unreachable: "no connection was made: check that the process runs and the address is right",
 	Untrusted:   "the TLS handshake failed: check the certificates on both sides",
 	Insecure:    "plaintext is allowed on loopback only: configure certificates or allow plaintext",
+	Forbidden:   "the role in the certificate does not allow it: issue the certificate for the right role",
 	TooLarge:    "the message is larger than the bound: send it in parts",
 	NoMethod:    "the method is not served there: check the address and the release",
 	Malformed:   "a message could not be decoded: run the same release on all hosts",
@@ -104,7 +109,7 @@
 func (c call) fail(kind Kind, cause error) *Error {
 	notRun := false
 	switch kind {
-	case Unreachable, Untrusted, Insecure, NoMethod:
+	case Unreachable, Untrusted, Insecure, NoMethod, Forbidden:
 		notRun = true
 	}
 	return &Error{
@@ -136,6 +141,8 @@
 	switch drpcerr.Code(err) {
 	case codeUnimplemented:
 		return c.fail(NoMethod, err)
+	case codeForbidden:
+		return c.fail(Forbidden, err)
 	case codeMalformed:
 		e := c.fail(Malformed, err)
 		e.NotRun = true
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -124,7 +124,9 @@
 }
 
 // Unmarshal implements drpc.Encoding.
-func (e encoding) Unmarshal(buf []byte, msg drpc.Message) error { return proto.Unmarshal(buf, msg) }
+func (e encoding) Unmarshal(buf []byte, msg drpc.Message) error {
+	return proto.UnmarshalMessage(buf, msg)
+}
 
 // rawConn counts bytes and bounds each write.
 type rawConn struct {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,7 +24,9 @@
 	cfg     Config
 	ring    *ring
 	methods map[string]method
-	stats   Stats
+	// roles lists the roles that may call a method; others may be called by all.
+	roles map[string][]string
+	stats Stats
 }
 
 type method func(drpc.Stream, encoding) error
@@ -40,9 +43,14 @@
 		cfg:     cfg,
 		ring:    r,
 		methods: make(map[string]method),
+		roles:   make(map[string][]string),
 	}, nil
 }
 
+// Allow restricts a method to callers whose certificate has one of the roles.
+// It is called before Serve and has no effect in plaintext.
+func (s *Server) Allow(name string, roles ...string) { s.roles[name] = roles }
+
 // Stats returns the counters of the server's traffic.
 func (s *Server) Stats() *Stats { return &s.stats }
 
@@ -130,6 +138,11 @@
 	if !ok {
 		return drpcerr.WithCode(errors.Errorf("method %q is not served", rpc), codeUnimplemented)
 	}
+	if roles := h.s.roles[rpc]; h.s.ring != nil && len(roles) > 0 {
+		if role := PeerOf(stream.Context()).Role; !slices.Contains(roles, role) {
+			return drpcerr.WithCode(errors.Errorf("method %q is not for role %q", rpc, role), codeForbidden)
+		}
+	}
 	return fn(stream, encoding{max: h.s.cfg.MaxMessage})
 }
 
--- a/internal/link/tls_test.go
+++ b/internal/link/tls_test.go
@@ -51,12 +51,20 @@
 			peers <- link.PeerOf(ctx)
 			return &proto.PeerAnswer{}, nil
 		})
+		link.Handle(s, proto.MethodVersion, func(context.Context, *proto.VersionQuery) (*proto.VersionAnswer, error) {
+			t.Error("a caller of another role was served")
+			return &proto.VersionAnswer{}, nil
+		})
+		s.Allow(proto.MethodPeer, "control")
+		s.Allow(proto.MethodVersion, "operator", "entry")
 	})
 	mine := issue(t, a, dir, "h1", time.Hour, loopback)
 	is.NoErr(client(t, link.Config{Keys: mine}).Call(t.Context(), addr, proto.MethodPeer, &proto.Peer{}, &proto.PeerAnswer{}))
 	p := <-peers
 	is.Equal(p.Host, "h1")
 	is.Equal(p.Role, "control")
+	err := client(t, link.Config{Keys: mine}).Call(t.Context(), addr, proto.MethodVersion, &proto.VersionQuery{}, &proto.VersionAnswer{})
+	is.Equal(link.KindOf(err), link.Forbidden)
 
 	elsewhere := serve(t, link.Config{Keys: issue(t, a, dir, "far", time.Hour, net.IPv4(192, 0, 2, 1))}, echo)
 	plain := serve(t, link.Config{}, echo)
@@ -77,7 +85,7 @@
 		is.True(errors.As(err, &fault))
 		is.Equal(fault.Kind, row.kind)
 	}
-	err := client(t, link.Config{}).Call(t.Context(), addr, proto.MethodPeer, &proto.Peer{}, &proto.PeerAnswer{})
+	err = client(t, link.Config{}).Call(t.Context(), addr, proto.MethodPeer, &proto.Peer{}, &proto.PeerAnswer{})
 	is.True(err != nil) // plaintext client at a TLS server
 	_, err = link.NewServer(link.Config{Keys: keys.Files{Cert: mine.Cert}})
 	var fault *keys.Error
--- a/internal/proto/codec.go
+++ b/internal/proto/codec.go
@@ -11,9 +11,16 @@
 	"github.com/jujubethread/jujubethread/pkg/ledger"
 )
 
-// maxElements bounds arrays and maps in a message. It allows a snapshot of a
-// ledger group with 200,000 filings.
-const maxElements = 1 << 20
+const (
+	// maxElements bounds arrays and maps in stored data. It allows a snapshot
+	// of a ledger group with 200,000 filings.
+	maxElements = 1 << 20
+
+	// maxMessageElements bounds arrays and maps in a message. One byte can
+	// stand for an empty element of about 150 bytes, so the bound on the size
+	// of a message alone would allow a peer to make this process use 600 MB.
+	maxMessageElements = 1 << 14
+)
 
 // tags lists the concrete types of sealed interfaces with their CBOR tag
 // numbers. A number is never reused, since log entries on disk carry it.
@@ -33,8 +40,11 @@
 }
 
 var (
-	encMode, decMode = modes()
-	tagged           = taggedTypes()
+	tagSet      = newTagSet()
+	encMode     = newEncMode()
+	storedMode  = newDecMode(maxElements)
+	messageMode = newDecMode(maxMessageElements)
+	tagged      = taggedTypes()
 )
 
 // Marshal encodes v as CBOR.
@@ -46,15 +56,20 @@
 // Unmarshal decodes CBOR into v, which is a pointer. Unknown fields, duplicate
 // keys and data after the message are errors. Sealed interfaces get values,
 // not pointers, so that type switches on value types match.
-func Unmarshal(data []byte, v any) error {
-	if err := decMode.Unmarshal(data, v); err != nil {
+func Unmarshal(data []byte, v any) error { return decode(storedMode, data, v) }
+
+// UnmarshalMessage is Unmarshal for data of a peer, with lower bounds.
+func UnmarshalMessage(data []byte, v any) error { return decode(messageMode, data, v) }
+
+func decode(mode cbor.DecMode, data []byte, v any) error {
+	if err := mode.Unmarshal(data, v); err != nil {
 		return errors.Wrapf(err, "message of type %T cannot be decoded: run the same release on all hosts", v)
 	}
 	settle(reflect.ValueOf(v))
 	return nil
 }
 
-func modes() (cbor.EncMode, cbor.DecMode) {
+func newTagSet() cbor.TagSet {
 	set := cbor.NewTagSet()
 	opts := cbor.TagOptions{
 		DecTag: cbor.DecTagRequired,
@@ -65,20 +80,28 @@
 			panic("the table of CBOR tags is not valid: " + err.Error())
 		}
 	}
-	enc, err := cbor.EncOptions{}.EncModeWithTags(set)
+	return set
+}
+
+func newEncMode() cbor.EncMode {
+	mode, err := cbor.EncOptions{}.EncModeWithTags(tagSet)
 	if err != nil {
 		panic("the CBOR encoding options are not valid: " + err.Error())
 	}
-	dec, err := cbor.DecOptions{
+	return mode
+}
+
+func newDecMode(elements int) cbor.DecMode {
+	mode, err := cbor.DecOptions{
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-	}.DecModeWithTags(set)
+		MaxArrayElements:  elements,
+		MaxMapPairs:       elements,
+	}.DecModeWithTags(tagSet)
 	if err != nil {
 		panic("the CBOR decoding options are not valid: " + err.Error())
 	}
-	return enc, dec
+	return mode
 }
 
 func taggedTypes() map[reflect.Type]bool {
--- a/internal/proto/codec_test.go
+++ b/internal/proto/codec_test.go
@@ -1,6 +1,7 @@
 package proto_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -63,3 +64,75 @@
 	is.True(proto.Unmarshal(b, &struct{ Version int }{}) != nil)
 	is.True(proto.Unmarshal([]byte{0xff, 0x00}, &proto.Update{}) != nil)
 }
+
+// Guards against a full copy that loses upstreams between its parts or that is
+// joined from parts of two copies.
+func TestCopyInParts(t *testing.T) {
+	is := is.New(t)
+	s := config.NewState()
+	for i := range 2500 {
+		next, err := s.Apply(config.AddUpstream{Upstream: config.Upstream{
+			ID:        ident.Upstream(fmt.Sprint("u", i)),
+			Address:   "127.0.0.1:1",
+			Index:     "i",
+			Service:   "s",
+			Shards:    []ident.Shard{"s"},
+			Slots:     1,
+			ConnLimit: 1,
+		}})
+		is.NoErr(err)
+		s = next
+	}
+	parts := proto.Parts(s)
+	is.Equal(len(parts), 3)
+	var a proto.Assembler
+	var got *config.State
+	for _, p := range parts {
+		b, err := proto.Marshal(p)
+		is.NoErr(err)
+		var decoded proto.CopyPart
+		is.NoErr(proto.UnmarshalMessage(b, &decoded))
+		got, err = a.Add(&decoded)
+		is.NoErr(err)
+	}
+	is.NoErr(got.Verify())
+	is.Equal(got, s)
+
+	_, err := a.Add(parts[0])
+	is.NoErr(err)
+	other := *parts[1]
+	other.Version.Number++
+	_, err = a.Add(&other)
+	is.True(err != nil)
+	_, err = a.Add(parts[2])
+	is.True(err != nil) // the copy is over after a part that does not fit
+}
+
+// Guards against a short message that makes the decoder allocate without bound.
+func TestLongArrayIsRefused(t *testing.T) {
+	is := is.New(t)
+	in := struct{ Upstreams []*int }{make([]*int, 1<<15)}
+	b, err := proto.Marshal(in)
+	is.NoErr(err)
+	is.True(proto.UnmarshalMessage(b, &proto.CopyPart{}) != nil)
+}
+
+// FuzzUnmarshal guards against data of a peer that makes the decoder panic.
+func FuzzUnmarshal(f *testing.F) {
+	for _, v := range []any{
+		proto.Update{Deltas: []spread.Delta{{Change: config.SetSeats{Seats: 1}}}},
+		proto.Reserve{Request: "r"},
+		struct{ Command ledger.Command }{ledger.Expire{}},
+	} {
+		b, err := proto.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_ = proto.UnmarshalMessage(data, &proto.Update{})
+		_ = proto.UnmarshalMessage(data, &proto.Reserve{})
+		_ = proto.UnmarshalMessage(data, &struct{ Command ledger.Command }{})
+	})
+}
