Connect entry hosts by the agent and add the entry command

Cause: entry hosts followed a control host of the same process and refused filings. Change: the deployment and the entry command run the agent, which keeps the configuration, the seat and the filings over the link. Ruled out on the way: spans lost at shutdown, because the tracer was closed with a context that had ended.

--- a/internal/devel/const.go
+++ b/internal/devel/const.go
@@ -13,5 +13,4 @@
 
 	startTimeout = 20 * time.Second
 	retryPause   = 20 * time.Millisecond
-	pollInterval = 50 * time.Millisecond
 )
--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/jujubethread/jujubethread/internal/agent"
 	"github.com/jujubethread/jujubethread/internal/ctrl"
 	"github.com/jujubethread/jujubethread/internal/host"
 	"github.com/jujubethread/jujubethread/internal/leaf"
@@ -24,6 +25,7 @@
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/spread"
 )
 
 // Config describes a deployment.
@@ -62,6 +64,8 @@
 	Leaves   []*leaf.Leaf
 	Controls []*ctrl.Host
 	Entries  []*host.Host
+	// Agents are the control sides of the entry hosts, in their order.
+	Agents []*agent.Agent
 
 	cfg Config
 	// back runs the upstreams and control hosts, front the entry hosts. The
@@ -254,54 +258,88 @@
 
 func (d *Deployment) startEntries(ctx context.Context) error {
 	for i := range d.cfg.Entries {
-		address := freePort
-		if i == 0 {
-			address = d.cfg.EntryListen
-		}
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return errors.Wrapf(err, "entry host cannot listen on %s: free the address or choose another", address)
-		}
-		id := ident.HostID(fmt.Sprintf("entry-%d", i+1))
-		domain := d.Shape.Domains[i%len(d.Shape.Domains)]
-		link := newLink(d.Controls[0])
-		tracer, err := span.New(span.Config{
-			Host:  id,
-			Ratio: d.cfg.TraceRatio,
-		})
-		if err != nil {
+		if err := d.startEntry(ctx, i); err != nil {
 			return err
 		}
-		meter := stats.New()
-		h, err := host.New(host.Config{
-			ID:       id,
-			Domain:   domain,
-			Listener: listener,
-			Engine: engine.NewEngine(engine.Config{
-				Host:   id,
-				Domain: domain,
-				Seed:   d.cfg.Seed + uint64(i),
-				Policy: d.cfg.Policy,
-			}),
-			Control: link,
-			Grace:   d.cfg.Grace,
-			Stats:   meter,
-			Tracer:  tracer,
-			Log:     d.cfg.Log.With("Host", string(id), "Domain", string(domain)),
-		})
-		if err != nil {
-			return err
-		}
-		d.Entries = append(d.Entries, h)
-		d.front.Go(func() error { return link.run(ctx) })
-		d.front.Go(func() error {
-			err := h.Run(ctx)
-			return firstOf(err, tracer.Close(context.WithoutCancel(ctx)), meter.Close())
-		})
 	}
 	return nil
 }
 
+func (d *Deployment) startEntry(ctx context.Context, i int) error {
+	address := freePort
+	if i == 0 {
+		address = d.cfg.EntryListen
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "entry host cannot listen on %s: free the address or choose another", address)
+	}
+	id := ident.HostID(fmt.Sprintf("entry-%d", i+1))
+	domain := d.Shape.Domains[i%len(d.Shape.Domains)]
+	log := d.cfg.Log.With("Host", string(id), "Domain", string(domain))
+	control, err := agent.New(agent.Config{
+		Host:     id,
+		Domain:   domain,
+		Listen:   freePort,
+		Controls: d.sources(),
+		Log:      log,
+	})
+	if err != nil {
+		return err
+	}
+	tracer, err := span.New(span.Config{
+		Host:  id,
+		Ratio: d.cfg.TraceRatio,
+	})
+	if err != nil {
+		return err
+	}
+	meter := stats.New()
+	h, err := host.New(host.Config{
+		ID:       id,
+		Domain:   domain,
+		Listener: listener,
+		Engine: engine.NewEngine(engine.Config{
+			Host:   id,
+			Domain: domain,
+			Seed:   d.cfg.Seed + uint64(i),
+			Policy: d.cfg.Policy,
+		}),
+		Control: control,
+		Grace:   d.cfg.Grace,
+		Stats:   meter,
+		Tracer:  tracer,
+		Log:     log,
+	})
+	if err != nil {
+		return err
+	}
+	d.Entries = append(d.Entries, h)
+	d.Agents = append(d.Agents, control)
+	d.front.Go(func() error {
+		// The agent ends after the host, so that the last filings are recorded.
+		life, end := context.WithCancel(context.WithoutCancel(ctx))
+		var group errgroup.Group
+		group.Go(func() error { return control.Run(life) })
+		err := h.Run(ctx)
+		end()
+		return firstOf(err, group.Wait(), tracer.Close(context.WithoutCancel(ctx)), meter.Close())
+	})
+	return nil
+}
+
+// sources returns the control hosts as the entry hosts know them.
+func (d *Deployment) sources() []spread.Source {
+	list := make([]spread.Source, 0, len(d.Controls))
+	for i, c := range d.Controls {
+		list = append(list, spread.Source{
+			Domain:  d.Shape.Domains[i%len(d.Shape.Domains)],
+			Address: c.LinkAddr(),
+		})
+	}
+	return list
+}
+
 func firstOf(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/internal/devel/devel_test.go
+++ b/internal/devel/devel_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,6 +83,11 @@
 	for _, e := range d.Entries {
 		until(t, e.Addr().String(), func(a wire.SearchAnswer) bool { return a.Preset == preset.Peak })
 	}
+	first := file(t, d.Entries[0].Addr().String(), "draft-1", "text")
+	is.Equal(first.Outcome, engine.Done)
+	resent := file(t, d.Entries[1].Addr().String(), "draft-1", "text")
+	is.Equal(resent, first) // the recorded outcome, through another entry host
+	is.True(file(t, d.EntryAddress(), "draft-1", "other text").Outcome != engine.Done)
 	http.DefaultClient.CloseIdleConnections()
 	is.NoErr(d.Stop())
 
@@ -89,4 +95,30 @@
 	is.NoErr(err)
 	defer func() { is.NoErr(d.Stop()) }()
 	until(t, d.EntryAddress(), func(a wire.SearchAnswer) bool { return a.Preset == preset.Peak })
+	is.Equal(file(t, d.EntryAddress(), "draft-1", "text"), first) // after a restart of all hosts
+	is.Equal(filed(d), 0)                                         // and the upstreams did not run it again
+}
+
+// filed returns the number of filings that the upstreams ran.
+func filed(d *devel.Deployment) int {
+	n := 0
+	for _, l := range d.Leaves {
+		n += len(l.Filings())
+	}
+	return n
+}
+
+func file(t *testing.T, address, id, body string) wire.FilingAnswer {
+	t.Helper()
+	is := is.New(t)
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+wire.PathFilings,
+		strings.NewReader(`{"Index":"review-panel","Body":"`+body+`"}`))
+	is.NoErr(err)
+	req.Header.Set(wire.HeaderRequestID, id)
+	res, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer res.Body.Close()
+	var a wire.FilingAnswer
+	is.NoErr(json.NewDecoder(res.Body).Decode(&a))
+	return a
 }
--- /dev/null
+++ b/internal/launch/entry.go
@@ -0,0 +1,128 @@
+package launch
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jujubethread/jujubethread/internal/agent"
+	"github.com/jujubethread/jujubethread/internal/audit"
+	"github.com/jujubethread/jujubethread/internal/host"
+	"github.com/jujubethread/jujubethread/internal/logs"
+	"github.com/jujubethread/jujubethread/internal/span"
+	"github.com/jujubethread/jujubethread/internal/stats"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/spread"
+)
+
+// entry serves callers until it is interrupted; then it drains.
+func (j *job) entry(ctx context.Context) error {
+	o := j.opt
+	log, err := logs.New(j.err, logs.Config{
+		Host:   o.Host,
+		Domain: o.Domain,
+		Level:  o.LogLevel,
+	})
+	if err != nil {
+		return err
+	}
+	control, err := agent.New(agent.Config{
+		Host:      o.Host,
+		Domain:    o.Domain,
+		Listen:    o.LinkListen,
+		Advertise: o.Advertise,
+		Controls:  sources(o.Controls),
+		Peers:     sources(o.Peers),
+		Link:      j.linkConfig(),
+		Log:       log,
+	})
+	if err != nil {
+		return err
+	}
+	reducer, endRecord, err := j.reducer(func(err error) { log.Warn("recording stopped", "error", err) })
+	if err != nil {
+		return err
+	}
+	tracer, err := span.New(span.Config{
+		Host:  o.Host,
+		Ratio: o.TraceRatio,
+		File:  o.TraceFile,
+	})
+	if err != nil {
+		return err
+	}
+	meter := stats.New()
+	listener, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "callers' address %s cannot be opened: free it or choose another with -listen", o.Listen)
+	}
+	h, err := host.New(host.Config{
+		ID:       o.Host,
+		Domain:   o.Domain,
+		Listener: listener,
+		Engine:   reducer,
+		Control:  control,
+		Grace:    o.Grace,
+		Stats:    meter,
+		Tracer:   tracer,
+		Log:      log,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(j.out, "entry host %s: callers at %s, other hosts at %s\n", o.Host, h.Addr(), control.Address())
+	err = serveEntry(ctx, h, control)
+	for _, end := range []func() error{endRecord, func() error { return tracer.Close(context.WithoutCancel(ctx)) }, meter.Close} {
+		if endErr := end(); err == nil {
+			err = endErr
+		}
+	}
+	return err
+}
+
+// serveEntry runs the agent until after the host has drained, so that the
+// outcomes of the last filings are recorded. A failed agent drains the host.
+func serveEntry(ctx context.Context, h *host.Host, control *agent.Agent) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	serving, drain := context.WithCancel(ctx)
+	var group errgroup.Group
+	group.Go(func() error {
+		defer drain()
+		return control.Run(life)
+	})
+	group.Go(func() error {
+		defer end()
+		return h.Run(serving)
+	})
+	return group.Wait()
+}
+
+// reducer returns the query engine, recorded if the settings say so.
+func (j *job) reducer(failed func(error)) (host.Reducer, func() error, error) {
+	cfg := engine.Config{
+		Host:   j.opt.Host,
+		Domain: j.opt.Domain,
+		Seed:   j.opt.Seed,
+	}
+	if j.opt.RecordFile == "" {
+		return engine.NewEngine(cfg), func() error { return nil }, nil
+	}
+	r, err := audit.RecordEngine(j.opt.RecordFile, cfg, failed)
+	if err != nil {
+		return nil, nil, err
+	}
+	return r, r.Close, nil
+}
+
+// sources turns addresses into sources. Their domains are learned from the
+// control group.
+func sources(addresses []string) []spread.Source {
+	list := make([]spread.Source, 0, len(addresses))
+	for _, a := range addresses {
+		list = append(list, spread.Source{Address: a})
+	}
+	return list
+}
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -64,6 +64,8 @@
 		return j.dev(ctx)
 	case option.Demo:
 		return j.demo(ctx)
+	case option.Entry:
+		return j.entry(ctx)
 	case option.Control:
 		return j.control(ctx)
 	case option.Leaf:
@@ -91,7 +93,7 @@
 	case option.Filing:
 		return j.filing(ctx)
 	default:
-		return &usageError{text: "command " + string(j.opt.Command) + " is not part of this build"}
+		return &usageError{text: "command " + string(j.opt.Command) + " does not exist: run jujubethread -h for the list"}
 	}
 }
 
