Move the placement of shards out of the engine into pkg/place

Change: pkg/place keeps which upstreams hold which shards at which versions and computes the pin. The engine keeps its own state per upstream and index in the Own fields. No change of behaviour.

--- a/pkg/engine/admit.go
+++ b/pkg/engine/admit.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/limit"
+	"github.com/jujubethread/jujubethread/pkg/place"
 	"github.com/jujubethread/jujubethread/pkg/preset"
 	"github.com/jujubethread/jujubethread/pkg/route"
 )
@@ -39,8 +40,8 @@
 const unserved = "no upstream that holds a shard of the index can be reached: check the upstreams"
 
 func (e *Engine) pumpAll(now ident.Instant) {
-	for i := range e.state.Upstreams {
-		e.pump(now, e.indexes[e.state.Upstreams[i].Index])
+	for _, ix := range e.indexes {
+		e.pump(now, ix)
 	}
 }
 
@@ -89,23 +90,23 @@
 // admission tells whether one attempt for every shard of ix can be sent now.
 // Shards that no upstream can serve do not hold a query back.
 func (e *Engine) admission(now ident.Instant, ix *index) admission {
-	p := e.pinned(ix)
-	if p.waiting {
+	p := e.places.Pinned(ix.Index)
+	if p.Waiting {
 		return admitLater
 	}
-	if p.version == 0 {
+	if p.Version == 0 {
 		return admitNever
 	}
 	if e.cfg.Policy != PolicyTolerant {
 		return admitNow
 	}
-	if ix.blocked != nil && e.room(now, ix.blocked, p.version) == route.RoomFull {
+	if ix.blocked != nil && e.room(now, ix.blocked, p.Version) == route.RoomFull {
 		return admitLater
 	}
 	ix.blocked = nil
 	free := false
-	for _, s := range ix.shards {
-		switch e.room(now, s, p.version) {
+	for _, s := range ix.Shards {
+		switch e.room(now, s, p.Version) {
 		case route.RoomFull:
 			ix.blocked = s
 			return admitLater
@@ -119,8 +120,8 @@
 	return admitNow
 }
 
-func (e *Engine) room(now ident.Instant, s *shard, v ident.IndexVersion) route.Room {
-	if len(s.waiting) > 0 {
+func (e *Engine) room(now ident.Instant, s *place.Shard, v ident.IndexVersion) route.Room {
+	if len(e.lists[s]) > 0 {
 		return route.RoomFull
 	}
 	e.gather(now, s, v, nil)
@@ -130,9 +131,9 @@
 // freed gives the room of a request to u that ended to tasks that wait for
 // it, and what is left to the queue.
 func (e *Engine) freed(now ident.Instant, u *upstream) {
-	for _, r := range u.replicas {
-		if len(r.shard.waiting) > 0 {
-			e.serve(now, r.shard)
+	if len(e.lists) > 0 {
+		for _, r := range u.Replicas {
+			e.serve(now, r.Shard)
 		}
 	}
 	ix := u.index
@@ -140,8 +141,8 @@
 		return
 	}
 	if ix.blocked != nil {
-		for _, r := range u.replicas {
-			if r.shard == ix.blocked {
+		for _, r := range u.Replicas {
+			if r.Shard == ix.blocked {
 				e.pump(now, ix)
 				return
 			}
--- a/pkg/engine/attempt.go
+++ b/pkg/engine/attempt.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/place"
 	"github.com/jujubethread/jujubethread/pkg/route"
 )
 
@@ -14,17 +15,17 @@
 		q.began = now
 	}
 	q.plans++
-	q.version = e.pinned(q.index).version
+	q.version = e.places.Pinned(q.index.Index).Version
 	for i := range q.tasks {
 		e.cancel(now, &q.tasks[i])
 		e.unlist(q, i)
 	}
-	q.tasks = make([]task, len(q.index.shards))
+	q.tasks = make([]task, len(q.index.Shards))
 	q.open = len(q.tasks)
 	if e.out == nil {
 		e.out = make([]Effect, 0, len(q.tasks)+2)
 	}
-	for i, s := range q.index.shards {
+	for i, s := range q.index.Shards {
 		t := &q.tasks[i]
 		t.shard = s
 		t.tried = t.tried0[:0]
@@ -42,7 +43,7 @@
 	t := &q.tasks[i]
 	r, room := e.choose(now, q, t, why != First || q.plans > 1)
 	switch {
-	case r != nil && !q.worthwhile(now, r.up):
+	case r != nil && !q.worthwhile(now, up(r.Up)):
 		e.miss(q, i, MissingTimedOut)
 	case r != nil:
 		e.send(now, q, i, r, why)
@@ -54,16 +55,16 @@
 }
 
 // gather fills e.cands and e.holders with the upstreams that may serve s at v.
-func (e *Engine) gather(now ident.Instant, s *shard, v ident.IndexVersion, tried []*upstream) {
+func (e *Engine) gather(now ident.Instant, s *place.Shard, v ident.IndexVersion, tried []*upstream) {
 	e.cands, e.holders = e.cands[:0], e.holders[:0]
-	for _, r := range s.replicas {
-		u := r.up
-		if !e.eligible(u) || !r.holds(v) || (u.unreachable && now < u.trial) {
+	for _, r := range s.Replicas {
+		u := up(r.Up)
+		if !e.places.Eligible(r.Up) || !r.Holds(v) || (u.Unreachable() && now < u.trial) {
 			continue
 		}
 		e.cands = append(e.cands, route.Candidate{
 			Peer:  &u.peer,
-			Own:   u.conf.Domain == e.cfg.Domain,
+			Own:   u.Conf.Domain == e.cfg.Domain,
 			Limit: u.limit.Limit(),
 			Tried: slices.Contains(tried, u),
 		})
@@ -74,14 +75,14 @@
 // choose returns the replica for the next attempt, or nil and why there is
 // none. A retry may use the whole connection share, since the query holds
 // what other shards answered.
-func (e *Engine) choose(now ident.Instant, q *query, t *task, whole bool) (*replica, route.Room) {
+func (e *Engine) choose(now ident.Instant, q *query, t *task, whole bool) (*place.Replica, route.Room) {
 	e.gather(now, t.shard, q.version, t.tried)
 	if e.cfg.Policy != PolicyTolerant {
 		return e.chance(), route.RoomNone
 	}
 	if whole {
 		for i := range e.cands {
-			e.cands[i].Limit = e.holders[i].up.limit.Ceiling()
+			e.cands[i].Limit = up(e.holders[i].Up).limit.Ceiling()
 		}
 	}
 	if i := e.picker.Pick(now, e.cands); i >= 0 {
@@ -93,7 +94,7 @@
 
 // chance returns a random holder that was not tried, or any if all were. The
 // baselines use it: they learn nothing about upstreams.
-func (e *Engine) chance() *replica {
+func (e *Engine) chance() *place.Replica {
 	untried := 0
 	for i := range e.cands {
 		if !e.cands[i].Tried {
@@ -124,9 +125,9 @@
 	return q.remaining(now) > u.service.delay.After()/2
 }
 
-func (e *Engine) send(now ident.Instant, q *query, i int, r *replica, why Reason) {
+func (e *Engine) send(now ident.Instant, q *query, i int, r *place.Replica, why Reason) {
 	t := &q.tasks[i]
-	u := r.up
+	u := up(r.Up)
 	a := e.newAttempt()
 	*a = attempt{
 		id:      a.id,
@@ -157,7 +158,7 @@
 			t.check = t.late
 		}
 	}
-	if u.unreachable {
+	if u.Unreachable() {
 		u.trial = now.Add(trialEvery)
 	}
 	u.peer.Sent(now)
@@ -165,10 +166,10 @@
 		Attempt:   a.id,
 		Query:     q.ask.Query,
 		Request:   q.ask.Request,
-		Upstream:  u.conf.ID,
-		Address:   u.conf.Address,
+		Upstream:  u.Conf.ID,
+		Address:   u.Conf.Address,
 		Index:     q.ask.Index,
-		Shard:     t.shard.name,
+		Shard:     t.shard.Name,
 		Version:   q.version,
 		Terms:     q.ask.Terms,
 		Limit:     q.ask.Limit,
--- a/pkg/engine/const.go
+++ b/pkg/engine/const.go
@@ -47,7 +47,4 @@
 	// lateFactor is the number of hedge delays after which an attempt that the
 	// deadline cuts off counts as a failure of its upstream.
 	lateFactor = 2
-
-	// maxHeld bounds the versions remembered per upstream and shard.
-	maxHeld = 16
 )
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -11,6 +11,7 @@
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/limit"
+	"github.com/jujubethread/jujubethread/pkg/place"
 	"github.com/jujubethread/jujubethread/pkg/preset"
 	"github.com/jujubethread/jujubethread/pkg/route"
 )
@@ -47,11 +48,12 @@
 	seat     Seat
 	draining bool
 
-	upstreams map[ident.Upstream]*upstream
-	shards    map[shardKey]*shard
-	indexes   map[ident.Index]*index
-	services  map[serviceKey]*service
-	emptied   []*shard
+	places   *place.Map
+	indexes  []*index
+	services map[serviceKey]*service
+	// lists holds the tasks that wait for room at a shard, the most important
+	// class first. They go before queries that were not admitted yet.
+	lists map[*place.Shard][]waiter
 
 	queries  map[ident.QueryID]*query
 	attempts map[ident.AttemptID]*attempt
@@ -60,7 +62,7 @@
 
 	// cands and holders are scratch space of the choice of upstream.
 	cands   []route.Candidate
-	holders []*replica
+	holders []*place.Replica
 	spare   []*attempt
 	timers  timers
 	wakeAt  ident.Instant // earliest Wake that has not come yet; 0 is none
@@ -70,18 +72,17 @@
 // NewEngine returns an engine without configuration and without a seat.
 func NewEngine(cfg Config) *Engine {
 	return &Engine{
-		cfg:       cfg,
-		rng:       rand.New(rand.NewPCG(cfg.Seed, 0)),
-		picker:    route.NewPicker(cfg.Seed),
-		state:     config.NewState(),
-		preset:    &preset.Preset{},
-		seat:      SeatNone,
-		upstreams: map[ident.Upstream]*upstream{},
-		shards:    map[shardKey]*shard{},
-		indexes:   map[ident.Index]*index{},
-		services:  map[serviceKey]*service{},
-		queries:   map[ident.QueryID]*query{},
-		attempts:  map[ident.AttemptID]*attempt{},
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
+		picker:   route.NewPicker(cfg.Seed),
+		state:    config.NewState(),
+		preset:   &preset.Preset{},
+		seat:     SeatNone,
+		places:   place.NewMap(cfg.Domain),
+		services: map[serviceKey]*service{},
+		lists:    map[*place.Shard][]waiter{},
+		queries:  map[ident.QueryID]*query{},
+		attempts: map[ident.AttemptID]*attempt{},
 	}
 }
 
@@ -140,8 +141,8 @@
 	for _, n := range e.waiting {
 		r.Waiting += n
 	}
-	for _, s := range e.shards {
-		r.Waiting += len(s.waiting)
+	for _, list := range e.lists {
+		r.Waiting += len(list)
 	}
 	return r
 }
--- a/pkg/engine/query.go
+++ b/pkg/engine/query.go
@@ -5,6 +5,7 @@
 
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/limit"
+	"github.com/jujubethread/jujubethread/pkg/place"
 	"github.com/jujubethread/jujubethread/pkg/preset"
 )
 
@@ -27,7 +28,7 @@
 
 // task is one shard of a query.
 type task struct {
-	shard   *shard
+	shard   *place.Shard
 	state   taskState
 	reason  MissingReason // while missing
 	docs    []Document
@@ -61,7 +62,7 @@
 	id      ident.AttemptID
 	query   *query // nil once cancelled
 	task    int
-	replica *replica
+	replica *place.Replica
 	up      *upstream
 	reason  Reason
 	sentAt  ident.Instant
@@ -75,7 +76,9 @@
 		ask:    ev,
 		preset: e.preset,
 		limits: e.preset.Limits(ev.Class),
-		index:  e.indexes[ev.Index],
+	}
+	if p := e.places.Index(ev.Index); p != nil {
+		q.index = e.indexOf(p)
 	}
 	q.timer.query = q
 	budget := q.limits.DeadlineMillis.Duration()
@@ -89,7 +92,7 @@
 		e.refuse(q, "this host is shutting down: send the request to another entry host")
 	case e.seat == SeatNone:
 		e.refuse(q, "this host has no connection seat: send the request to another entry host")
-	case q.index == nil || len(q.index.shards) == 0:
+	case q.index == nil || len(q.index.Shards) == 0:
 		e.refuse(q, "index "+string(ev.Index)+" has no shard in the configuration: name one that exists")
 	case q.deadline <= now:
 		e.refuse(q, "the deadline has passed: give the request more time")
--- a/pkg/engine/reply.go
+++ b/pkg/engine/reply.go
@@ -51,7 +51,7 @@
 			}
 		}
 		rep.Coverage.Missing = append(rep.Coverage.Missing, Missing{
-			Shard:  t.shard.name,
+			Shard:  t.shard.Name,
 			Reason: t.reason,
 		})
 	}
--- a/pkg/engine/result.go
+++ b/pkg/engine/result.go
@@ -11,7 +11,7 @@
 	}
 	q, t := a.query, &a.query.tasks[a.task]
 	ans := &ev.Answer
-	if ans.Request != q.ask.Request || ans.Attempt != a.id || ans.Shard != t.shard.name || ans.Version != q.version {
+	if ans.Request != q.ask.Request || ans.Attempt != a.id || ans.Shard != t.shard.Name || ans.Version != q.version {
 		e.lost(now, &a, Malformed)
 		return
 	}
@@ -44,12 +44,11 @@
 	}
 	switch ev.Kind {
 	case Draining:
-		u.draining = true
-		u.index.pin.dirty = true
+		u.SetDraining(true)
 	case VersionGone:
-		a.replica.forget(a.query.version)
+		a.replica.Forget(a.query.version)
 	case WrongShard:
-		a.replica.learn(nil)
+		a.replica.Learn(nil)
 	}
 	e.lost(now, &a, ev.Kind)
 }
@@ -146,7 +145,7 @@
 
 // replan starts q again at a newer version if there is one and time is left.
 func (e *Engine) replan(now ident.Instant, q *query) bool {
-	if q.plans >= maxPlans || e.pinned(q.index).version <= q.version || q.remaining(now) < q.index.run {
+	if q.plans >= maxPlans || e.places.Pinned(q.index.Index).Version <= q.version || q.remaining(now) < q.index.run {
 		return false
 	}
 	e.plan(now, q)
@@ -170,11 +169,11 @@
 // whyMissing says why no upstream can serve the shard of t.
 func (e *Engine) whyMissing(q *query, t *task, last FailKind) MissingReason {
 	cutOff, gone := false, false
-	for _, r := range t.shard.replicas {
+	for _, r := range t.shard.Replicas {
 		switch {
-		case !e.reachable(r.up):
+		case !e.places.Reachable(r.Up):
 			cutOff = true
-		case e.eligible(r.up) && len(r.versions) > 0 && !r.holds(q.version):
+		case e.places.Eligible(r.Up) && r.Elsewhere(q.version):
 			gone = true
 		}
 	}
--- a/pkg/engine/upstream.go
+++ b/pkg/engine/upstream.go
@@ -1,78 +1,68 @@
 package engine
 
 import (
-	"slices"
 	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/limit"
+	"github.com/jujubethread/jujubethread/pkg/place"
 	"github.com/jujubethread/jujubethread/pkg/route"
 )
 
-// upstream is what the host knows about one upstream.
+// upstream is what the host keeps per upstream.
 type upstream struct {
-	conf     config.Upstream
-	index    *index // under which the shards are placed
-	service  *service
-	replicas []*replica
-	peer     route.Peer
-	limit    *limit.Adaptive
-	timer    timer // next probe
+	*place.Upstream
+	index   *index
+	service *service
+	peer    route.Peer
+	limit   *limit.Adaptive
+	timer   timer // next probe
 	// heard is when the upstream last said which versions it holds.
 	heard ident.Instant
 	// probing is set while a probe is out.
 	probing  bool
-	draining bool
-	// unreachable is set after a failed probe until the upstream is heard again.
-	unreachable bool
-	trial       ident.Instant // no attempt before this time while unreachable
-	reported    bool
-	warmed      int
+	reported bool
+	trial    ident.Instant // no attempt before this time while unreachable
+	warmed   int
 }
 
-func (e *Engine) newUpstream(conf config.Upstream) *upstream {
-	u := &upstream{conf: conf}
+func up(p *place.Upstream) *upstream { return p.Own.(*upstream) }
+
+func (e *Engine) newUpstream(p *place.Upstream) *upstream {
+	u := &upstream{Upstream: p}
+	p.Own = u
 	u.timer.up = u
 	u.limit = limit.NewAdaptive(e.connections(u))
 	e.describe(u)
 	return u
 }
 
+// upstream returns the upstream with the given id, or nil.
+func (e *Engine) upstream(id ident.Upstream) *upstream {
+	if p := e.places.Upstream(id); p != nil {
+		return up(p)
+	}
+	return nil
+}
+
 // describe takes over what follows from the configuration of u.
 func (e *Engine) describe(u *upstream) {
-	u.index = e.indexes[u.conf.Index]
-	if u.index == nil {
-		u.index = e.newIndex(u.conf.Index)
-	}
-	key := serviceKey{u.conf.Index, u.conf.Service}
-	u.service = e.services[key]
-	if u.service == nil {
-		u.service = e.newService(key)
-	}
+	u.index = e.indexOf(u.Index)
+	u.service = e.serviceOf(u.Upstream)
 	u.limit.SetCeiling(e.connections(u))
 }
 
 // connections returns the host's share of the connections of u. It is at
 // least 1, so an upstream with fewer connections than seats can be exceeded.
 func (e *Engine) connections(u *upstream) int {
-	return max(1, u.conf.ConnLimit/max(1, e.state.Seats))
-}
-
-// reachable reports whether the seat allows connections to u.
-func (e *Engine) reachable(u *upstream) bool {
-	return e.seat == SeatHeld || (e.seat == SeatExpired && u.conf.Domain == e.cfg.Domain)
-}
-
-// eligible reports whether u may get new work.
-func (e *Engine) eligible(u *upstream) bool {
-	return u.conf.Phase == config.Active && !u.draining && e.reachable(u)
+	return max(1, u.Conf.ConnLimit/max(1, e.state.Seats))
 }
 
 // warm tells the runtime how many connections to u to keep, if that changed.
 func (e *Engine) warm(u *upstream) {
 	want := 0
-	if e.upstreams[u.conf.ID] == u && u.conf.Phase == config.Active && e.reachable(u) {
+	if e.places.Current(u.Upstream) && u.Conf.Phase == config.Active && e.places.Reachable(u.Upstream) {
 		want = e.connections(u)
 	}
 	if want == u.warmed {
@@ -80,19 +70,18 @@
 	}
 	u.warmed = want
 	e.emit(Warm{
-		Upstream:    u.conf.ID,
-		Address:     u.conf.Address,
+		Upstream:    u.Conf.ID,
+		Address:     u.Conf.Address,
 		Connections: want,
 	})
 }
 
 // share gives out the connection shares anew.
 func (e *Engine) share() {
-	for i := range e.state.Upstreams {
-		u := e.upstreams[e.state.Upstreams[i].ID]
+	for _, p := range e.places.Upstreams() {
+		u := up(p)
 		u.limit.SetCeiling(e.connections(u))
 		e.warm(u)
-		u.index.pin.dirty = true
 	}
 }
 
@@ -101,8 +90,16 @@
 		return
 	}
 	e.seat = seat
-	for i := range e.state.Upstreams {
-		if u := e.upstreams[e.state.Upstreams[i].ID]; e.reachable(u) && !u.probing {
+	switch seat {
+	case SeatHeld:
+		e.places.SetReach(place.ReachAll)
+	case SeatExpired:
+		e.places.SetReach(place.ReachOwn)
+	default:
+		e.places.SetReach(place.ReachNone)
+	}
+	for _, p := range e.places.Upstreams() {
+		if u := up(p); e.places.Reachable(p) && !u.probing {
 			e.arm(&u.timer, now)
 		}
 	}
@@ -115,7 +112,7 @@
 	if u.probing {
 		e.silent(now, u)
 	}
-	if !e.reachable(u) || u.conf.Phase != config.Active {
+	if !e.places.Reachable(u.Upstream) || u.Conf.Phase != config.Active {
 		u.probing = false
 		return // armed again when the seat changes
 	}
@@ -125,8 +122,8 @@
 	}
 	u.probing = true
 	e.emit(Probe{
-		Upstream: u.conf.ID,
-		Address:  u.conf.Address,
+		Upstream: u.Conf.ID,
+		Address:  u.Conf.Address,
 	})
 	e.arm(&u.timer, now.Add(probeLost))
 }
@@ -135,13 +132,13 @@
 // tenth of the interval so that probes of many upstreams do not coincide.
 func (e *Engine) probed(now ident.Instant, u *upstream) {
 	u.probing = false
-	if e.reachable(u) {
+	if e.places.Reachable(u.Upstream) {
 		e.arm(&u.timer, now.Add(probeAfter-time.Duration(e.rng.Int64N(int64(probeAfter/10)))))
 	}
 }
 
 func (e *Engine) probeFailed(now ident.Instant, id ident.Upstream) {
-	u := e.upstreams[id]
+	u := e.upstream(id)
 	if u == nil {
 		return
 	}
@@ -152,9 +149,8 @@
 
 // silent notes that u did not answer a probe.
 func (e *Engine) silent(now ident.Instant, u *upstream) {
-	u.unreachable = e.cfg.Policy == PolicyTolerant || !u.reported
+	u.SetUnreachable(e.cfg.Policy == PolicyTolerant || !u.reported)
 	u.peer.Unreachable(now)
-	u.index.pin.dirty = true
 }
 
 // hear notes that u answered, and whether it said what it holds.
@@ -162,14 +158,11 @@
 	if held {
 		u.heard = now
 	}
-	if u.unreachable {
-		u.unreachable = false
-		u.index.pin.dirty = true
-	}
+	u.SetUnreachable(false)
 }
 
 func (e *Engine) reported(now ident.Instant, ev UpstreamReported) {
-	u := e.upstreams[ev.Upstream]
+	u := e.upstream(ev.Upstream)
 	if u == nil {
 		return
 	}
@@ -180,19 +173,16 @@
 	}
 	u.reported = true
 	u.peer.Reported(now, ev.Load.Running+ev.Load.Waiting)
-	if draining := ev.Health == HealthDraining; draining != u.draining {
-		u.draining = draining
-		u.index.pin.dirty = true
-	}
-	for _, r := range u.replicas {
+	u.SetDraining(ev.Health == HealthDraining)
+	for _, r := range u.Replicas {
 		var vs []ident.IndexVersion
 		for i := range ev.Held {
-			if ev.Held[i].Shard == r.shard.name {
+			if ev.Held[i].Shard == r.Shard.Name {
 				vs = ev.Held[i].Versions
 				break
 			}
 		}
-		r.learn(vs)
+		r.Learn(vs)
 	}
 	e.probed(now, u)
 	e.pump(now, u.index)
@@ -201,34 +191,6 @@
 // learn takes over what u says it holds of the shards that are named.
 func (u *upstream) learn(held []Held) {
 	for i := range held {
-		for _, r := range u.replicas {
-			if r.shard.name == held[i].Shard {
-				r.learn(held[i].Versions)
-			}
-		}
+		u.Learn(held[i].Shard, held[i].Versions)
 	}
 }
-
-// learn replaces the known versions by the newest of vs.
-func (r *replica) learn(vs []ident.IndexVersion) {
-	if r.known && slices.Equal(r.versions, vs) {
-		return
-	}
-	r.known = true
-	r.versions = append(r.versions[:0], vs...)
-	slices.Sort(r.versions)
-	r.versions = slices.Compact(r.versions)
-	if n := len(r.versions) - maxHeld; n > 0 {
-		r.versions = slices.Clone(r.versions[n:])
-	}
-	if len(r.versions) > 0 && r.versions[0] == 0 {
-		r.versions = r.versions[1:] // zero means unknown
-	}
-	r.shard.index.pin.dirty = true
-}
-
-// forget notes that the upstream does not hold version v.
-func (r *replica) forget(v ident.IndexVersion) {
-	r.versions = slices.DeleteFunc(r.versions, func(o ident.IndexVersion) bool { return o == v })
-	r.shard.index.pin.dirty = true
-}
--- a/pkg/engine/wait.go
+++ b/pkg/engine/wait.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/place"
 )
 
 // waiter is a task that waits for room at the upstreams of its shard.
@@ -21,12 +22,12 @@
 		return
 	}
 	t.listed = true
-	s := t.shard
-	at := len(s.waiting)
-	for at > 0 && s.waiting[at-1].query.limits.ShedOrder > q.limits.ShedOrder {
+	list := e.lists[t.shard]
+	at := len(list)
+	for at > 0 && list[at-1].query.limits.ShedOrder > q.limits.ShedOrder {
 		at--
 	}
-	s.waiting = slices.Insert(s.waiting, at, waiter{
+	e.lists[t.shard] = slices.Insert(list, at, waiter{
 		query: q,
 		task:  i,
 	})
@@ -38,17 +39,22 @@
 		return
 	}
 	t.listed = false
-	t.shard.waiting = slices.DeleteFunc(t.shard.waiting, func(w waiter) bool { return w.query == q && w.task == i })
+	list := slices.DeleteFunc(e.lists[t.shard], func(w waiter) bool { return w.query == q && w.task == i })
+	if len(list) == 0 {
+		delete(e.lists, t.shard)
+		return
+	}
+	e.lists[t.shard] = list
 }
 
 // serve resumes the tasks that wait for room at s, as long as there is room.
-func (e *Engine) serve(now ident.Instant, s *shard) {
-	for len(s.waiting) > 0 {
-		w := s.waiting[0]
+func (e *Engine) serve(now ident.Instant, s *place.Shard) {
+	for len(e.lists[s]) > 0 {
+		w := e.lists[s][0]
 		e.resume(now, w.query, w.task)
 		e.settle(now, w.query)
 		e.schedule(w.query)
-		if len(s.waiting) > 0 && s.waiting[0] == w {
+		if list := e.lists[s]; len(list) > 0 && list[0] == w {
 			return
 		}
 	}
--- a/pkg/engine/version.go
+++ b/pkg/place/pin.go
@@ -1,39 +1,42 @@
-package engine
+package place
 
 import "github.com/jujubethread/jujubethread/pkg/ident"
 
-// pin caches the version that new queries of an index are pinned to.
-type pin struct {
-	dirty   bool
-	version ident.IndexVersion // 0 if no shard can be served
-	shards  int                // shards that can serve version
-	// waiting is set while a shard has no known version but an upstream that
+// Pin is the version that new queries of an index are pinned to.
+type Pin struct {
+	// Version is 0 if no shard can be served.
+	Version ident.IndexVersion
+	// Shards is the number of shards that can serve Version.
+	Shards int
+	// Waiting is set while a shard has no known version but an upstream that
 	// has not reported yet.
-	waiting bool
+	Waiting bool
 }
 
-// pinned returns the version to pin a query of ix to: the one that most
-// shards can serve, and the newest of these.
-func (e *Engine) pinned(ix *index) pin {
-	if !ix.pin.dirty {
+type versionCount struct {
+	version ident.IndexVersion
+	shards  int
+}
+
+// Pinned returns the version that most shards of ix can serve, and the newest
+// of these.
+func (m *Map) Pinned(ix *Index) Pin {
+	if !ix.dirty {
 		return ix.pin
 	}
 	var space [8]versionCount
 	counts := space[:0]
 	waiting := false
-	for _, s := range ix.shards {
+	for _, s := range ix.Shards {
 		known, unknown := false, false
-		for i, r := range s.replicas {
-			if !e.eligible(r.up) {
-				continue
-			}
-			if r.up.unreachable {
+		for i, r := range s.Replicas {
+			if !m.serves(r.Up) {
 				continue
 			}
 			unknown = unknown || !r.known
 			for _, v := range r.versions {
 				known = true
-				if !e.servedBefore(s.replicas[:i], v) {
+				if !m.servedBefore(s.Replicas[:i], v) {
 					counts = count(counts, v)
 				}
 			}
@@ -46,17 +49,24 @@
 			best = c
 		}
 	}
-	ix.pin = pin{
-		version: best.version,
-		shards:  best.shards,
-		waiting: waiting,
+	ix.dirty = false
+	ix.pin = Pin{
+		Version: best.version,
+		Shards:  best.shards,
+		Waiting: waiting,
 	}
 	return ix.pin
 }
 
-type versionCount struct {
-	version ident.IndexVersion
-	shards  int
+func (m *Map) serves(u *Upstream) bool { return m.Eligible(u) && !u.unreachable }
+
+func (m *Map) servedBefore(earlier []*Replica, v ident.IndexVersion) bool {
+	for _, r := range earlier {
+		if m.serves(r.Up) && r.Holds(v) {
+			return true
+		}
+	}
+	return false
 }
 
 func count(counts []versionCount, v ident.IndexVersion) []versionCount {
@@ -71,12 +81,3 @@
 		shards:  1,
 	})
 }
-
-func (e *Engine) servedBefore(earlier []*replica, v ident.IndexVersion) bool {
-	for _, r := range earlier {
-		if e.eligible(r.up) && !r.up.unreachable && r.holds(v) {
-			return true
-		}
-	}
-	return false
-}
