--- a/internal/ctrl/disk.go
+++ b/internal/ctrl/disk.go
@@ -5,15 +5,28 @@
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
-// job is one disk write. Exactly one of entries-and-hard, install and freeze is used.
+// job is one disk write: hard state and entries, or one of install and use.
 type job struct {
 	seq     quorum.Seq
 	hard    quorum.HardState
 	entries []quorum.Entry
 	install *quorum.Snapshot
-	// freeze encodes a snapshot of applied state at meta.
-	freeze func() ([]byte, error)
-	meta   quorum.Meta
+	use     *frozen
+}
+
+// frozen is a snapshot of applied state that is written but not in use yet.
+type frozen struct {
+	snapshot quorum.Snapshot
+	prepared store.Prepared
+	err      error
+}
+
+func freeze(s *store.Store, encode func() ([]byte, error), meta quorum.Meta) (f frozen) {
+	f.snapshot.Meta = meta
+	if f.snapshot.Data, f.err = encode(); f.err == nil {
+		f.prepared, f.err = s.Prepare(f.snapshot)
+	}
+	return f
 }
 
 // diskResult reports a list of jobs as done, or the fault that stopped them.
@@ -45,11 +58,11 @@
 		switch {
 		case j.install != nil:
 			res.err = s.Install(j.hard, *j.install)
-		case j.freeze != nil:
-			res.snapshot, res.err = saveSnapshot(s, j)
+		case j.use != nil:
+			res.snapshot, res.err = &j.use.snapshot, s.Use(j.use.prepared)
 		default:
 			entries := j.entries
-			for i+1 < len(jobs) && jobs[i+1].install == nil && jobs[i+1].freeze == nil {
+			for i+1 < len(jobs) && jobs[i+1].install == nil && jobs[i+1].use == nil {
 				i++
 				j = jobs[i]
 				entries = append(entries[:len(entries):len(entries)], j.entries...)
@@ -63,15 +76,3 @@
 	}
 	return res
 }
-
-func saveSnapshot(s *store.Store, j job) (*quorum.Snapshot, error) {
-	data, err := j.freeze()
-	if err != nil {
-		return nil, err
-	}
-	snap := &quorum.Snapshot{
-		Meta: j.meta,
-		Data: data,
-	}
-	return snap, s.Snapshot(*snap)
-}
--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -87,14 +87,29 @@
 // compact asks for a snapshot when the log has outgrown the last one.
 func (o *owner) compact() {
 	limit := max(o.host.cfg.SnapshotBytes, o.snapSize)
-	if o.freezing || o.fault != nil || o.logBytes < limit || o.node.Applied() <= o.node.SnapshotIndex() {
+	if o.freezing || o.fault != nil || o.logBytes < limit || o.node.Applied() <= o.node.SnapshotIndex() || o.host.now() < o.freezeAt {
 		return
 	}
 	o.freezing = true
-	o.jobs = append(o.jobs, job{
-		freeze: o.parts.Freeze(),
-		meta:   o.node.Meta(),
-	})
+	encode, meta, s, out := o.parts.Freeze(), o.node.Meta(), o.store, o.snapshots
+	o.freezers.Go(func() { out <- freeze(s, encode, meta) })
+}
+
+// onFrozen puts a written snapshot in use after the writes that wait. If it
+// could not be written, the log is kept and it is tried again later.
+func (o *owner) onFrozen(f frozen) {
+	var fault *store.Error
+	switch {
+	case o.fault != nil:
+	case f.err == nil:
+		o.jobs = append(o.jobs, job{use: &f})
+	case errors.As(f.err, &fault):
+		o.host.log.Warn("snapshot was not written", "error", fault)
+		o.freezing, o.freezeAt = false, o.host.now().Add(reopenPause)
+		o.slow, o.slowAt = fault, o.host.now()
+	default:
+		o.fatal = f.err
+	}
 }
 
 func (o *owner) onDisk(res diskResult) {
@@ -142,6 +157,7 @@
 		return
 	}
 	o.reopenAt = o.host.now().Add(reopenPause)
+	o.freezers.Wait()
 	_ = o.store.Close()
 	err := o.open()
 	if err == nil {
--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jujubethread/jujubethread/internal/proto"
@@ -38,8 +39,12 @@
 
 	logBytes int64
 	snapSize int64
-	// freezing is set while a snapshot of applied state is being written.
-	freezing bool
+	// freezing is set while a snapshot of applied state is being written by a
+	// goroutine of freezers; not before freezeAt after a failure.
+	freezing  bool
+	freezeAt  ident.Instant
+	freezers  sync.WaitGroup
+	snapshots chan frozen
 	// fault is the disk fault that stopped this host, until it is repaired.
 	fault    *store.Error
 	reopenAt ident.Instant
@@ -165,6 +170,7 @@
 func (o *owner) startDisk() {
 	o.disk = make(chan []job)
 	o.results = make(chan diskResult, 1)
+	o.snapshots = make(chan frozen, 1)
 	o.stopped = make(chan struct{})
 	go func(s *store.Store, in <-chan []job, out chan<- diskResult, stopped chan<- struct{}) {
 		defer close(stopped)
@@ -176,6 +182,7 @@
 func (o *owner) stopDisk() {
 	close(o.disk)
 	<-o.stopped
+	o.freezers.Wait()
 	_ = o.store.Close()
 }
 
@@ -230,6 +237,8 @@
 		o.jobs, o.busy = nil, true
 	case res := <-o.results:
 		o.onDisk(res)
+	case f := <-o.snapshots:
+		o.onFrozen(f)
 	case <-tick:
 		o.step(quorum.Tick{Now: o.host.now()})
 		o.reopen()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -199,24 +199,38 @@
 
 // replaceFile writes a file so that a crash leaves the old or the new one.
 func (s *Store) replaceFile(name string, data []byte) error {
-	path, temp := s.path(name), s.path(name+tempSuffix)
+	if err := s.writeTemp(name, data); err != nil {
+		return s.broke(err)
+	}
+	return s.useTemp(name)
+}
+
+// writeTemp writes and syncs a temporary file. It touches no other state of
+// the store.
+func (s *Store) writeTemp(name string, data []byte) *Error {
+	temp := s.path(name + tempSuffix)
 	f, err := s.cfg.FS.Create(temp)
 	if err != nil {
-		return s.fail(temp, "cannot create the file", err)
+		return fault(temp, "cannot create the file", err)
 	}
 	if _, err = f.Write(data); err != nil {
 		_ = f.Close()
-		return s.fail(temp, "cannot write", err)
+		return fault(temp, "cannot write", err)
 	}
-	err = s.sync(f, temp)
-	if cerr := f.Close(); err == nil && cerr != nil {
-		err = s.fail(temp, "cannot close", cerr)
+	if err = f.Sync(); err != nil {
+		_ = f.Close()
+		return fault(temp, "cannot sync", err)
 	}
-	if err != nil {
-		return err
+	if err = f.Close(); err != nil {
+		return fault(temp, "cannot close", err)
 	}
-	if err := s.cfg.FS.Rename(temp, path); err != nil {
-		return s.fail(path, "cannot rename the temporary file", err)
+	return nil
+}
+
+// useTemp puts a temporary file in the place of the file.
+func (s *Store) useTemp(name string) error {
+	if err := s.cfg.FS.Rename(s.path(name+tempSuffix), s.path(name)); err != nil {
+		return s.fail(s.path(name), "cannot rename the temporary file", err)
 	}
 	return s.syncDir()
 }
@@ -245,10 +259,13 @@
 
 // fail returns the fault and refuses all later writes.
 func (s *Store) fail(path, detail string, err error) error {
-	f := fault(path, detail, err)
+	return s.broke(fault(path, detail, err))
+}
+
+func (s *Store) broke(f *Error) error {
 	s.broken = &Error{
 		Kind:   Broken,
-		Path:   path,
+		Path:   f.Path,
 		Detail: "an earlier write failed",
 		Cause:  f,
 	}
--- a/internal/store/write.go
+++ b/internal/store/write.go
@@ -15,34 +15,73 @@
 	})
 }
 
-// Snapshot stores a snapshot of applied state and removes the segments that
-// it replaces. An older snapshot than the stored one is ignored.
-func (s *Store) Snapshot(snap quorum.Snapshot) error {
+// Prepared is a snapshot that is written and synced but not in use yet.
+type Prepared struct {
+	meta quorum.Meta
+	size int64
+}
+
+// Prepare writes a snapshot of applied state beside the stored one. Unlike
+// the other methods it may run in another goroutine, so that a large snapshot
+// does not hold up the log. Those in preparation at once must differ in index.
+func (s *Store) Prepare(snap quorum.Snapshot) (Prepared, error) {
+	frame, err := encodeFrame(snap)
+	if err != nil {
+		return Prepared{}, fault(s.cfg.Folder, "cannot encode the snapshot", err)
+	}
+	if err := s.writeTemp(snapName(snap.Meta), frame); err != nil {
+		return Prepared{}, err
+	}
+	return Prepared{
+		meta: snap.Meta,
+		size: int64(len(frame)),
+	}, nil
+}
+
+// Use puts a prepared snapshot in place of the stored one and removes the
+// segments that it replaces. An older one than the stored one is dropped.
+func (s *Store) Use(p Prepared) error {
 	if s.broken != nil {
 		return s.broken
 	}
-	if snap.Meta.Index <= s.stored.Snapshot.Meta.Index {
-		return nil
+	if p.meta.Index <= s.stored.Snapshot.Meta.Index {
+		return s.remove(snapName(p.meta) + tempSuffix)
 	}
-	if err := s.saveSnapshot(snap); err != nil {
+	if err := s.use(p); err != nil {
 		return err
 	}
 	if err := s.rotate(); err != nil {
 		return err
 	}
 	keep := 0
-	for keep < len(s.segments)-1 && s.segments[keep].last <= snap.Meta.Index {
+	for keep < len(s.segments)-1 && s.segments[keep].last <= p.meta.Index {
 		keep++
 	}
 	return s.dropSegments(keep)
 }
 
+// Snapshot prepares and uses a snapshot of applied state.
+func (s *Store) Snapshot(snap quorum.Snapshot) error {
+	if s.broken != nil {
+		return s.broken
+	}
+	p, err := s.Prepare(snap)
+	if err != nil {
+		return err
+	}
+	return s.Use(p)
+}
+
 // Install stores a snapshot received from the leader in place of the whole log.
 func (s *Store) Install(hard quorum.HardState, snap quorum.Snapshot) error {
 	if s.broken != nil {
 		return s.broken
 	}
-	if err := s.saveSnapshot(snap); err != nil {
+	p, err := s.Prepare(snap)
+	if err != nil {
+		return err
+	}
+	if err := s.use(p); err != nil {
 		return err
 	}
 	s.hard = hard
@@ -60,23 +99,21 @@
 	return s.dropSegments(len(s.segments) - 1)
 }
 
-func (s *Store) saveSnapshot(snap quorum.Snapshot) error {
-	frame, err := encodeFrame(snap)
-	if err != nil {
-		return s.fail(s.cfg.Folder, "cannot encode the snapshot", err)
-	}
-	if err := s.replaceFile(fileName(uint64(snap.Meta.Index), snapSuffix), frame); err != nil {
+func (s *Store) use(p Prepared) error {
+	if err := s.useTemp(snapName(p.meta)); err != nil {
 		return err
 	}
-	old := s.stored.Snapshot.Meta.Index
-	s.stored = quorum.Stored{Snapshot: quorum.Snapshot{Meta: snap.Meta}}
-	s.snapSize = int64(len(frame))
-	if old == 0 || old == snap.Meta.Index {
+	old := s.stored.Snapshot.Meta
+	s.stored = quorum.Stored{Snapshot: quorum.Snapshot{Meta: p.meta}}
+	s.snapSize = p.size
+	if old.Index == 0 || old.Index == p.meta.Index {
 		return nil
 	}
-	return s.remove(fileName(uint64(old), snapSuffix))
+	return s.remove(snapName(old))
 }
 
+func snapName(m quorum.Meta) string { return fileName(uint64(m.Index), snapSuffix) }
+
 func (s *Store) write(b batch) error {
 	frame, err := encodeFrame(b)
 	if err != nil {
