--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -108,6 +108,7 @@
 
 	mu      sync.Mutex
 	filings []check.Filing
+	refused []refusal
 }
 
 func newDriver(cfg Config, t scene.Target, tell *teller) (*driver, error) {
@@ -183,6 +184,7 @@
 		p.Probe(probe)
 		cancel()
 	}
+	keeper.Go(func() error { return d.checkRefusals(keep) })
 	happened := d.drive(ctx)
 	stopKeeping()
 	if err := keeper.Wait(); err != nil {
@@ -229,7 +231,8 @@
 	defer timer.Stop()
 	due := time.Duration(0)
 	for n := 0; ; n++ {
-		due += time.Duration(rng.ExpFloat64() / f.PerSecond * float64(time.Second))
+		rate := f.PerSecond * d.scene.Surge(f.Name, d.target.Name, due)
+		due += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 		r := request{
 			flow:     f,
 			id:       ident.RequestID(fmt.Sprintf("%s-%d-%d", d.prefix, number, n)),
@@ -276,6 +279,9 @@
 			busy += s.Running + s.Waiting
 		}
 		if busy == 0 {
+			if err := d.checkRefused(ctx, time.Now()); err != nil {
+				return nil, err
+			}
 			return stats, d.checkFilings(ctx)
 		}
 		select {
