ctrl: serve metrics of the control host

Cause: the state of a control host could only be read by its status. Change: GET /metrics serves requests by part and outcome, the time of disk writes and gauges of role, term, log, disk and entry hosts, by tally. Conclusion: a monitor can watch a control group without the operator API.

--- a/internal/ctrl/const.go
+++ b/internal/ctrl/const.go
@@ -35,6 +35,9 @@
 	// maxUnresolved bounds the list of filings for operators.
 	maxUnresolved = 1000
 
+	// meterEvery is how often gauges are set and metrics reported.
+	meterEvery = time.Second
+
 	maxBody         = 1 << 20 // bytes
 	readTimeout     = 5 * time.Second
 	idleTimeout     = time.Minute
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -83,6 +83,7 @@
 	requests chan request
 	asks     chan func(*owner)
 	feed     *feed.Feed
+	meters   *meters
 	owner    *owner
 	done     chan struct{}
 }
@@ -156,6 +157,7 @@
 	h.owner = o
 	h.id = o.store.ID()
 	h.log = h.log.With("member", string(h.id))
+	h.meters = newMeters()
 	return nil
 }
 
@@ -193,6 +195,7 @@
 	if h.link != nil {
 		g.Go(func() error { return h.link.Run(lctx, h.id, h) })
 	}
+	defer func() { _ = h.meters.closer.Close() }()
 	g.Go(func() error {
 		defer unlink()
 		defer close(h.done)
--- a/internal/ctrl/disk.go
+++ b/internal/ctrl/disk.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"time"
+
 	"github.com/jujubethread/jujubethread/internal/store"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
@@ -36,6 +38,7 @@
 	logBytes int64
 	snapSize int64
 	slow     *store.Error
+	took     time.Duration
 	err      error
 }
 
@@ -43,7 +46,9 @@
 // appends of a list become one record and one sync.
 func runDisk(s *store.Store, in <-chan []job, out chan<- diskResult) {
 	for jobs := range in {
+		begin := time.Now()
 		res := runJobs(s, jobs)
+		res.took = time.Since(begin)
 		res.logBytes, res.snapSize, res.slow = s.LogBytes(), s.SnapshotBytes(), s.Slow()
 		out <- res
 		if res.err != nil {
--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -114,6 +114,7 @@
 
 func (o *owner) onDisk(res diskResult) {
 	o.busy = false
+	o.host.meters.writes.RecordDuration(res.took)
 	o.logBytes, o.snapSize = res.logBytes, res.snapSize
 	if res.slow != nil {
 		o.slow, o.slowAt = res.slow, o.host.now()
--- a/internal/ctrl/http.go
+++ b/internal/ctrl/http.go
@@ -15,6 +15,7 @@
 	PathConfig   = "/v1/config"   // GET, answers config.State
 	PathStatus   = "/v1/status"   // GET, answers Status
 	PathMembers  = "/v1/members"  // POST MembersRequest, answers config.Outcome
+	PathMetrics  = "/metrics"     // GET, in the Prometheus text format
 	PathFilings  = "/v1/filings"  // GET the unresolved ones, POST ResolveFiling
 )
 
@@ -28,6 +29,7 @@
 	mux.HandleFunc("POST "+PathFilings, h.serveResolve)
 	mux.HandleFunc("GET "+PathConfig, h.serveConfig)
 	mux.HandleFunc("GET "+PathStatus, h.serveStatus)
+	mux.Handle("GET "+PathMetrics, h.meters.handler)
 	return mux
 }
 
--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -34,6 +34,8 @@
 	// office is the last term in which this member held the lease.
 	office quorum.Term
 
+	meterAt ident.Instant
+
 	lastID  quorum.ProposalID
 	waiting map[quorum.ProposalID]chan<- Answer
 
@@ -244,6 +246,10 @@
 		o.reopen()
 		o.followLead()
 		o.routine()
+		if now := o.host.now(); now >= o.meterAt {
+			o.meterAt = now.Add(meterEvery)
+			o.host.meters.show(o.view())
+		}
 	case m := <-o.host.inbox:
 		o.step(quorum.Receive{
 			Now:     o.host.now(),
--- a/internal/ctrl/request.go
+++ b/internal/ctrl/request.go
@@ -52,12 +52,14 @@
 	for {
 		a := h.route(ctx, r)
 		if a.Kind != config.NotRun || !a.Retry {
+			h.meters.ended(r, a.Kind)
 			return a
 		}
 		pause := time.NewTimer(leaderPoll)
 		select {
 		case <-ctx.Done():
 			pause.Stop()
+			h.meters.ended(r, a.Kind)
 			return a
 		case <-pause.C:
 		}
--- a/internal/ctrl/single_test.go
+++ b/internal/ctrl/single_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"testing"
 
@@ -80,6 +81,27 @@
 	is.Equal(s.Version.Number, uint64(1))
 }
 
+// Guards against metrics that are not served.
+func TestMetricsAreServed(t *testing.T) {
+	is := is.New(t)
+	h, _ := start(t, ctrl.Config{
+		Folder:   t.TempDir(),
+		Listen:   "127.0.0.1:0",
+		Address:  "127.0.0.1:0",
+		NewGroup: true,
+	})
+	code, _ := post(t, "http://"+h.Addr()+ctrl.PathCommands, `{"ID":"x","Expect":{},"Change":{"SetSeats":{"Seats":3}}}`)
+	is.Equal(code, http.StatusOK)
+	resp, err := http.Get("http://" + h.Addr() + ctrl.PathMetrics)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	for _, name := range []string{"control_term", "control_requests", "control_write_seconds"} {
+		is.True(bytes.Contains(body, []byte(name)))
+	}
+}
+
 // Guards against requests that are half understood: every refusal names the
 // field or change at fault.
 func TestBadCommandsAreRefusedByName(t *testing.T) {
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -10,7 +10,8 @@
 	"github.com/jujubethread/jujubethread/pkg/spread"
 )
 
-const configName = "config"
+// ConfigName names the part of the configuration.
+const ConfigName = "config"
 
 // configPart replicates the configuration.
 type configPart struct {
@@ -36,7 +37,7 @@
 }
 
 // Name implements Part.
-func (p *configPart) Name() string { return configName }
+func (p *configPart) Name() string { return ConfigName }
 
 // Apply implements Part. The command is a config.Command, the result a config.Outcome.
 func (p *configPart) Apply(command []byte) ([]byte, error) {
@@ -89,7 +90,7 @@
 func ConfigCommand(c config.Command) (Command, error) {
 	data, err := proto.Marshal(c)
 	return Command{
-		Part: configName,
+		Part: ConfigName,
 		Data: data,
 	}, err
 }
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -10,7 +10,8 @@
 	"github.com/jujubethread/jujubethread/pkg/ledger"
 )
 
-const ledgerName = "ledger"
+// LedgerName names the part of the ledger of filings.
+const LedgerName = "ledger"
 
 // ledgerPart replicates the ledger of filings.
 type ledgerPart struct {
@@ -27,7 +28,7 @@
 func newLedgerPart() *ledgerPart { return &ledgerPart{machine: ledger.NewMachine(0)} }
 
 // Name implements Part.
-func (p *ledgerPart) Name() string { return ledgerName }
+func (p *ledgerPart) Name() string { return LedgerName }
 
 // Apply implements Part. The command is a filingCommand, the result a ledger.Result.
 func (p *ledgerPart) Apply(command []byte) ([]byte, error) {
@@ -91,7 +92,7 @@
 func FilingCommand(c ledger.Command) (Command, error) {
 	data, err := proto.Marshal(filingCommand{Command: c})
 	return Command{
-		Part: ledgerName,
+		Part: LedgerName,
 		Data: data,
 	}, err
 }
