report, scene: name the slowest answers and write leaves files

Cause: a slow answer could not be followed to its trace, and a scenario file needs the addresses of many upstreams. Change: each class lists its 5 slowest answers with request id and time; WriteLeaves writes what LeavesFile reads. Tests for the lag of load reports, and a test of the fault proxy waits for forwarded bytes instead of expecting them after 50 ms. Conclusion: a tail can be explained request by request.

--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -133,7 +133,9 @@
 	forward := p.Stats().Forward
 	_, _, err = echo(c, "held", 50*time.Millisecond)
 	is.True(isTimeout(err))
-	is.Equal(p.Stats().Forward, forward+4) // the other direction still works
+	for end := time.Now().Add(10 * time.Second); p.Stats().Forward != forward+4; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // the other direction still works
+	}
 	is.NoErr(p.Set(fault.Rules{}))
 	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
 	buf := make([]byte, 4)
--- a/internal/leaf/leaf_test.go
+++ b/internal/leaf/leaf_test.go
@@ -314,6 +314,39 @@
 	}
 }
 
+// Guards against a report that is fresh although it is to lag, or that never
+// catches up.
+func TestLaggingReport(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		lag   time.Duration
+		shows bool
+	}{{time.Hour, false}, {30 * time.Millisecond, true}} {
+		r := start(t, func(cfg *leaf.Config) {
+			cfg.ReportLag = c.lag
+			cfg.Service.Median = time.Hour
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go r.post(ctx, wire.PathLeafSearch, ask())
+		until(t, "a run", func() bool { return r.Stats().Running == 1 })
+		load := func() engine.Load {
+			res, err := r.client.Get("http://" + r.Address() + wire.PathLeafHealth)
+			is.NoErr(err)
+			defer res.Body.Close()
+			h, err := wire.DecodeLeafHealth(res.Body)
+			is.NoErr(err)
+			return h.Load
+		}
+		if c.shows {
+			until(t, "report of the load", func() bool { return load().Running == 1 })
+		} else {
+			is.Equal(load(), engine.Load{})
+		}
+		cancel()
+		until(t, "end of the run", func() bool { return r.Stats().Running == 0 })
+	}
+}
+
 // Guards against connections to a lost upstream that stay open after their
 // sender gave up, and would use the connection limit up.
 func TestLostUpstreamFreesConnections(t *testing.T) {
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -53,6 +53,7 @@
 
 func (d *driver) sample(r request) result.Sample {
 	return result.Sample{
+		Request:  r.id,
 		Flow:     r.flow.Name,
 		Class:    r.flow.Class,
 		Intended: r.intended.Sub(d.begin),
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"image/png"
 	"regexp"
 	"strings"
@@ -17,6 +18,7 @@
 	"github.com/jujubethread/jujubethread/internal/result"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/preset"
 )
 
@@ -26,6 +28,7 @@
 	rec := result.NewRecorder(10 * time.Second)
 	for i := range 1_000 {
 		s := result.Sample{
+			Request:  ident.RequestID(fmt.Sprint("r-", i)),
 			Flow:     "committee lookup",
 			Class:    preset.Critical,
 			Intended: time.Duration(i) * 10 * time.Millisecond,
@@ -94,6 +97,8 @@
 	is.True(near(c.Latency.P50, 500))
 	is.True(near(c.Latency.P99, 990))
 	is.True(near(c.Latency.Max, 1_000))
+	is.Equal(len(c.Slowest), 5)
+	is.Equal(c.Slowest[0], result.Slow{Request: "r-999", Micros: 1_000_000, Intended: 9_990 * time.Millisecond})
 	tolerant := got.Classes[1]
 	is.Equal([]int64{tolerant.Sent, tolerant.NotRun, tolerant.Failed}, []int64{2, 1, 1})
 	is.Equal(got.Upstreams.Calls, uint64(11_011))
@@ -116,7 +121,7 @@
 	is.NoErr(report.Table(&out, r))
 	for _, want := range []string{
 		"interrupted", "MixedVersions, 1 times", "shard a/1 Lost, 100 times", "NoAnswer, 1 times",
-		"slow <1%>, 1.0 to 3.0 s", "verdict: 2 violations", "extra %",
+		"slow <1%>, 1.0 to 3.0 s", "request r-999, sent at 10.0 s", "verdict: 2 violations", "extra %",
 	} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("table lacks %q:\n%s", want, out.String())
--- a/internal/report/table.go
+++ b/internal/report/table.go
@@ -139,6 +139,12 @@
 				p.line("failed: %s %s: %s, %d times", t.Name, g.Name, f.Reason, f.Count)
 			}
 		}
+		for _, g := range t.Classes {
+			if len(g.Slowest) > 0 {
+				s := g.Slowest[0]
+				p.line("slowest: %s %s: %s ms, request %s, sent at %.1f s", t.Name, g.Name, millis(s.Micros), s.Request, s.Intended.Seconds())
+			}
+		}
 		for _, e := range t.Events {
 			p.line("event: %s: %s, %s", t.Name, e.Title, span(e))
 		}
--- a/internal/result/record.go
+++ b/internal/result/record.go
@@ -10,6 +10,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/check"
 	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/preset"
 )
 
@@ -21,12 +22,14 @@
 	minBucket    = 100 * time.Millisecond
 	maxExamples  = 20
 	maxMissing   = 10
+	maxSlowest   = 5
 )
 
 // Sample is one request as it ended.
 type Sample struct {
-	Flow  string
-	Class preset.Class
+	Request ident.RequestID
+	Flow    string
+	Class   preset.Class
 	// Intended is the planned start since the end of the warm-up; requests of
 	// the warm-up have negative ones and are verified only.
 	Intended time.Duration
@@ -222,6 +225,7 @@
 		return
 	}
 	record(g.hist, s.Latency)
+	g.slow(s)
 	g.asked += int64(s.Coverage.Asked)
 	g.answered += int64(s.Coverage.Answered)
 	for _, m := range s.Coverage.Missing {
@@ -229,6 +233,20 @@
 	}
 }
 
+// slow keeps the sample if it is one of the slowest.
+func (g *group) slow(s Sample) {
+	one := Slow{
+		Request:  s.Request,
+		Micros:   s.Latency.Microseconds(),
+		Intended: s.Intended,
+	}
+	i, _ := slices.BinarySearchFunc(g.Slowest, one, func(a, b Slow) int { return cmp.Compare(b.Micros, a.Micros) })
+	if i < maxSlowest {
+		g.Slowest = slices.Insert(g.Slowest, i, one)
+		g.Slowest = g.Slowest[:min(len(g.Slowest), maxSlowest)]
+	}
+}
+
 func (b *bucket) add(s Sample) {
 	b.Sent++
 	switch {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -65,6 +65,15 @@
 	CoveragePercent float64 `json:"CoveragePercent"`
 	// Missing lists what was missing most, at most maxMissing entries.
 	Missing []Missing `json:"Missing"`
+	// Slowest lists the slowest answers, at most maxSlowest, the slowest first.
+	Slowest []Slow `json:"Slowest"`
+}
+
+// Slow is a slow answer. Its request id leads to its trace.
+type Slow struct {
+	Request  ident.RequestID `json:"Request"`
+	Micros   int64           `json:"Micros"`
+	Intended time.Duration   `json:"Intended"` // nanoseconds since the end of the warm-up
 }
 
 // Latency holds quantiles in microseconds.
--- a/internal/result/sum.go
+++ b/internal/result/sum.go
@@ -87,6 +87,7 @@
 
 func (g *group) sum() Group {
 	out := g.Group
+	out.Slowest = slices.Clone(g.Slowest)
 	out.Latency = Latency{
 		Mean: g.hist.Mean(),
 		P50:  g.hist.ValueAtQuantile(50),
--- a/internal/scene/parse.go
+++ b/internal/scene/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"embed"
 	"encoding/json"
+	"io"
 	"io/fs"
 	"os"
 	"path"
@@ -83,6 +84,13 @@
 	return &s, nil
 }
 
+// WriteLeaves writes a leaves file.
+func WriteLeaves(w io.Writer, leaves []Leaf) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(leaves), "leaves file cannot be written")
+}
+
 func (t *Target) readLeaves(dir string) error {
 	if t.LeavesFile == "" {
 		return nil
--- a/internal/scene/scene_test.go
+++ b/internal/scene/scene_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"strings"
@@ -91,6 +92,26 @@
 	}
 }
 
+// Guards against a leaves file that cannot be read again, or is looked for in
+// another folder than that of the scenario.
+func TestLeavesFile(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	f, err := os.Create(filepath.Join(dir, "leaves.json"))
+	is.NoErr(err)
+	is.NoErr(scene.WriteLeaves(f, target().Leaves))
+	is.NoErr(f.Close())
+	file := filepath.Join(dir, "scenario.json")
+	is.NoErr(os.WriteFile(file, []byte(`{"Name":"x","Versions":[1],"DurationMillis":1,"Mix":"amman","PerSecond":1,
+		"Targets":[{"Name":"t","Policy":"Plain","LeavesFile":"leaves.json"}]}`), 0o600))
+	s, err := scene.Load(file)
+	is.NoErr(err)
+	is.Equal(s.Targets[0].Leaves, target().Leaves)
+	is.NoErr(os.WriteFile(filepath.Join(dir, "leaves.json"), []byte(`[{"Address":"127.0.0.1:1"}]`), 0o600))
+	_, err = scene.Load(file)
+	is.True(err != nil && strings.Contains(err.Error(), "Address"))
+}
+
 // Guards against mistakes in a scenario file that only show in the middle of a run.
 func TestBadScenariosAreRefused(t *testing.T) {
 	for _, c := range []struct{ doc, problem string }{
