Bar a request at its connection and keep pools that still have connections

Cause: a stress test over cancelling, breaking and resizing found three faults. A pool that was closed and opened again (a seat lost and regained) opened connections beside those of the old pool that were still in use. A dial that ended with its request left a connection that the upstream had accepted and counted. A request whose body was barred had sent its header, because the transport flushes the header first when it does not know the body.

Change: a pool is kept while it has connections; dials run to their own end; the proof that nothing was sent moved from the body to the connection, where httptrace.GotConn ties the request to the write. A filing whose window passes while it waits for a connection is refused at the write.

Conclusion: Refused means that no byte was written, and the share holds through resizing.

--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -1,6 +1,7 @@
 package dial
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -33,14 +34,8 @@
 		began:  time.Now(),
 		cancel: cancel,
 	}
-	c.mu.Lock()
-	p := c.pools[s.Upstream]
-	if p != nil && !c.closed {
-		c.attempts[s.Attempt] = a
-		c.work.Add(1)
-	}
-	c.mu.Unlock()
-	if p == nil {
+	p := c.pool(s.Upstream)
+	if p == nil || !c.enter(a) {
 		c.finish(a, engine.AttemptFailed{
 			Attempt: s.Attempt,
 			Kind:    engine.Refused,
@@ -53,6 +48,18 @@
 	}()
 }
 
+// enter notes an attempt in flight. It reports false after Close.
+func (c *Client) enter(a *attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.attempts[a.send.Attempt] = a
+	c.work.Add(1)
+	return true
+}
+
 func (c *Client) run(ctx context.Context, p *pool, a *attempt, traceparent string) {
 	s := &a.send
 	raw, err := wire.Encode(wire.LeafSearch{
@@ -74,9 +81,14 @@
 		return
 	}
 	var answer engine.Answer
-	f := c.call(ctx, p, p.search, newBody(raw, time.Time{}), traceparent, func(r io.Reader) (err error) {
-		answer, err = wire.DecodeAnswer(r)
-		return err
+	f := c.call(ctx, p, &exchange{
+		path:        p.search,
+		body:        raw,
+		traceparent: traceparent,
+		decode: func(r io.Reader) (err error) {
+			answer, err = wire.DecodeAnswer(r)
+			return err
+		},
 	})
 	if f != nil {
 		c.fail(a, f)
@@ -135,21 +147,32 @@
 	}
 }
 
-// call makes one HTTP exchange and decodes the body of a 200 answer. Requests
-// without a body change nothing at the upstream, so they may be repeated.
-func (c *Client) call(ctx context.Context, p *pool, path *http.Request, sent *body, traceparent string, decode func(io.Reader) error) *Failure {
-	resp, err := p.transport.RoundTrip(newRequest(ctx, path, sent, traceparent))
+// exchange is one HTTP request to a path of an upstream.
+type exchange struct {
+	path *http.Request
+	// body is nil for requests that change nothing.
+	body        []byte
+	traceparent string
+	// until is the last time to send; zero means none.
+	until time.Time
+	// decode reads the body of a 200 answer.
+	decode func(io.Reader) error
+}
+
+func (c *Client) call(ctx context.Context, p *pool, x *exchange) *Failure {
+	g := &gate{until: x.until}
+	resp, err := p.transport.RoundTrip(x.request(g.trace(ctx)))
 	if err != nil {
 		f := &Failure{
 			Kind: failKind(ctx),
 			Err:  err,
 		}
-		if sent == nil || sent.bar() {
+		if g.bar() {
 			f.Kind = engine.Refused
 		}
 		return f
 	}
-	f := read(ctx, resp, decode)
+	f := read(ctx, resp, x.decode)
 	_ = resp.Body.Close()
 	p.trim()
 	return f
@@ -159,18 +182,20 @@
 // reads it.
 var header = http.Header{"Content-Type": {"application/json"}}
 
-// newRequest copies the pool's request for a path and gives it its body.
-func newRequest(ctx context.Context, path *http.Request, sent *body, traceparent string) *http.Request {
-	req := path.WithContext(ctx)
-	if sent != nil {
-		req.ContentLength = int64(len(sent.raw))
-		req.Body = sent
-		req.GetBody = sent.again
-	}
-	if traceparent != "" {
+// request copies the pool's request for the path and gives it the body. The
+// transport knows a bytes.Reader and sends it in one write with the header.
+func (x *exchange) request(ctx context.Context) *http.Request {
+	req := x.path.WithContext(ctx)
+	if x.body != nil {
+		req.ContentLength = int64(len(x.body))
+		req.Body = io.NopCloser(bytes.NewReader(x.body))
+		// The transport only repeats a request when nothing of it was written.
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(x.body)), nil }
+	}
+	if x.traceparent != "" {
 		req.Header = http.Header{
 			"Content-Type":   header["Content-Type"],
-			wire.HeaderTrace: {traceparent},
+			wire.HeaderTrace: {x.traceparent},
 		}
 	}
 	return req
--- a/internal/dial/conn.go
+++ b/internal/dial/conn.go
@@ -14,6 +14,16 @@
 	net.Conn
 	pool   *pool
 	closed atomic.Bool
+	// gate belongs to the request that uses the connection.
+	gate atomic.Pointer[gate]
+}
+
+// Write fails without sending anything if the request was given up.
+func (c *conn) Write(p []byte) (int, error) {
+	if g := c.gate.Load(); g != nil && !g.pass() {
+		return 0, errBarred
+	}
+	return c.Conn.Write(p)
 }
 
 // Read fails once the connection is closed, although it is still read until
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -99,8 +99,7 @@
 }
 
 // Warm sets the number of connections to an upstream. Zero closes idle ones
-// and forgets the pool; work in flight runs to completion on the old
-// connections.
+// and refuses new work; work in flight runs to completion.
 func (c *Client) Warm(w engine.Warm) {
 	old, p := c.place(w)
 	// resize takes the lock of the client, so it runs outside of it.
@@ -112,8 +111,10 @@
 	}
 }
 
-// place updates the table of pools. It returns the pool that was replaced or
-// forgotten and the one to resize; either may be nil.
+// place updates the table of pools. It returns the pool that an upstream had
+// at an earlier address and the one to resize; either may be nil. A pool of an
+// unchanged address is kept while it has connections, since a new one would
+// open others beside them.
 func (c *Client) place(w engine.Warm) (old, p *pool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,17 +122,26 @@
 		return nil, nil
 	}
 	p = c.pools[w.Upstream]
-	if p != nil && (p.address != w.Address || w.Connections == 0) {
+	if p != nil && p.address != w.Address {
 		delete(c.pools, w.Upstream)
 		old, p = p, nil
 	}
 	if p == nil && w.Connections > 0 {
-		p = newPool(c, w.Address)
+		p = newPool(c, w.Upstream, w.Address)
 		c.pools[w.Upstream] = p
 	}
 	return old, p
 }
 
+// forget drops a pool that has no connection and is to have none.
+func (c *Client) forget(p *pool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pools[p.upstream] == p && p.unused() {
+		delete(c.pools, p.upstream)
+	}
+}
+
 // Cancel stops an attempt by closing its connection.
 func (c *Client) Cancel(id ident.AttemptID) {
 	c.mu.Lock()
@@ -155,6 +165,7 @@
 		p.resize(0)
 	}
 	c.work.Wait()
+	// Connections of calls that ended since are idle now.
 	for _, p := range pools {
 		p.resize(0)
 	}
@@ -162,10 +173,13 @@
 
 // Open returns the number of open or opening connections to an upstream.
 func (c *Client) Open(id ident.Upstream) int {
-	if p := c.pool(id); p != nil {
-		return p.count()
+	c.mu.Lock()
+	p := c.pools[id]
+	c.mu.Unlock()
+	if p == nil {
+		return 0
 	}
-	return 0
+	return p.count()
 }
 
 // InFlight returns the number of attempts that have not ended.
@@ -175,10 +189,15 @@
 	return len(c.attempts)
 }
 
+// pool returns the pool of an upstream that may get new work, or nil.
 func (c *Client) pool(id ident.Upstream) *pool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pools[id]
+	p := c.pools[id]
+	c.mu.Unlock()
+	if p == nil || !p.wanted() {
+		return nil
+	}
+	return p
 }
 
 // start reserves a place in the wait group. It reports false after Close.
--- a/internal/dial/pool.go
+++ b/internal/dial/pool.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
 var (
@@ -22,6 +23,7 @@
 // have carried a request; spare holds those opened ahead of use.
 type pool struct {
 	client    *Client
+	upstream  ident.Upstream
 	address   string
 	transport *http.Transport
 	// search, file and health are the requests for the paths, without body.
@@ -37,14 +39,15 @@
 	filled bool          // a fill goroutine runs
 }
 
-func newPool(c *Client, address string) *pool {
+func newPool(c *Client, id ident.Upstream, address string) *pool {
 	p := &pool{
-		client:  c,
-		address: address,
-		search:  pathRequest(http.MethodPost, address, wire.PathLeafSearch),
-		file:    pathRequest(http.MethodPost, address, wire.PathLeafFile),
-		health:  pathRequest(http.MethodGet, address, wire.PathLeafHealth),
-		freed:   make(chan struct{}),
+		client:   c,
+		upstream: id,
+		address:  address,
+		search:   pathRequest(http.MethodPost, address, wire.PathLeafSearch),
+		file:     pathRequest(http.MethodPost, address, wire.PathLeafFile),
+		health:   pathRequest(http.MethodGet, address, wire.PathLeafHealth),
+		freed:    make(chan struct{}),
 	}
 	p.transport = &http.Transport{
 		DialContext:            p.dialContext,
@@ -92,6 +95,9 @@
 		p.trim()
 	}
 	p.fill()
+	if want == 0 {
+		p.client.forget(p)
+	}
 }
 
 // trim closes idle connections while there are more than wanted. net/http
@@ -111,6 +117,20 @@
 	return p.open
 }
 
+// wanted reports whether the pool may carry new work.
+func (p *pool) wanted() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.want > 0
+}
+
+// unused reports whether the pool has no connection and is to have none.
+func (p *pool) unused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.want == 0 && p.open == 0
+}
+
 // wake tells those that wait for a connection to look again. Needs the lock.
 func (p *pool) wake() {
 	close(p.freed)
@@ -128,7 +148,7 @@
 			return conn, err
 		}
 		if freed == nil {
-			return p.connect(ctx)
+			return p.connect()
 		}
 		select {
 		case <-freed:
@@ -167,12 +187,13 @@
 	return nil, nil, nil
 }
 
-// connect opens a connection in a place that is already reserved.
-func (p *pool) connect(ctx context.Context) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.client.config.DialTimeout)
+// connect opens a connection in a place that is already reserved. It does not
+// end with the request that needs it: an upstream may have accepted a
+// connection that is given up while it opens, and would count it beside the
+// next one.
+func (p *pool) connect() (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(p.client.base, p.client.config.DialTimeout)
 	defer cancel()
-	stop := context.AfterFunc(p.client.base, cancel)
-	defer stop()
 	raw, err := p.client.config.Dial(ctx, p.address)
 	if err != nil {
 		p.release()
@@ -189,7 +210,11 @@
 	p.mu.Lock()
 	p.open--
 	p.wake()
+	last := p.open == 0 && p.want == 0
 	p.mu.Unlock()
+	if last {
+		p.client.forget(p)
+	}
 }
 
 // fill opens connections ahead of use until there are as many as wanted.
@@ -215,7 +240,7 @@
 func (p *pool) fillUp() {
 	delay := firstRedial
 	for p.reserve() {
-		conn, err := p.connect(p.client.base)
+		conn, err := p.connect()
 		if err == nil {
 			p.keep(conn)
 			delay = firstRedial
--- a/internal/dial/probe.go
+++ b/internal/dial/probe.go
@@ -38,9 +38,12 @@
 	}
 	p.sweep()
 	var h wire.LeafHealth
-	f := c.call(ctx, p, p.health, nil, "", func(r io.Reader) (err error) {
-		h, err = wire.DecodeLeafHealth(r)
-		return err
+	f := c.call(ctx, p, &exchange{
+		path: p.health,
+		decode: func(r io.Reader) (err error) {
+			h, err = wire.DecodeLeafHealth(r)
+			return err
+		},
 	})
 	if f != nil {
 		return failed
@@ -65,9 +68,15 @@
 		}
 	}
 	defer c.work.Done()
-	f = c.call(ctx, p, p.file, newBody(raw, until), traceparent, func(r io.Reader) (err error) {
-		filed, err = wire.DecodeLeafFiled(r)
-		return err
+	f = c.call(ctx, p, &exchange{
+		path:        p.file,
+		body:        raw,
+		traceparent: traceparent,
+		until:       until,
+		decode: func(r io.Reader) (err error) {
+			filed, err = wire.DecodeLeafFiled(r)
+			return err
+		},
 	})
 	return filed, f
 }
