Move the cost of a leaf call into a package of its own

Change: internal/cost has cost.Host and cost.Bare, which return CPU, allocations and live heap for each leaf call; its benchmarks call them.

--- /dev/null
+++ b/internal/cost/bare.go
@@ -0,0 +1,81 @@
+package cost
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+const bareTimeout = time.Second
+
+// fanOut is the plainest fan-out with net/http: one call for each shard, the
+// answers appended, without versions, hedges, limits or coverage.
+type fanOut struct {
+	leaves []config.Upstream
+	client *http.Client
+}
+
+// ServeHTTP answers a search.
+func (f *fanOut) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var req wire.SearchRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), bareTimeout)
+	defer cancel()
+	answers := make([]engine.Answer, len(f.leaves))
+	failed := make([]error, len(f.leaves))
+	var group sync.WaitGroup
+	for i := range f.leaves {
+		group.Go(func() { failed[i] = f.ask(ctx, i, &req, &answers[i]) })
+	}
+	group.Wait()
+	out := wire.SearchAnswer{Outcome: engine.Done}
+	for i := range answers {
+		if failed[i] != nil {
+			out.Outcome = engine.Partial
+		}
+		out.Documents = append(out.Documents, answers[i].Documents...)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out) // a caller that left needs no answer
+}
+
+func (f *fanOut) ask(ctx context.Context, i int, req *wire.SearchRequest, answer *engine.Answer) error {
+	body, err := json.Marshal(wire.LeafSearch{
+		Request: request,
+		Attempt: ident.AttemptID(i),
+		Index:   req.Index,
+		Shard:   f.leaves[i].Shards[0],
+		Version: held,
+		Terms:   req.Terms,
+	})
+	if err != nil {
+		return err
+	}
+	leaf, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.leaves[i].Address+wire.PathLeafSearch, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	leaf.Header.Set("Content-Type", "application/json")
+	resp, err := f.client.Do(leaf)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(answer); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
