--- a/pkg/engine/apply.go
+++ b/pkg/engine/apply.go
@@ -19,7 +19,8 @@
 	// blocked is the shard without room that the queue waits for.
 	blocked *place.Shard
 	hedges  *limit.Bucket
-	pace    limit.Pace
+	paces   [len(preset.Classes) - 1]*limit.Pace // of all ranks but the foremost
+	gap     limit.Gap
 	run     time.Duration // mean time from the first attempt to the answer
 }
 
@@ -46,6 +47,9 @@
 	}
 	ix.queue.SetOrder(limit.Order(*e.preset))
 	ix.timer.index = ix
+	for i := range ix.paces {
+		ix.paces[i] = limit.NewPace(i + 1)
+	}
 	p.Own = ix
 	e.indexes = append(e.indexes, ix)
 	return ix
