--- a/internal/scene/scene_test.go
+++ b/internal/scene/scene_test.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -229,6 +230,34 @@
 	is.Equal(len(<-ended), 3)
 }
 
+// slow takes long to start an event.
+type slow struct {
+	mu  sync.Mutex
+	got []bool
+}
+
+func (s *slow) Do(_ context.Context, _ scene.Event, on bool) error {
+	if on {
+		time.Sleep(30 * time.Millisecond)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.got = append(s.got, on)
+	return nil
+}
+
+// Guards against a fault that stays in force because its end overtook its start.
+func TestEventEndsAfterItsStart(t *testing.T) {
+	is := is.New(t)
+	s := &scene.Scenario{
+		DurationMillis: 10,
+		Events:         []scene.Event{{Do: scene.Lost, ForMillis: 1}},
+	}
+	actor := &slow{}
+	s.Play(context.Background(), time.Now(), "t", actor, nil)
+	is.Equal(actor.got, []bool{true, false})
+}
+
 // Guards against events that reach the wrong upstreams, overwrite each other's
 // faults or are not undone.
 func TestRemoteActsOnUpstreams(t *testing.T) {
