--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/internal/store"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/member"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
@@ -17,7 +20,9 @@
 	host  *Host
 	store *store.Store
 	node  *quorum.Node
-	parts *parts
+	parts *state.Set
+	// seating is empty unless this member leads.
+	seating *seating
 
 	// jobs wait for the disk goroutine, which has one list at a time.
 	jobs    []job
@@ -29,17 +34,24 @@
 	// office is the last term in which this member held the lease.
 	office quorum.Term
 
+	meterAt ident.Instant
+
 	lastID  quorum.ProposalID
 	waiting map[quorum.ProposalID]chan<- Answer
 
 	logBytes int64
 	snapSize int64
-	// freezing is set while a snapshot of applied state is being written.
-	freezing bool
+	// freezing is set while a snapshot of applied state is being written by a
+	// goroutine of freezers; not before freezeAt after a failure.
+	freezing  bool
+	freezeAt  ident.Instant
+	freezers  sync.WaitGroup
+	snapshots chan frozen
 	// fault is the disk fault that stopped this host, until it is repaired.
 	fault    *store.Error
 	reopenAt ident.Instant
 	slow     *store.Error
+	slowAt   ident.Instant
 	fatal    error
 }
 
@@ -57,12 +69,14 @@
 	log     int64
 	snap    int64
 	faults  []*store.Error
+	domains []member.DomainState
 }
 
 func newOwner(h *Host) (*owner, error) {
 	o := &owner{
 		host:    h,
 		waiting: map[quorum.ProposalID]chan<- Answer{},
+		seating: newSeating(),
 	}
 	return o, o.open()
 }
@@ -91,7 +105,7 @@
 
 func (o *owner) build() error {
 	cfg, s := o.host.cfg, o.store
-	o.parts = newParts(cfg.Parts)
+	o.parts = state.NewSet(cfg.Parts...)
 	stored := s.Stored()
 	if r := s.Report(); r.CutBytes > 0 {
 		o.host.log.Warn("cut a torn record at the end of the log", "file", r.CutFile, "bytes", r.CutBytes)
@@ -109,7 +123,7 @@
 		}
 	}
 	if stored.Snapshot.Meta.Index > 0 {
-		if err := o.parts.restore(stored.Snapshot.Data); err != nil {
+		if err := o.parts.Restore(stored.Snapshot.Data); err != nil {
 			return err
 		}
 	}
@@ -150,7 +164,7 @@
 			Folder: cfg.Folder,
 		}
 	}
-	data, err := o.parts.freeze()()
+	data, err := o.parts.Freeze()()
 	return quorum.Bootstrap(members, data), true, err
 }
 
@@ -158,6 +172,7 @@
 func (o *owner) startDisk() {
 	o.disk = make(chan []job)
 	o.results = make(chan diskResult, 1)
+	o.snapshots = make(chan frozen, 1)
 	o.stopped = make(chan struct{})
 	go func(s *store.Store, in <-chan []job, out chan<- diskResult, stopped chan<- struct{}) {
 		defer close(stopped)
@@ -169,6 +184,7 @@
 func (o *owner) stopDisk() {
 	close(o.disk)
 	<-o.stopped
+	o.freezers.Wait()
 	_ = o.store.Close()
 }
 
@@ -223,10 +239,17 @@
 		o.jobs, o.busy = nil, true
 	case res := <-o.results:
 		o.onDisk(res)
+	case f := <-o.snapshots:
+		o.onFrozen(f)
 	case <-tick:
 		o.step(quorum.Tick{Now: o.host.now()})
 		o.reopen()
+		o.followLead()
 		o.routine()
+		if now := o.host.now(); now >= o.meterAt {
+			o.meterAt = now.Add(meterEvery)
+			o.host.meters.show(o.view())
+		}
 	case m := <-o.host.inbox:
 		o.step(quorum.Receive{
 			Now:     o.host.now(),
@@ -280,10 +303,8 @@
 	s := o.node.Status(o.host.now())
 	if s.Lease && s.Term != o.office {
 		o.office = s.Term
-		for _, part := range o.parts.all {
-			if p, ok := part.(Proposer); ok {
-				p.TakeOffice(o.host.now())
-			}
+		for _, p := range o.parts.Proposers() {
+			p.TakeOffice(o.host.now())
 		}
 	}
 	return s.Lease
@@ -291,9 +312,9 @@
 
 // prepare returns the log entry for a command. If there is none, the command
 // is answered.
-func (o *owner) prepare(id quorum.ProposalID, c PartCommand) ([]byte, bool) {
-	part, err := o.parts.find(c.Part)
-	if p, ok := part.(Proposer); err == nil && ok {
+func (o *owner) prepare(id quorum.ProposalID, c state.Command) ([]byte, bool) {
+	part, err := o.parts.Find(c.Part)
+	if p, ok := part.(state.Proposer); err == nil && ok {
 		if !o.inOffice() {
 			// The reducer refuses or accepts; a command without its time must not be accepted.
 			a := notRun("this member does not lead or was just elected: send it again in a moment")
@@ -320,14 +341,10 @@
 	if o.fault != nil || !o.inOffice() {
 		return
 	}
-	for _, part := range o.parts.all {
-		p, ok := part.(Proposer)
-		if !ok {
-			continue
-		}
+	for _, p := range o.parts.Proposers() {
 		data, err := p.Routine(o.host.now())
 		if err == nil && data != nil {
-			data, err = proto.Marshal(PartCommand{
+			data, err = proto.Marshal(state.Command{
 				Part: p.Name(),
 				Data: data,
 			})
@@ -350,7 +367,7 @@
 }
 
 func (o *owner) changeMembers(id quorum.ProposalID, m MembersRequest) {
-	c, ok := m.change()
+	c, ok := m.Change()
 	if !ok {
 		o.answer(id, Answer{
 			Kind:   config.NotRun,
--- a/internal/ctrl/request.go
+++ b/internal/ctrl/request.go
@@ -6,24 +6,24 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/peer"
 	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
 // Command runs an operator command through the leader and returns its
 // outcome. It waits up to 3 s for a leader.
 func (h *Host) Command(ctx context.Context, c config.Command) config.Outcome {
-	data, err := proto.Marshal(c)
+	cmd, err := state.ConfigCommand(c)
 	if err != nil {
 		return config.Outcome{
 			Kind:   config.NotRun,
 			Remedy: err.Error(),
 		}
 	}
-	a := h.Submit(ctx, Request{Command: &PartCommand{
-		Part: configName,
-		Data: data,
-	}})
+	a := h.Submit(ctx, Request{Command: &cmd})
 	if a.Kind != config.Accepted {
 		return config.Outcome{
 			Kind:   a.Kind,
@@ -52,12 +52,14 @@
 	for {
 		a := h.route(ctx, r)
 		if a.Kind != config.NotRun || !a.Retry {
+			h.meters.ended(r, a.Kind)
 			return a
 		}
 		pause := time.NewTimer(leaderPoll)
 		select {
 		case <-ctx.Done():
 			pause.Stop()
+			h.meters.ended(r, a.Kind)
 			return a
 		case <-pause.C:
 		}
@@ -66,16 +68,17 @@
 
 // route runs a request here if this member leads, else on the leader.
 func (h *Host) route(ctx context.Context, r Request) Answer {
-	v, err := h.view(ctx)
+	var leader quorum.Member
+	var elsewhere bool
+	err := h.ask(ctx, func(o *owner) { leader, elsewhere = leaderOf(o.node.Status(h.now())) })
 	if err != nil {
 		return notRun(err.Error())
 	}
-	leader, ok := leaderOf(v.quorum)
-	if !ok {
+	if !elsewhere {
 		return h.Local(ctx, r)
 	}
 	a, err := h.cfg.Transport.Forward(ctx, leader, r)
-	var unsent *NotSentError
+	var unsent *peer.NotSentError
 	switch {
 	case errors.As(err, &unsent):
 		return notRun(err.Error())
