fault: accept a refusal that comes during the dial

Cause: TestBrokenConnections failed once in 8 runs on a busy host, because the reset of a refused connection reached the dialling side before Dial returned. Change: the test takes the error from the dial or from the first read; it still demands an error that is no timeout. Conclusion: the verdict does not depend on when the reset arrives.

--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -170,7 +170,12 @@
 	_, _, err = echo(dial(), "x", 10*time.Second)
 	is.True(err != nil && !isTimeout(err))
 	is.NoErr(p.Set(fault.Rules{RefuseFraction: 1}))
-	_, _, err = echo(dial(), "x", 10*time.Second)
+	// The reset may come before or after the dialling side sees the connection.
+	c, err = net.Dial("tcp", p.Address())
+	if err == nil {
+		_, _, err = echo(c, "x", 10*time.Second)
+		c.Close()
+	}
 	is.True(err != nil && !isTimeout(err))
 	is.Equal(p.Stats().Refused, uint64(1))
 }
