Start probe timeouts with the connection and name what breaks a replay

Cause: a probe that waited for its turn, or for a connection that attempts had in use, timed out and made a busy upstream look unreachable. A recorded event that makes a reducer panic ended the replay without naming the line.

A panic of the reducer is an error with line and event. /v1/status and the metrics show open connections, the metrics what the engine holds.

Conclusion: probes judge the upstream and not the pool.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -180,6 +180,17 @@
 	is.True(err != nil && strings.Contains(err.Error(), `"Odd"`))
 }
 
+// Guards against a replay that ends in a panic instead of naming the event.
+func TestEventThatBreaksTheReducerIsNamed(t *testing.T) {
+	is := is.New(t)
+	lines := record(t)
+	_, err := audit.Replay(strings.NewReader(strings.Join(lines, "\n")), audit.EngineEvents,
+		func(audit.Header) (audit.Step[engine.Event, engine.Effect], error) {
+			return func(ident.Instant, engine.Event) []engine.Effect { panic("no shard") }, nil
+		})
+	is.True(err != nil && strings.Contains(err.Error(), "line 2, event ConfigApplied: reducer failed: no shard"))
+}
+
 // Guards against a record that grows without bound, and against a host that
 // stops deciding because its record is full.
 func TestFullRecordStopsRecordingOnly(t *testing.T) {
--- a/internal/cost/cost.go
+++ b/internal/cost/cost.go
@@ -29,6 +29,7 @@
 const (
 	warmQueries = 200 // before the measurement
 	startLimit  = 10 * time.Second
+	shownBytes  = 1000
 	searchBody  = `{"Index":"review-panel","Terms":"x"}`
 )
 
@@ -48,6 +49,8 @@
 	Queries int
 	// Short counts answers that were not whole. The figures do not hold then.
 	Short int
+	// Fault is the start of the last answer that was not whole.
+	Fault string
 	// CPU is the processor time of the process for each leaf call.
 	CPU time.Duration
 	// Allocs are the allocations of the process for each leaf call.
@@ -153,7 +156,15 @@
 func measure(ctx context.Context, c Config, url string) (Result, error) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: c.Callers}}
 	defer client.CloseIdleConnections()
-	whole := func() bool { return c.ask(ctx, client, url) }
+	var asked, short atomic.Int64
+	var fault atomic.Value
+	whole := func() bool {
+		body, ok := c.ask(ctx, client, url)
+		if !ok {
+			fault.Store(string(body[:min(len(body), shownBytes)]))
+		}
+		return ok
+	}
 	for end := time.Now().Add(startLimit); !whole(); {
 		if ctx.Err() != nil || time.Now().After(end) {
 			return Result{}, errors.Errorf("no whole answer came within %s: look at the host's log", startLimit)
@@ -163,7 +174,7 @@
 		whole()
 	}
 	before, cpu := memory(), processorTime()
-	var asked, short atomic.Int64
+	fault.Store("")
 	end := time.Now().Add(c.Duration)
 	var callers sync.WaitGroup
 	for range c.Callers {
@@ -188,6 +199,7 @@
 	return Result{
 		Queries:    int(n),
 		Short:      int(short.Load()),
+		Fault:      fault.Load().(string),
 		CPU:        cpu / time.Duration(calls),
 		Allocs:     float64(after.Mallocs-before.Mallocs) / float64(calls),
 		HeapBefore: before.HeapAlloc,
@@ -195,23 +207,24 @@
 	}, ctx.Err()
 }
 
-// ask reports whether a query got a whole answer.
-func (c Config) ask(ctx context.Context, client *http.Client, url string) bool {
+// ask returns the answer to a query, or the error, and whether it is whole.
+func (c Config) ask(ctx context.Context, client *http.Client, url string) ([]byte, bool) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+wire.PathSearch, strings.NewReader(searchBody))
 	if err != nil {
-		return false
+		return []byte(err.Error()), false
 	}
 	req.Header.Set(wire.HeaderRequestID, string(request))
 	// Other classes are paced on a busy machine and would wait.
 	req.Header.Set(wire.HeaderClass, "Critical")
 	resp, err := client.Do(req)
 	if err != nil {
-		return false
+		return []byte(err.Error()), false
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return err == nil && bytes.Contains(body, []byte(`"Outcome":"Done"`)) &&
+	whole := err == nil && bytes.Contains(body, []byte(`"Outcome":"Done"`)) &&
 		bytes.Count(body, []byte(`"ID"`)) == documents*c.Shards
+	return body, whole
 }
 
 func memory() runtime.MemStats {
--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -155,12 +155,17 @@
 	traceparent string
 	// until is the last time to send; zero means none.
 	until time.Time
+	// connected is called when the request has its connection. Optional.
+	connected func()
 	// decode reads the body of a 200 answer.
 	decode func(io.Reader) error
 }
 
 func (c *Client) call(ctx context.Context, p *pool, x *exchange) *Failure {
-	g := &gate{until: x.until}
+	g := &gate{
+		until:     x.until,
+		connected: x.connected,
+	}
 	resp, err := p.transport.RoundTrip(x.request(g.trace(ctx)))
 	if err != nil {
 		f := &Failure{
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -28,7 +28,7 @@
 	Observe func(Ended)
 	// DialTimeout bounds the opening of one connection.
 	DialTimeout time.Duration
-	// ProbeTimeout bounds one health probe.
+	// ProbeTimeout bounds one health probe from the time it has a connection.
 	ProbeTimeout time.Duration
 	// Probes is the number of health probes that run at once.
 	Probes int
@@ -182,6 +182,18 @@
 	return p.count()
 }
 
+// Connections returns the number of open or opening connections to all
+// upstreams.
+func (c *Client) Connections() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, p := range c.pools {
+		n += p.count()
+	}
+	return n
+}
+
 // InFlight returns the number of attempts that have not ended.
 func (c *Client) InFlight() int {
 	c.mu.Lock()
--- a/internal/dial/gate.go
+++ b/internal/dial/gate.go
@@ -26,6 +26,8 @@
 type gate struct {
 	state atomic.Int32
 	until time.Time // no first byte after this time; zero means none
+	// connected is called when the request has its connection. Optional.
+	connected func()
 }
 
 // trace returns a context by which the transport hands the request's
@@ -38,6 +40,9 @@
 	if c, ok := info.Conn.(*conn); ok {
 		c.gate.Store(g)
 	}
+	if g.connected != nil {
+		g.connected()
+	}
 }
 
 // pass reports whether bytes may be written.
--- a/internal/dial/pool.go
+++ b/internal/dial/pool.go
@@ -140,7 +140,7 @@
 // dialContext serves net/http: it hands out a spare connection or opens one
 // within the limit, and waits while the limit is reached.
 func (p *pool) dialContext(ctx context.Context, _, _ string) (net.Conn, error) {
-	limit := time.NewTimer(p.client.config.DialTimeout)
+	limit := time.NewTimer(placeWait)
 	defer limit.Stop()
 	for {
 		conn, freed, err := p.take()
--- a/internal/dial/probe.go
+++ b/internal/dial/probe.go
@@ -23,23 +23,28 @@
 }
 
 func (c *Client) probe(pr engine.Probe) engine.Event {
-	ctx, cancel := context.WithTimeout(c.base, c.config.ProbeTimeout)
-	defer cancel()
 	failed := engine.ProbeFailed{Upstream: pr.Upstream}
-	p := c.pool(pr.Upstream)
-	if p == nil {
-		return failed
-	}
+	// Waiting for a turn or for a connection that attempts have in use is no
+	// sign of a bad upstream, so the timeout starts with the connection.
+	ctx, cancel := context.WithTimeout(c.base, probeWait)
+	defer cancel()
 	select {
 	case c.probes <- struct{}{}:
 		defer func() { <-c.probes }()
 	case <-ctx.Done():
 		return failed
 	}
+	p := c.pool(pr.Upstream)
+	if p == nil {
+		return failed
+	}
 	p.sweep()
+	limit := time.AfterFunc(probeWait, cancel)
+	defer limit.Stop()
 	var h wire.LeafHealth
 	f := c.call(ctx, p, &exchange{
-		path: p.health,
+		path:      p.health,
+		connected: func() { limit.Reset(c.config.ProbeTimeout) },
 		decode: func(r io.Reader) (err error) {
 			h, err = wire.DecodeLeafHealth(r)
 			return err
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -50,7 +50,9 @@
 	// Listener takes the callers' connections. The host closes it.
 	Listener net.Listener
 	Engine   Reducer
-	Control  Control
+	// Control must go on working until Run returns, since filings in flight are
+	// still recorded during a shutdown.
+	Control Control
 	// Dial sets the limits of the upstream side; its Emit is set by the host.
 	Dial dial.Config
 	// Grace is the time between the failing health check and the refusal of
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -186,21 +186,23 @@
 		version = s.Version
 	}
 	raw, _ := json.Marshal(struct {
-		Host     ident.HostID        `json:"Host"`
-		Domain   ident.Domain        `json:"Domain"`
-		Phase    string              `json:"Phase"`
-		Seat     engine.Seat         `json:"Seat"`
-		Config   ident.ConfigVersion `json:"Config"`
-		Requests int64               `json:"Requests"`
-		Attempts int                 `json:"Attempts"`
+		Host        ident.HostID        `json:"Host"`
+		Domain      ident.Domain        `json:"Domain"`
+		Phase       string              `json:"Phase"`
+		Seat        engine.Seat         `json:"Seat"`
+		Config      ident.ConfigVersion `json:"Config"`
+		Requests    int64               `json:"Requests"`
+		Attempts    int                 `json:"Attempts"`
+		Connections int                 `json:"Connections"`
 	}{
-		Host:     h.config.ID,
-		Domain:   h.config.Domain,
-		Phase:    phaseNames[h.phase.Load()],
-		Seat:     h.seat.Load().(engine.Seat),
-		Config:   version,
-		Requests: h.running.Load(),
-		Attempts: h.client.InFlight(),
+		Host:        h.config.ID,
+		Domain:      h.config.Domain,
+		Phase:       phaseNames[h.phase.Load()],
+		Seat:        h.seat.Load().(engine.Seat),
+		Config:      version,
+		Requests:    h.running.Load(),
+		Attempts:    h.client.InFlight(),
+		Connections: h.client.Connections(),
 	})
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(raw)
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -24,9 +24,13 @@
 // show sets the gauges. It runs in the goroutine that owns the engine.
 func (h *Host) show() {
 	at := stats.Snapshot{
-		Requests: int(h.running.Load()),
-		Attempts: h.client.InFlight(),
-		Seat:     h.seat.Load().(engine.Seat),
+		Requests:    int(h.running.Load()),
+		Attempts:    h.client.InFlight(),
+		Connections: h.client.Connections(),
+		Seat:        h.seat.Load().(engine.Seat),
+	}
+	if e, ok := h.config.Engine.(interface{ Retained() engine.Retained }); ok {
+		at.Retained = e.Retained()
 	}
 	if s := h.current.Load(); s != nil {
 		at.Config = s.Version
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -12,6 +12,9 @@
 //	| shards_missing   | counter   | reason          | shards missing from answers                 |
 //	| requests_running | gauge     |                 | caller requests in progress                 |
 //	| attempts_running | gauge     |                 | leaf attempts in progress                   |
+//	| connections      | gauge     |                 | open connections to all upstreams           |
+//	| engine_held      | gauge     | kind            | queries and attempts the engine holds, and  |
+//	|                  |           |                 | queries and tasks that wait                 |
 //	| queue_length     | gauge     | class           | queries that wait before anything is sent   |
 //	| budget_tokens    | gauge     | budget          | tokens left, hedge and retry                |
 //	| config_epoch     | gauge     |                 | epoch of the configuration in force         |
@@ -86,10 +89,12 @@
 }
 
 type gauges struct {
-	requests, attempts, epoch, number, goroutines tally.Gauge
-	queues                                        [len(preset.Classes)]tally.Gauge
-	hedge, retry                                  tally.Gauge
-	seats                                         map[engine.Seat]tally.Gauge
+	requests, attempts, connections     tally.Gauge
+	epoch, number, goroutines           tally.Gauge
+	heldQueries, heldAttempts, heldWait tally.Gauge
+	queues                              [len(preset.Classes)]tally.Gauge
+	hedge, retry                        tally.Gauge
+	seats                               map[engine.Seat]tally.Gauge
 }
 
 // New returns stats that report until Close.
@@ -149,14 +154,18 @@
 
 func newGauges(scope tally.Scope) gauges {
 	g := gauges{
-		requests:   scope.Gauge("requests_running"),
-		attempts:   scope.Gauge("attempts_running"),
-		epoch:      scope.Gauge("config_epoch"),
-		number:     scope.Gauge("config_number"),
-		goroutines: scope.Gauge("goroutines"),
-		hedge:      scope.Tagged(map[string]string{"budget": "hedge"}).Gauge("budget_tokens"),
-		retry:      scope.Tagged(map[string]string{"budget": "retry"}).Gauge("budget_tokens"),
-		seats:      make(map[engine.Seat]tally.Gauge),
+		requests:     scope.Gauge("requests_running"),
+		attempts:     scope.Gauge("attempts_running"),
+		connections:  scope.Gauge("connections"),
+		epoch:        scope.Gauge("config_epoch"),
+		number:       scope.Gauge("config_number"),
+		goroutines:   scope.Gauge("goroutines"),
+		heldQueries:  scope.Tagged(map[string]string{"kind": "queries"}).Gauge("engine_held"),
+		heldAttempts: scope.Tagged(map[string]string{"kind": "attempts"}).Gauge("engine_held"),
+		heldWait:     scope.Tagged(map[string]string{"kind": "waiting"}).Gauge("engine_held"),
+		hedge:        scope.Tagged(map[string]string{"budget": "hedge"}).Gauge("budget_tokens"),
+		retry:        scope.Tagged(map[string]string{"budget": "retry"}).Gauge("budget_tokens"),
+		seats:        make(map[engine.Seat]tally.Gauge),
 	}
 	for _, c := range preset.Classes {
 		g.queues[c] = scope.Tagged(map[string]string{"class": c.String()}).Gauge("queue_length")
@@ -226,10 +235,12 @@
 
 // Snapshot is the state of a host that gauges show.
 type Snapshot struct {
-	Requests int
-	Attempts int
-	Config   ident.ConfigVersion
-	Seat     engine.Seat
+	Requests    int
+	Attempts    int
+	Connections int
+	Retained    engine.Retained
+	Config      ident.ConfigVersion
+	Seat        engine.Seat
 	// Waiting counts the queued queries of each class.
 	Waiting [len(preset.Classes)]int
 	// HedgeTokens and RetryTokens are what the budgets have left in all.
@@ -245,6 +256,10 @@
 	g := &s.gauges
 	g.requests.Update(float64(at.Requests))
 	g.attempts.Update(float64(at.Attempts))
+	g.connections.Update(float64(at.Connections))
+	g.heldQueries.Update(float64(at.Retained.Queries))
+	g.heldAttempts.Update(float64(at.Retained.Attempts))
+	g.heldWait.Update(float64(at.Retained.Waiting))
 	g.epoch.Update(float64(at.Config.Epoch))
 	g.number.Update(float64(at.Config.Number))
 	g.goroutines.Update(float64(runtime.NumGoroutine()))
