--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jujubethread/jujubethread/internal/proto"
@@ -33,13 +34,19 @@
 	// office is the last term in which this member held the lease.
 	office quorum.Term
 
+	meterAt ident.Instant
+
 	lastID  quorum.ProposalID
 	waiting map[quorum.ProposalID]chan<- Answer
 
 	logBytes int64
 	snapSize int64
-	// freezing is set while a snapshot of applied state is being written.
-	freezing bool
+	// freezing is set while a snapshot of applied state is being written by a
+	// goroutine of freezers; not before freezeAt after a failure.
+	freezing  bool
+	freezeAt  ident.Instant
+	freezers  sync.WaitGroup
+	snapshots chan frozen
 	// fault is the disk fault that stopped this host, until it is repaired.
 	fault    *store.Error
 	reopenAt ident.Instant
@@ -165,6 +172,7 @@
 func (o *owner) startDisk() {
 	o.disk = make(chan []job)
 	o.results = make(chan diskResult, 1)
+	o.snapshots = make(chan frozen, 1)
 	o.stopped = make(chan struct{})
 	go func(s *store.Store, in <-chan []job, out chan<- diskResult, stopped chan<- struct{}) {
 		defer close(stopped)
@@ -176,6 +184,7 @@
 func (o *owner) stopDisk() {
 	close(o.disk)
 	<-o.stopped
+	o.freezers.Wait()
 	_ = o.store.Close()
 }
 
@@ -230,11 +239,17 @@
 		o.jobs, o.busy = nil, true
 	case res := <-o.results:
 		o.onDisk(res)
+	case f := <-o.snapshots:
+		o.onFrozen(f)
 	case <-tick:
 		o.step(quorum.Tick{Now: o.host.now()})
 		o.reopen()
 		o.followLead()
 		o.routine()
+		if now := o.host.now(); now >= o.meterAt {
+			o.meterAt = now.Add(meterEvery)
+			o.host.meters.show(o.view())
+		}
 	case m := <-o.host.inbox:
 		o.step(quorum.Receive{
 			Now:     o.host.now(),
