Answer unknown paths with a typed error and test unread answers

Cause: net/http answered unknown paths and methods in plain text without a request id, and nothing showed that a caller that never reads is given up.

Change: 404 and 405 carry the request id, the outcome and a remedy.

Conclusion: every answer of the caller interface has the same form.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -215,3 +215,12 @@
 	is.NoErr(err)
 	is.True(info.Size() <= 1000)
 }
+
+// Guards against files of any content that end a replay in a panic.
+func FuzzRun(f *testing.F) {
+	f.Add([]byte(`{"Format":"jujubethread-audit","Version":1,"Reducer":"engine","Setup":{}}` + "\n" +
+		`{"At":1,"Type":"Ticked","Event":{},"Effects":[],"Digest":"0"}`))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		_, _ = audit.Run(bytes.NewReader(raw))
+	})
+}
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -24,9 +24,32 @@
 	mux.HandleFunc("GET "+wire.PathStatus, h.status)
 	mux.Handle("GET "+wire.PathMetrics, h.config.Stats)
 	mux.Handle("GET "+pathTraces, h.config.Tracer)
+	mux.HandleFunc(wire.PathSearch, h.wrongMethod)
+	mux.HandleFunc(wire.PathFilings, h.wrongMethod)
+	mux.HandleFunc("/", h.wrongPath)
 	return h.bounded(mux)
 }
 
+func (h *Host) wrongMethod(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Allow", http.MethodPost)
+	h.refuse(w, r, http.StatusMethodNotAllowed, "method "+r.Method+" is not served here: use POST")
+}
+
+func (h *Host) wrongPath(w http.ResponseWriter, r *http.Request) {
+	h.refuse(w, r, http.StatusNotFound, "path does not exist: use "+wire.PathSearch+" or "+wire.PathFilings)
+}
+
+func (h *Host) refuse(w http.ResponseWriter, r *http.Request, status int, remedy string) {
+	call, bad := h.begin(r)
+	if bad == nil {
+		bad = &fault{
+			status: status,
+			remedy: remedy,
+		}
+	}
+	h.answerFault(w, call, bad)
+}
+
 // bounded renews the write deadline of the connection, which outlives one
 // request: the one set for an earlier answer may have passed.
 func (h *Host) bounded(next http.Handler) http.Handler {
--- a/internal/host/slow_test.go
+++ b/internal/host/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/host"
 	"github.com/jujubethread/jujubethread/internal/wire"
+	"github.com/jujubethread/jujubethread/pkg/engine"
 )
 
 const searchHead = "POST " + wire.PathSearch + " HTTP/1.1\r\nHost: h\r\n"
@@ -42,6 +44,8 @@
 		{searchHead + "X: " + strings.Repeat("x", 8000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
 		{searchHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", http.StatusBadRequest},
 		{searchHead + "Content-Length: 0\r\n\r\n", http.StatusBadRequest},
+		{"GET " + wire.PathSearch + " HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusMethodNotAllowed},
+		{"GET /v2 HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusNotFound},
 	} {
 		c := r.raw(tc.text)
 		in := bufio.NewReader(c)
@@ -100,3 +104,29 @@
 	close(release)
 	r.is.Equal(<-done, http.StatusOK)
 }
+
+// Guards against a caller that never reads its answer and so holds a request
+// for ever.
+func TestUnreadAnswerIsGivenUp(t *testing.T) {
+	large := func(w http.ResponseWriter, req *http.Request) {
+		s, _ := wire.DecodeLeafSearch(req.Body)
+		_ = wire.Reply(w, http.StatusOK, engine.Answer{
+			Attempt:   s.Attempt,
+			Documents: []engine.Document{{Body: strings.Repeat("x", wire.MaxAnswerBytes-1000)}},
+		})
+	}
+	var leaves []http.Handler
+	for range 5 {
+		leaves = append(leaves, http.HandlerFunc(large))
+	}
+	r := newRig(t, func(c *host.Config) { c.WriteTimeout = 50 * time.Millisecond }, leaves...)
+	c := r.raw(searchHead + "Content-Length: 24\r\n\r\n" + `{"Index":"review-panel"}`)
+	defer c.Close()
+	held := func() float64 {
+		var status struct{ Requests float64 }
+		r.is.NoErr(json.Unmarshal(r.read(wire.PathStatus), &status))
+		return status.Requests
+	}
+	r.eventually(func() bool { return held() == 1 })
+	r.eventually(func() bool { return held() == 0 })
+}
