Log failed attempts and test a shutdown under load

Cause: an operator saw failures of upstreams only as counters, and no test showed that callers which follow the health check lose nothing.

TestShutdownUnderLoad stops a host under 8 callers.

--- a/internal/audit/known.go
+++ b/internal/audit/known.go
@@ -20,10 +20,11 @@
 // the place of the engine in the host; its Close ends the record.
 func RecordEngine(path string, c engine.Config, failed func(error)) (*Recorder[engine.Event, engine.Effect], error) {
 	return NewRecorder(Config{
-		Path:    path,
-		Reducer: ReducerEngine,
-		Setup:   c,
-		Failed:  failed,
+		Path:     path,
+		MaxBytes: engineBytes,
+		Reducer:  ReducerEngine,
+		Setup:    c,
+		Failed:   failed,
 	}, engine.NewEngine(c).Step)
 }
 
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -10,6 +10,9 @@
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
+// engineBytes bounds a record of the engine: about 250,000 leaf calls at 1.1 KB.
+const engineBytes = 256 << 20
+
 // flushInterval bounds what a killed process loses of its record.
 const flushInterval = time.Second
 
--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -36,10 +36,10 @@
 	}
 	p := c.pool(s.Upstream)
 	if p == nil || !c.enter(a) {
-		c.finish(a, engine.AttemptFailed{
-			Attempt: s.Attempt,
-			Kind:    engine.Refused,
-		}, engine.Refused)
+		c.fail(a, &Failure{
+			Kind: engine.Refused,
+			Err:  errNoConnection,
+		})
 		return
 	}
 	go func() {
@@ -97,7 +97,7 @@
 	c.finish(a, engine.AttemptAnswered{
 		Attempt: s.Attempt,
 		Answer:  answer,
-	}, "")
+	}, nil)
 }
 
 func (c *Client) fail(a *attempt, f *Failure) {
@@ -105,11 +105,11 @@
 		Attempt: a.send.Attempt,
 		Kind:    f.Kind,
 		Held:    f.Held,
-	}, f.Kind)
+	}, f)
 }
 
 // finish ends an attempt with its one event.
-func (c *Client) finish(a *attempt, ev engine.Event, kind engine.FailKind) {
+func (c *Client) finish(a *attempt, ev engine.Event, f *Failure) {
 	a.cancel()
 	c.mu.Lock()
 	delete(c.attempts, a.send.Attempt)
@@ -118,7 +118,7 @@
 		c.config.Observe(Ended{
 			Send:      &a.send,
 			Span:      a.span,
-			Kind:      kind,
+			Failure:   f,
 			Cancelled: a.cancelled.Load(),
 			Took:      time.Since(a.began),
 		})
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -62,8 +62,8 @@
 	Send *engine.Send
 	// Span is the span that Send was given.
 	Span *span.Span
-	// Kind is empty when the attempt was answered.
-	Kind engine.FailKind
+	// Failure is nil when the attempt was answered.
+	Failure *Failure
 	// Cancelled tells that the engine cancelled the attempt before it ended.
 	Cancelled bool
 	Took      time.Duration
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,8 +10,8 @@
 //     another body, which no repetition can mend.
 //   - Unknown (filings only): 504, whatever the cause: the caller does the
 //     same in every case, and 502 would invite proxies to send again.
-//   - bad request: 400; body too slow: 408; body too large: 413; wrong
-//     method: 405.
+//   - bad request: 400; unknown path: 404; wrong method: 405; body too slow:
+//     408; body too large: 413.
 //
 // Every answer carries the request id, also that of a refused request.
 //
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -130,6 +130,43 @@
 	ends.Wait()
 }
 
+// Guards against a shutdown that cuts or refuses requests of callers which
+// follow the health check, as a balancer does.
+func TestShutdownUnderLoad(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, func(c *host.Config) { c.Grace = 500 * time.Millisecond }, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		<-time.After(2 * time.Millisecond)
+		answering(w, req)
+	}))
+	var left atomic.Bool
+	var done atomic.Int64
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for !left.Load() {
+				resp, err := r.client.Post(r.url+wire.PathSearch, "application/json", strings.NewReader(`{"Index":"review-panel"}`))
+				if err != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("request was cut or refused: %v %v", resp, err)
+					return
+				}
+				var body wire.SearchAnswer
+				if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || body.Outcome != engine.Done {
+					t.Errorf("answer was cut: %v %v", body, err)
+				}
+				resp.Body.Close()
+				done.Add(1)
+			}
+		})
+	}
+	r.eventually(func() bool { return done.Load() > 100 })
+	r.stop()
+	r.eventually(func() bool { return r.get(wire.PathHealth) == http.StatusServiceUnavailable })
+	left.Store(true)
+	callers.Wait()
+	r.end()
+	is.True(done.Load() > 100)
+}
+
 // Guards against a filing that runs twice, or whose recorded outcome differs
 // from the answer.
 func TestFilingRunsOnce(t *testing.T) {
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -6,16 +6,18 @@
 	"github.com/jujubethread/jujubethread/pkg/engine"
 )
 
-// observe counts an ended attempt and ends its span.
+// observe counts an ended attempt, ends its span and logs a failure. The log
+// limits repeated warnings by their message, so each kind of failure has its own.
 func (h *Host) observe(e dial.Ended) {
-	result := e.Kind
+	result := stats.Answered
 	switch {
-	case e.Cancelled && result == "":
+	case e.Cancelled && e.Failure == nil:
 		result = stats.Late
 	case e.Cancelled:
 		result = stats.Cancelled
-	case result == "":
-		result = stats.Answered
+	case e.Failure != nil:
+		result = e.Failure.Kind
+		h.config.Log.Warn("attempt failed: "+string(result), "Upstream", string(e.Send.Upstream), "Shard", string(e.Send.Shard), "RequestID", string(e.Send.Request), "Error", e.Failure.Err.Error())
 	}
 	h.config.Stats.Attempt(e.Send.Reason, result, e.Took)
 	e.Span.Ended(result)
