Record sealed interfaces with their type

Cause: events of the replicated log hold sealed interfaces (the body of a message, a member change), which encoding/json writes without their type, so such a record could not be replayed.

Change: values of interface fields are written as {"Type", "Value"} and read through the types that a codec names; unknown ones are rejected by name. Types without interface fields are written as before. QuorumEvents knows the events of the replicated log.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -18,6 +18,7 @@
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
 // record drives a real engine through queries and returns the lines.
@@ -216,6 +217,52 @@
 	is.True(info.Size() <= 1000)
 }
 
+// Guards against records of reducers whose events hold sealed interfaces, which
+// encoding/json writes without their type.
+func TestSealedPartsKeepTheirType(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "record")
+	echo := func(_ ident.Instant, ev quorum.Event) []quorum.Event { return []quorum.Event{ev} }
+	rec, err := audit.NewRecorder(audit.Config{
+		Path:    path,
+		Reducer: "quorum",
+	}, echo)
+	is.NoErr(err)
+	events := []quorum.Event{
+		quorum.Receive{
+			Now: 5,
+			Message: quorum.Message{
+				From: "a",
+				Body: quorum.AppendRequest{
+					PrevIndex: 3,
+					Entries:   []quorum.Entry{{Data: []byte("x")}},
+				},
+			},
+		},
+		quorum.Receive{},
+		quorum.ChangeMember{Change: quorum.RemoveMember{ID: "b"}},
+	}
+	for _, ev := range events {
+		rec.Step(1, ev)
+	}
+	is.NoErr(rec.Close())
+	raw, err := os.ReadFile(path)
+	is.NoErr(err)
+	var got []quorum.Event
+	rep, err := audit.Replay(bytes.NewReader(raw), audit.QuorumEvents, func(audit.Header) (audit.Step[quorum.Event, quorum.Event], error) {
+		return func(now ident.Instant, ev quorum.Event) []quorum.Event {
+			got = append(got, ev)
+			return echo(now, ev)
+		}, nil
+	})
+	is.NoErr(err)
+	is.Equal(rep.Difference, nil)
+	is.Equal(got, events)
+	codec := audit.NewCodec[quorum.Event](quorum.Receive{}, quorum.ChangeMember{}).Holding(quorum.AppendRequest{})
+	_, err = audit.Replay(bytes.NewReader(raw), codec, func(audit.Header) (audit.Step[quorum.Event, quorum.Event], error) { return echo, nil })
+	is.True(err != nil && strings.Contains(err.Error(), `"RemoveMember"`)) // not known to this codec
+}
+
 // Guards against files of any content that end a replay in a panic.
 func FuzzRun(f *testing.F) {
 	f.Add([]byte(`{"Format":"jujubethread-audit","Version":1,"Reducer":"engine","Setup":{}}` + "\n" +
--- a/internal/audit/format.go
+++ b/internal/audit/format.go
@@ -22,7 +22,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"github.com/jujubethread/jujubethread/internal/jsonl"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
@@ -109,7 +108,7 @@
 
 // encode returns the name of v's type and its JSON form.
 func encode(v any) (string, json.RawMessage, error) {
-	raw, err := json.Marshal(v)
+	raw, err := marshal(reflect.ValueOf(v))
 	return reflect.TypeOf(v).Name(), raw, errors.Wrapf(err, "value of type %T cannot be recorded", v)
 }
 
@@ -131,12 +130,15 @@
 // Codec decodes the events of one reducer.
 type Codec[E any] struct {
 	types map[string]reflect.Type
+	held  variants
 }
 
-// NewCodec returns a codec for the types of the samples. Their fields must be
-// plain data, without interfaces.
+// NewCodec returns a codec for the types of the samples.
 func NewCodec[E any](samples ...E) Codec[E] {
-	c := Codec[E]{types: make(map[string]reflect.Type, len(samples))}
+	c := Codec[E]{
+		types: make(map[string]reflect.Type, len(samples)),
+		held:  make(variants),
+	}
 	for _, s := range samples {
 		t := reflect.TypeOf(s)
 		c.types[t.Name()] = t
@@ -144,6 +146,15 @@
 	return c
 }
 
+// Holding adds the types that interface fields of events may hold.
+func (c Codec[E]) Holding(samples ...any) Codec[E] {
+	for _, s := range samples {
+		t := reflect.TypeOf(s)
+		c.held[t.Name()] = t
+	}
+	return c
+}
+
 // decode rejects unknown types and fields by name.
 func (c Codec[E]) decode(name string, raw json.RawMessage) (E, error) {
 	var none E
@@ -151,9 +162,9 @@
 	if !ok {
 		return none, errors.Errorf("event type %q is not known: use the version that wrote the record", name)
 	}
-	v := reflect.New(t)
-	if err := jsonl.Decode(raw, v.Interface()); err != nil {
+	v := reflect.New(t).Elem()
+	if err := c.held.unmarshal(raw, v); err != nil {
 		return none, errors.Wrapf(err, "event %s", name)
 	}
-	return v.Elem().Interface().(E), nil
+	return v.Interface().(E), nil
 }
--- a/internal/audit/known.go
+++ b/internal/audit/known.go
@@ -8,6 +8,7 @@
 	"github.com/jujubethread/jujubethread/internal/jsonl"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/filing"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
 // Names of the reducers that Run can replay.
@@ -41,6 +42,17 @@
 	filing.SendFailed{}, filing.RecordAnswered{}, filing.RecordFailed{}, filing.Ticked{},
 )
 
+// QuorumEvents decodes the events of the replicated log. They carry their own
+// time; its Step is wrapped in a function that ignores the time of the record.
+var QuorumEvents = NewCodec[quorum.Event](
+	quorum.Tick{}, quorum.Receive{}, quorum.Synced{}, quorum.DiskFailed{}, quorum.Propose{},
+	quorum.ChangeMember{}, quorum.Transfer{}, quorum.Compacted{},
+).Holding(
+	quorum.VoteRequest{}, quorum.VoteReply{}, quorum.AppendRequest{}, quorum.AppendReply{},
+	quorum.SnapshotRequest{}, quorum.SnapshotReply{}, quorum.TimeoutNow{},
+	quorum.AddMember{}, quorum.RemoveMember{},
+)
+
 // Run replays a record of any reducer that this package knows.
 func Run(r io.ReadSeeker) (Report, error) {
 	var head Header
--- /dev/null
+++ b/internal/audit/sealed.go
@@ -0,0 +1,208 @@
+package audit
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/jsonl"
+)
+
+// Values of sealed interfaces inside events and effects, for example the body
+// of a message, are written with their type: {"Type":"VoteReply","Value":{…}}.
+// Types without such fields use encoding/json.
+
+// sealed is a value of an interface field.
+type sealed struct {
+	Type  string          `json:"Type"`
+	Value json.RawMessage `json:"Value"`
+}
+
+// hasSealed reports whether a value of type t can hold an interface. seen ends
+// the walk over types that contain themselves.
+func hasSealed(t reflect.Type, seen map[reflect.Type]bool) bool {
+	if seen[t] {
+		return false
+	}
+	seen[t] = true
+	switch t.Kind() {
+	case reflect.Interface:
+		return true
+	case reflect.Pointer, reflect.Slice, reflect.Array, reflect.Map:
+		return hasSealed(t.Elem(), seen)
+	case reflect.Struct:
+		for i := range t.NumField() {
+			if f := t.Field(i); f.IsExported() && hasSealed(f.Type, seen) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// plain remembers the results of isPlain, which is asked for each event.
+var plain sync.Map // of reflect.Type to bool
+
+func isPlain(t reflect.Type) bool {
+	if known, ok := plain.Load(t); ok {
+		return known.(bool)
+	}
+	found := !hasSealed(t, make(map[reflect.Type]bool))
+	plain.Store(t, found)
+	return found
+}
+
+func fieldName(f reflect.StructField) string {
+	if name, _, _ := strings.Cut(f.Tag.Get("json"), ","); name != "" {
+		return name
+	}
+	return f.Name
+}
+
+func marshal(v reflect.Value) (json.RawMessage, error) {
+	if isPlain(v.Type()) {
+		return json.Marshal(v.Interface())
+	}
+	switch v.Kind() {
+	case reflect.Interface:
+		if v.IsNil() {
+			return json.RawMessage("null"), nil
+		}
+		raw, err := marshal(v.Elem())
+		if err != nil {
+			return nil, err
+		}
+		return json.Marshal(sealed{
+			Type:  v.Elem().Type().Name(),
+			Value: raw,
+		})
+	case reflect.Pointer:
+		if v.IsNil() {
+			return json.RawMessage("null"), nil
+		}
+		return marshal(v.Elem())
+	case reflect.Slice:
+		return marshalSlice(v)
+	case reflect.Struct:
+		return marshalStruct(v)
+	default:
+		return nil, errors.Errorf("type %s holds interfaces: use a slice or struct", v.Type())
+	}
+}
+
+func marshalSlice(v reflect.Value) (json.RawMessage, error) {
+	if v.IsNil() {
+		return json.RawMessage("null"), nil
+	}
+	items := make([]json.RawMessage, v.Len())
+	for i := range items {
+		raw, err := marshal(v.Index(i))
+		if err != nil {
+			return nil, err
+		}
+		items[i] = raw
+	}
+	return json.Marshal(items)
+}
+
+func marshalStruct(v reflect.Value) (json.RawMessage, error) {
+	var out bytes.Buffer
+	out.WriteByte('{')
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		if !f.IsExported() {
+			continue
+		}
+		raw, err := marshal(v.Field(i))
+		if err != nil {
+			return nil, err
+		}
+		if out.Len() > 1 {
+			out.WriteByte(',')
+		}
+		out.WriteString(`"` + fieldName(f) + `":`)
+		out.Write(raw)
+	}
+	out.WriteByte('}')
+	return out.Bytes(), nil
+}
+
+// variants are the types that interface fields may hold, by name.
+type variants map[string]reflect.Type
+
+func (k variants) unmarshal(raw json.RawMessage, v reflect.Value) error {
+	if isPlain(v.Type()) {
+		return jsonl.Decode(raw, v.Addr().Interface())
+	}
+	if string(raw) == "null" {
+		v.SetZero()
+		return nil
+	}
+	switch v.Kind() {
+	case reflect.Interface:
+		return k.unmarshalSealed(raw, v)
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		return k.unmarshal(raw, v.Elem())
+	case reflect.Slice:
+		var items []json.RawMessage
+		if err := jsonl.Decode(raw, &items); err != nil {
+			return err
+		}
+		v.Set(reflect.MakeSlice(v.Type(), len(items), len(items)))
+		for i := range items {
+			if err := k.unmarshal(items[i], v.Index(i)); err != nil {
+				return err
+			}
+		}
+		return nil
+	case reflect.Struct:
+		return k.unmarshalStruct(raw, v)
+	default:
+		return errors.Errorf("type %s holds interfaces: use a slice or struct", v.Type())
+	}
+}
+
+func (k variants) unmarshalSealed(raw json.RawMessage, v reflect.Value) error {
+	var s sealed
+	if err := jsonl.Decode(raw, &s); err != nil {
+		return err
+	}
+	t, ok := k[s.Type]
+	if !ok || !t.Implements(v.Type()) {
+		return errors.Errorf("type %q is not known as %s: use the version that wrote the record", s.Type, v.Type())
+	}
+	held := reflect.New(t).Elem()
+	if err := k.unmarshal(s.Value, held); err != nil {
+		return errors.Wrap(err, s.Type)
+	}
+	v.Set(held)
+	return nil
+}
+
+func (k variants) unmarshalStruct(raw json.RawMessage, v reflect.Value) error {
+	var fields map[string]json.RawMessage
+	if err := jsonl.Decode(raw, &fields); err != nil {
+		return err
+	}
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		name := fieldName(f)
+		part, ok := fields[name]
+		if !ok || !f.IsExported() {
+			continue
+		}
+		delete(fields, name)
+		if err := k.unmarshal(part, v.Field(i)); err != nil {
+			return errors.Wrap(err, name)
+		}
+	}
+	for name := range fields {
+		return errors.Errorf("unknown field %q: use the version that wrote the record", name)
+	}
+	return nil
+}
