--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -36,10 +36,10 @@
 	}
 	p := c.pool(s.Upstream)
 	if p == nil || !c.enter(a) {
-		c.finish(a, engine.AttemptFailed{
-			Attempt: s.Attempt,
-			Kind:    engine.Refused,
-		}, engine.Refused)
+		c.fail(a, &Failure{
+			Kind: engine.Refused,
+			Err:  errNoConnection,
+		})
 		return
 	}
 	go func() {
@@ -97,7 +97,7 @@
 	c.finish(a, engine.AttemptAnswered{
 		Attempt: s.Attempt,
 		Answer:  answer,
-	}, "")
+	}, nil)
 }
 
 func (c *Client) fail(a *attempt, f *Failure) {
@@ -105,11 +105,11 @@
 		Attempt: a.send.Attempt,
 		Kind:    f.Kind,
 		Held:    f.Held,
-	}, f.Kind)
+	}, f)
 }
 
 // finish ends an attempt with its one event.
-func (c *Client) finish(a *attempt, ev engine.Event, kind engine.FailKind) {
+func (c *Client) finish(a *attempt, ev engine.Event, f *Failure) {
 	a.cancel()
 	c.mu.Lock()
 	delete(c.attempts, a.send.Attempt)
@@ -118,7 +118,7 @@
 		c.config.Observe(Ended{
 			Send:      &a.send,
 			Span:      a.span,
-			Kind:      kind,
+			Failure:   f,
 			Cancelled: a.cancelled.Load(),
 			Took:      time.Since(a.began),
 		})
@@ -155,12 +155,17 @@
 	traceparent string
 	// until is the last time to send; zero means none.
 	until time.Time
+	// connected is called when the request has its connection. Optional.
+	connected func()
 	// decode reads the body of a 200 answer.
 	decode func(io.Reader) error
 }
 
 func (c *Client) call(ctx context.Context, p *pool, x *exchange) *Failure {
-	g := &gate{until: x.until}
+	g := &gate{
+		until:     x.until,
+		connected: x.connected,
+	}
 	resp, err := p.transport.RoundTrip(x.request(g.trace(ctx)))
 	if err != nil {
 		f := &Failure{
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,8 +10,8 @@
 //     another body, which no repetition can mend.
 //   - Unknown (filings only): 504, whatever the cause: the caller does the
 //     same in every case, and 502 would invite proxies to send again.
-//   - bad request: 400; body too slow: 408; body too large: 413; wrong
-//     method: 405.
+//   - bad request: 400; unknown path: 404; wrong method: 405; body too slow:
+//     408; body too large: 413.
 //
 // Every answer carries the request id, also that of a refused request.
 //
@@ -50,7 +50,9 @@
 	// Listener takes the callers' connections. The host closes it.
 	Listener net.Listener
 	Engine   Reducer
-	Control  Control
+	// Control must go on working until Run returns, since filings in flight are
+	// still recorded during a shutdown.
+	Control Control
 	// Dial sets the limits of the upstream side; its Emit is set by the host.
 	Dial dial.Config
 	// Grace is the time between the failing health check and the refusal of
