--- a/pkg/engine/admit.go
+++ b/pkg/engine/admit.go
@@ -78,18 +78,17 @@
 	if q.rank == 0 || e.cfg.Policy != PolicyTolerant {
 		return 0
 	}
-	return q.index.paces[q.rank-1].Next()
+	p := q.index.paces[q.rank-1]
+	if p.Sparse(q.index.run) {
+		return 0
+	}
+	return p.Next()
 }
 
 // admitted notes an admission in the paces of all classes.
 func (ix *index) admitted(now ident.Instant, rank int) {
-	for i, p := range ix.paces {
-		switch {
-		case rank == i+1:
-			p.Admitted(now)
-		case rank <= i:
-			p.Yield(now)
-		}
+	for _, p := range ix.paces {
+		p.Admitted(now, rank)
 	}
 }
 
--- a/pkg/limit/const.go
+++ b/pkg/limit/const.go
@@ -3,14 +3,17 @@
 import "time"
 
 const (
-	// shortShare weighs a new latency in the short mean, fallShare a short mean
-	// that is below the long one. The long mean rises with the time riseTime, so
+	// shortShare and steadyShare weigh a new latency in the short and the steady
+	// mean, fallShare a steady mean that is below the long one. The short mean
+	// would do for that too, but its noise kept the long one a third too low
+	// with widely spread latencies. The long mean rises with riseTime, so
 	// that queues that grow under load show as a gap between the two. A rise per
 	// answer hid an overload of 16 requests on 4 slots within a second.
-	shortShare = 0.1
-	fallShare  = 0.02
-	riseTime   = 2 * time.Minute
-	riseMost   = time.Second
+	shortShare  = 0.1
+	steadyShare = 0.02
+	fallShare   = 0.02
+	riseTime    = 2 * time.Minute
+	riseMost    = time.Second
 
 	// outlier is the multiple of the short mean at which a latency is cut, so
 	// that a single straggler does not look like a growing queue.
@@ -34,9 +37,10 @@
 
 	// A pace slows down above a ratio, else it speeds up. While more important
 	// classes were admitted within guardTime the ratio is 1 + slowdownGuarded
-	// for the second class and less for the third. With 1.5 the p99 of Critical
-	// with 4 hosts at twice capacity was 46 ms, with 1.25 it was 32 ms.
-	slowdownGuarded = 0.25
+	// for the second class and half as much above 1 for the third. With 4 hosts
+	// at twice capacity the p99 of Critical was 46 ms at 1.5 and 35 ms at 1.3.
+	// Nearer to 1 the noise of latencies alone would start the pace.
+	slowdownGuarded = 0.3
 	slowdownFree    = 1.8
 	guardTime       = time.Second
 
@@ -56,6 +60,11 @@
 	// pace is not needed any more.
 	paceOff = 4
 
+	// sparse is the gap between admissions, in run times of a query, beyond which
+	// a host is not paced. 25 hosts that each send a query every 6 run times keep
+	// the 4 slots of a service busy; pacing rarer queries only delayed them.
+	sparse = 8
+
 	// intervalShare weighs a new interval between two admissions.
 	intervalShare = 0.1
 )
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -196,7 +196,7 @@
 		for end := now.Add(time.Duration(seconds) * time.Second); now < end; now = now.Add(time.Millisecond) {
 			p.Observe(now, slowdown, 10*time.Millisecond)
 			if now >= p.Next() {
-				p.Admitted(now)
+				p.Admitted(now, 1)
 				admitted++
 			}
 		}
@@ -208,3 +208,17 @@
 	run(10, 1)
 	is.Equal(run(1, 1), 1000)
 }
+
+// Guards against pacing rare queries, which waited seconds for upstreams that
+// were slow for another reason.
+func TestPaceOfRareQueriesIsSparse(t *testing.T) {
+	is := is.New(t)
+	const run = 10 * time.Millisecond
+	rare, busy := limit.NewPace(1), limit.NewPace(1)
+	for i := range 100 {
+		rare.Admitted(ident.Instant(0).Add(time.Duration(i+1)*20*run), 1)
+		busy.Admitted(ident.Instant(0).Add(time.Duration(i+1)*run), 1)
+	}
+	is.True(rare.Sparse(run))
+	is.True(!busy.Sparse(run))
+}
