--- a/pkg/engine/admit.go
+++ b/pkg/engine/admit.go
@@ -75,22 +75,20 @@
 // nextPaced returns the time from which the pace of its class allows q. The
 // foremost class is not paced.
 func (e *Engine) nextPaced(q *query) ident.Instant {
-	if q.rank == 0 || e.cfg.Policy != PolicyTolerant || q.index.gap.Sparse(q.index.run) {
+	if q.rank == 0 || e.cfg.Policy != PolicyTolerant {
 		return 0
 	}
-	return q.index.paces[q.rank-1].Next()
+	p := q.index.paces[q.rank-1]
+	if p.Sparse(q.index.run) {
+		return 0
+	}
+	return p.Next()
 }
 
 // admitted notes an admission in the paces of all classes.
 func (ix *index) admitted(now ident.Instant, rank int) {
-	ix.gap.Admitted(now)
-	for i, p := range ix.paces {
-		switch {
-		case rank == i+1:
-			p.Admitted(now)
-		case rank <= i:
-			p.Yield(now)
-		}
+	for _, p := range ix.paces {
+		p.Admitted(now, rank)
 	}
 }
 
--- a/pkg/engine/apply.go
+++ b/pkg/engine/apply.go
@@ -20,8 +20,7 @@
 	blocked *place.Shard
 	hedges  *limit.Bucket
 	paces   [len(preset.Classes) - 1]*limit.Pace // of all ranks but the foremost
-	gap     limit.Gap
-	run     time.Duration // mean time from the first attempt to the answer
+	run     time.Duration                        // mean time from the first attempt to the answer
 }
 
 type serviceKey struct {
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -196,7 +196,7 @@
 		for end := now.Add(time.Duration(seconds) * time.Second); now < end; now = now.Add(time.Millisecond) {
 			p.Observe(now, slowdown, 10*time.Millisecond)
 			if now >= p.Next() {
-				p.Admitted(now)
+				p.Admitted(now, 1)
 				admitted++
 			}
 		}
@@ -211,13 +211,13 @@
 
 // Guards against pacing rare queries, which waited seconds for upstreams that
 // were slow for another reason.
-func TestRareAdmissionsAreSparse(t *testing.T) {
+func TestPaceOfRareQueriesIsSparse(t *testing.T) {
 	is := is.New(t)
 	const run = 10 * time.Millisecond
-	var rare, busy limit.Gap
+	rare, busy := limit.NewPace(1), limit.NewPace(1)
 	for i := range 100 {
-		rare.Admitted(ident.Instant(0).Add(time.Duration(i+1) * 20 * run))
-		busy.Admitted(ident.Instant(0).Add(time.Duration(i+1) * run))
+		rare.Admitted(ident.Instant(0).Add(time.Duration(i+1)*20*run), 1)
+		busy.Admitted(ident.Instant(0).Add(time.Duration(i+1)*run), 1)
 	}
 	is.True(rare.Sparse(run))
 	is.True(!busy.Sparse(run))
--- a/pkg/limit/pace.go
+++ b/pkg/limit/pace.go
@@ -12,20 +12,26 @@
 // rate rises by steps and falls by factors, so that hosts that share upstreams
 // come to equal rates.
 type Pace struct {
+	rank     int
 	guarded  float64 // slowdown to keep while more important classes are served
 	sum      float64 // of slowdowns since the last adjustment
 	answers  float64 // since the last adjustment
-	gap      float64 // mean time between admissions of the class, ns
+	gap      float64 // mean time between admissions of all classes, ns
 	rate     float64 // paced admissions per ns; 0 is no bound
 	next     ident.Instant
-	last     ident.Instant // last admission
+	last     ident.Instant // last admission of any class
 	guard    ident.Instant // last admission of a more important class
 	adjusted ident.Instant
 }
 
 // NewPace returns a pace for the class with the given rank, from 1 for the
 // class after the foremost one. It spaces out nothing at first.
-func NewPace(rank int) *Pace { return &Pace{guarded: 1 + slowdownGuarded/float64(rank)} }
+func NewPace(rank int) *Pace {
+	return &Pace{
+		rank:    rank,
+		guarded: 1 + slowdownGuarded/float64(rank),
+	}
+}
 
 // Slowdown returns the ratio of a latency to the latency without load.
 func (a *Adaptive) Slowdown(latency time.Duration) float64 {
@@ -65,19 +71,24 @@
 // Next returns the earliest time of the next paced admission.
 func (p *Pace) Next() ident.Instant { return p.next }
 
-// Yield notes an admission of a more important class.
-func (p *Pace) Yield(now ident.Instant) { p.guard = now }
-
-// Admitted notes an admission of the class.
-func (p *Pace) Admitted(now ident.Instant) {
+// Admitted notes an admission of a class.
+func (p *Pace) Admitted(now ident.Instant, rank int) {
 	if p.last != 0 {
 		p.gap += intervalShare * (float64(now.Sub(p.last)) - p.gap)
 	}
 	p.last = now
-	if p.rate == 0 {
+	switch {
+	case rank < p.rank:
+		p.guard = now
+	case rank > p.rank:
+	case p.rate == 0:
 		p.next = 0
-		return
+	default:
+		interval := time.Duration(1 / p.rate)
+		p.next = max(p.next, now.Add(-interval)).Add(interval)
 	}
-	interval := time.Duration(1 / p.rate)
-	p.next = max(p.next, now.Add(-interval)).Add(interval)
 }
+
+// Sparse reports whether admissions are so far apart, for queries that take
+// run, that this host cannot be the cause of a slowdown.
+func (p *Pace) Sparse(run time.Duration) bool { return p.gap > sparse*float64(run) }
