--- a/internal/bench/list.go
+++ b/internal/bench/list.go
@@ -6,4 +6,11 @@
 	{name: "loss", run: loss},
 	{name: "outage", run: outage},
 	{name: "overload", run: overload},
+	{name: "livestragglers", run: liveStragglers},
+	{name: "liverollover", run: liveRollOver},
+	{name: "connections", run: connections},
+	{name: "entrycost", run: entryCost},
+	{name: "propagation", run: propagation},
+	{name: "controlcost", run: controlCost},
+	{name: "filings", run: filings},
 }
--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"path/filepath"
 	"time"
 
@@ -15,13 +14,9 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/jujubethread/jujubethread/internal/agent"
 	"github.com/jujubethread/jujubethread/internal/ctrl"
-	"github.com/jujubethread/jujubethread/internal/host"
 	"github.com/jujubethread/jujubethread/internal/leaf"
 	"github.com/jujubethread/jujubethread/internal/shape"
-	"github.com/jujubethread/jujubethread/internal/span"
-	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -63,15 +58,16 @@
 	Shape    shape.Deployment
 	Leaves   []*leaf.Leaf
 	Controls []*ctrl.Host
-	Entries  []*host.Host
-	// Agents are the control sides of the entry hosts, in their order.
-	Agents []*agent.Agent
+	// Entries are the entry hosts in the order of their start, the stopped ones
+	// included.
+	Entries []*Entry
 
 	cfg Config
 	// back runs the upstreams and control hosts, front the entry hosts. The
 	// front stops first, so that no request in flight loses its upstreams.
 	back, front         *errgroup.Group
 	stopBack, stopFront context.CancelFunc
+	frontCtx            context.Context
 }
 
 // Start starts a deployment and returns when every entry host serves. Stop
@@ -86,12 +82,12 @@
 		stopFront: stopFront,
 	}
 	d.back, back = errgroup.WithContext(back)
-	d.front, front = errgroup.WithContext(front)
+	d.front, d.frontCtx = errgroup.WithContext(front)
 	for _, step := range []func() error{
 		func() error { return d.startLeaves(back) },
 		func() error { return d.startControl(back) },
 		func() error { return d.addUpstreams(back) },
-		func() error { return d.startEntries(front) },
+		d.startEntries,
 	} {
 		if err := step(); err != nil {
 			return nil, errors.Wrap(firstOf(err, d.Stop()), "deployment did not start")
@@ -112,7 +108,7 @@
 func (d *Deployment) Wait() error { return d.front.Wait() }
 
 // EntryAddress returns the address of the first entry host.
-func (d *Deployment) EntryAddress() string { return d.Entries[0].Addr().String() }
+func (d *Deployment) EntryAddress() string { return d.Entries[0].Address() }
 
 // ControlAddress returns the address of the first control host.
 func (d *Deployment) ControlAddress() string { return d.Controls[0].Addr() }
@@ -256,78 +252,6 @@
 	}
 }
 
-func (d *Deployment) startEntries(ctx context.Context) error {
-	for i := range d.cfg.Entries {
-		if err := d.startEntry(ctx, i); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (d *Deployment) startEntry(ctx context.Context, i int) error {
-	address := freePort
-	if i == 0 {
-		address = d.cfg.EntryListen
-	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "entry host cannot listen on %s: free the address or choose another", address)
-	}
-	id := ident.HostID(fmt.Sprintf("entry-%d", i+1))
-	domain := d.Shape.Domains[i%len(d.Shape.Domains)]
-	log := d.cfg.Log.With("Host", string(id), "Domain", string(domain))
-	control, err := agent.New(agent.Config{
-		Host:     id,
-		Domain:   domain,
-		Listen:   freePort,
-		Controls: d.sources(),
-		Log:      log,
-	})
-	if err != nil {
-		return err
-	}
-	tracer, err := span.New(span.Config{
-		Host:  id,
-		Ratio: d.cfg.TraceRatio,
-	})
-	if err != nil {
-		return err
-	}
-	meter := stats.New()
-	h, err := host.New(host.Config{
-		ID:       id,
-		Domain:   domain,
-		Listener: listener,
-		Engine: engine.NewEngine(engine.Config{
-			Host:   id,
-			Domain: domain,
-			Seed:   d.cfg.Seed + uint64(i),
-			Policy: d.cfg.Policy,
-		}),
-		Control: control,
-		Grace:   d.cfg.Grace,
-		Stats:   meter,
-		Tracer:  tracer,
-		Log:     log,
-	})
-	if err != nil {
-		return err
-	}
-	d.Entries = append(d.Entries, h)
-	d.Agents = append(d.Agents, control)
-	d.front.Go(func() error {
-		// The agent ends after the host, so that the last filings are recorded.
-		life, end := context.WithCancel(context.WithoutCancel(ctx))
-		var group errgroup.Group
-		group.Go(func() error { return control.Run(life) })
-		err := h.Run(ctx)
-		end()
-		return firstOf(err, group.Wait(), tracer.Close(context.WithoutCancel(ctx)), meter.Close())
-	})
-	return nil
-}
-
 // sources returns the control hosts as the entry hosts know them.
 func (d *Deployment) sources() []spread.Source {
 	list := make([]spread.Source, 0, len(d.Controls))
@@ -339,12 +263,3 @@
 	}
 	return list
 }
-
-func firstOf(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/devel/devel_test.go
+++ b/internal/devel/devel_test.go
@@ -64,7 +64,7 @@
 	d, err := devel.Start(cfg)
 	is.NoErr(err)
 	for _, e := range d.Entries {
-		a := until(t, e.Addr().String(), func(a wire.SearchAnswer) bool { return a.Outcome == engine.Done })
+		a := until(t, e.Address(), func(a wire.SearchAnswer) bool { return a.Outcome == engine.Done })
 		is.Equal(a.Coverage.Asked, 20)
 		is.Equal(a.Coverage.Answered, 20)
 		is.Equal(a.Preset, preset.Ordinary)
@@ -81,11 +81,11 @@
 	is.NoErr(err)
 	is.Equal(again, out) // a resent command returns its first outcome
 	for _, e := range d.Entries {
-		until(t, e.Addr().String(), func(a wire.SearchAnswer) bool { return a.Preset == preset.Peak })
+		until(t, e.Address(), func(a wire.SearchAnswer) bool { return a.Preset == preset.Peak })
 	}
-	first := file(t, d.Entries[0].Addr().String(), "draft-1", "text")
+	first := file(t, d.Entries[0].Address(), "draft-1", "text")
 	is.Equal(first.Outcome, engine.Done)
-	resent := file(t, d.Entries[1].Addr().String(), "draft-1", "text")
+	resent := file(t, d.Entries[1].Address(), "draft-1", "text")
 	is.Equal(resent, first) // the recorded outcome, through another entry host
 	is.True(file(t, d.EntryAddress(), "draft-1", "other text").Outcome != engine.Done)
 	http.DefaultClient.CloseIdleConnections()
--- /dev/null
+++ b/internal/devel/target.go
@@ -0,0 +1,32 @@
+package devel
+
+import "github.com/jujubethread/jujubethread/internal/scene"
+
+// Targets returns the entry hosts as the first target of a load run and, for
+// comparison, the plain baseline on the same upstreams as the second.
+func (d *Deployment) Targets() []scene.Target {
+	var entries []string
+	for _, e := range d.Entries {
+		entries = append(entries, e.Address())
+	}
+	var leaves []scene.Leaf
+	for i, l := range d.Shape.Leaves {
+		leaves = append(leaves, scene.Leaf{
+			Upstream: l.Upstream,
+			Control:  d.Leaves[i].ControlAddress(),
+		})
+	}
+	return []scene.Target{
+		{
+			Name:    "jujubethread",
+			Policy:  scene.Entry,
+			Entries: entries,
+			Leaves:  leaves,
+		},
+		{
+			Name:   "plain",
+			Policy: scene.Plain,
+			Leaves: leaves,
+		},
+	}
+}
--- a/internal/launch/load.go
+++ b/internal/launch/load.go
@@ -35,7 +35,7 @@
 			return err
 		}
 		defer func() { _ = d.Stop() }()
-		sc.Targets = targets(d)
+		sc.Targets = d.Targets()
 	}
 	if err := sc.Check(); err != nil {
 		return err
@@ -96,33 +96,6 @@
 
 const loadWarmup ident.Millis = 2000
 
-func targets(d *devel.Deployment) []scene.Target {
-	var entries []string
-	for _, e := range d.Entries {
-		entries = append(entries, e.Addr().String())
-	}
-	var leaves []scene.Leaf
-	for i, l := range d.Shape.Leaves {
-		leaves = append(leaves, scene.Leaf{
-			Upstream: l.Upstream,
-			Control:  d.Leaves[i].ControlAddress(),
-		})
-	}
-	return []scene.Target{
-		{
-			Name:    "jujubethread",
-			Policy:  scene.Entry,
-			Entries: entries,
-			Leaves:  leaves,
-		},
-		{
-			Name:   "plain",
-			Policy: scene.Plain,
-			Leaves: leaves,
-		},
-	}
-}
-
 func (j *job) report(run *result.Run) error {
 	write := report.Table
 	if j.opt.JSON {
