engine: give up late calls to upstreams that answer no probe

Cause: a query of a class without hedges waited for its deadline, up to 10 s, when its upstream fell silent. Queries with a short deadline were refused for ever while no latency was known, since a first attempt was only made with half of the assumed 50 ms left.

Change: a failed probe cancels the late attempts to that upstream and retries them within the budget. First attempts need only some time left. LossRun asks queries of all classes.

Conclusion: both faults are fixed and have a test each.

--- a/internal/drive/scene.go
+++ b/internal/drive/scene.go
@@ -175,7 +175,8 @@
 	Stats       *Stats
 }
 
-// LossRun loses one replica of every service for good.
+// LossRun loses one replica of every service for good while queries of all
+// classes are asked.
 func LossRun(seed uint64, p engine.Policy, how Mode) Loss {
 	d := New(Setup{
 		Seed:     seed,
@@ -183,7 +184,7 @@
 		Shards:   20,
 		Replicas: 2,
 	})
-	d.Load(200, 2*time.Second, preset.Critical)
+	d.Load(200, 2*time.Second, preset.Critical, preset.Standard, preset.Tolerant)
 	settled := d.Now().Add(2 * time.Second)
 	var out Loss
 	d.Replied = func(at ident.Instant, r engine.Reply) {
@@ -200,7 +201,7 @@
 	for i := range d.Setup.Shards {
 		d.Leaves[i*d.Setup.Replicas+int(d.Rand.IntN(d.Setup.Replicas))].Mode = how
 	}
-	d.Load(200, 12*time.Second, preset.Critical)
+	d.Load(200, 12*time.Second, preset.Critical, preset.Standard, preset.Tolerant)
 	out.Stats = d.End()
 	return out
 }
--- a/pkg/engine/attempt.go
+++ b/pkg/engine/attempt.go
@@ -43,7 +43,7 @@
 	t := &q.tasks[i]
 	r, room := e.choose(now, q, t, why != First || q.plans > 1)
 	switch {
-	case r != nil && !q.worthwhile(now, up(r.Up)):
+	case r != nil && !q.worthwhile(now, up(r.Up), why):
 		e.miss(q, i, MissingTimedOut)
 	case r != nil:
 		e.send(now, q, i, r, why)
@@ -121,7 +121,11 @@
 }
 
 // worthwhile reports whether u can be expected to answer before the deadline.
-func (q *query) worthwhile(now ident.Instant, u *upstream) bool {
+// A first attempt is always made: the usual latency may not be known yet.
+func (q *query) worthwhile(now ident.Instant, u *upstream, why Reason) bool {
+	if why == First {
+		return q.remaining(now) > 0
+	}
 	return q.remaining(now) > u.service.delay.After()/2
 }
 
@@ -202,12 +206,8 @@
 	delete(e.attempts, id)
 	ended := *a
 	a.up.peer.Released()
-	if q := ended.query; q != nil {
-		t := &q.tasks[ended.task]
-		if t.running[0] == a {
-			t.running[0] = t.running[1]
-		}
-		t.running[1] = nil
+	if ended.query != nil {
+		e.detach(a)
 	}
 	*a = attempt{}
 	e.spare = append(e.spare, a)
@@ -218,6 +218,16 @@
 	return ended, true
 }
 
+// detach takes an attempt out of its task; its result will not matter.
+func (e *Engine) detach(a *attempt) {
+	t := &a.query.tasks[a.task]
+	if t.running[0] == a {
+		t.running[0] = t.running[1]
+	}
+	t.running[1] = nil
+	a.query = nil
+}
+
 // cancel stops the running attempts of a task.
 func (e *Engine) cancel(now ident.Instant, t *task) {
 	for i, a := range t.running {
--- a/pkg/engine/late.go
+++ b/pkg/engine/late.go
@@ -64,7 +64,7 @@
 		e.await(now, q, i, Hedge)
 		return true
 	}
-	if r == nil || up(r.Up).peer.Bad(now) || !q.worthwhile(now, up(r.Up)) || !q.index.hedges.Take() {
+	if r == nil || up(r.Up).peer.Bad(now) || !q.worthwhile(now, up(r.Up), Hedge) || !q.index.hedges.Take() {
 		return false
 	}
 	t.hedged = true
--- a/pkg/engine/plan_test.go
+++ b/pkg/engine/plan_test.go
@@ -204,3 +204,31 @@
 	is.Equal(rep.Outcome, engine.Partial)
 	is.True(strings.Contains(rep.Remedy, "50.0%") && strings.Contains(rep.Remedy, "90.0%"))
 }
+
+// Guards against a query of a class without hedges that waits for its deadline
+// although its upstream answers neither the call nor a probe.
+func TestAbandonsSilentUpstream(t *testing.T) {
+	is := is.New(t)
+	e := started(t, deployment(t, 1))
+	ask := search(1)
+	ask.Class = preset.Tolerant
+	first := pick[engine.Send](e.Step(10*ms, ask))[0]
+	effects := e.Step(1500*ms, engine.ProbeFailed{Upstream: first.Upstream})
+	is.Equal(pick[engine.Cancel](effects), []engine.Cancel{{Attempt: first.Attempt}})
+	retry := pick[engine.Send](effects)
+	is.Equal(len(retry), 1)
+	is.True(retry[0].Upstream != first.Upstream)
+	e.Step(1501*ms, failure(first, engine.Broken))
+	is.Equal(pick[engine.Reply](e.Step(1504*ms, answer(retry[0])))[0].Outcome, engine.Done)
+	is.Equal(e.Retained(), engine.Retained{})
+}
+
+// Guards against refusing every query of callers with short deadlines while
+// no latency is known yet.
+func TestRunsShortDeadlineBeforeLatencyIsKnown(t *testing.T) {
+	is := is.New(t)
+	e := started(t, deployment(t, 1))
+	ask := search(1)
+	ask.Budget = 10 * time.Millisecond
+	is.Equal(len(pick[engine.Send](e.Step(10*ms, ask))), 1)
+}
--- a/pkg/engine/upstream.go
+++ b/pkg/engine/upstream.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/config"
@@ -147,10 +149,38 @@
 	e.pump(now, u.index)
 }
 
+// abandon gives up the late attempts to an upstream that does not answer
+// probes either. Without it a query without hedges waits for its deadline.
+func (e *Engine) abandon(now ident.Instant, u *upstream) {
+	var late []*attempt
+	for _, a := range e.attempts {
+		if a.up == u && a.query != nil && now.Sub(a.sentAt) >= lateFactor*u.service.delay.After() {
+			late = append(late, a)
+		}
+	}
+	slices.SortFunc(late, func(a, b *attempt) int { return cmp.Compare(a.id, b.id) })
+	for _, a := range late {
+		q, t := a.query, a.task
+		if q == nil {
+			continue // a new plan of its query cancelled it
+		}
+		e.detach(a)
+		e.emit(Cancel{Attempt: a.id})
+		if q.tasks[t].running[0] == nil {
+			e.retry(now, q, t, u, Broken)
+		}
+		e.settle(now, q)
+		e.schedule(q)
+	}
+}
+
 // silent notes that u did not answer a probe.
 func (e *Engine) silent(now ident.Instant, u *upstream) {
 	u.SetUnreachable(e.cfg.Policy == PolicyTolerant || !u.reported)
 	u.peer.Unreachable(now)
+	if e.cfg.Policy == PolicyTolerant {
+		e.abandon(now, u)
+	}
 }
 
 // hear notes that u answered, and whether it said what it holds.
