quorum: answer heartbeats without waiting for entry writes

Cause: every entry write counted as a change of the hard state, so a follower answered heartbeats only after its disk, and a slow disk cost the leader its lease. A new test of replaced entries showed it. Change: only a change of term or vote holds back other messages. The random histories include disk failures, and a test checks that a replaced entry is not confirmed by the sync of the earlier one. Conclusion: acknowledgements of heartbeats do not depend on disk latency.

--- a/pkg/quorum/elect.go
+++ b/pkg/quorum/elect.go
@@ -28,7 +28,7 @@
 		Vote: n.cfg.ID,
 	}
 	n.resetElection()
-	n.write(nil)
+	n.writeHard()
 	n.startVote(false, transfer)
 }
 
@@ -87,7 +87,7 @@
 	if granted {
 		if n.hard.Vote == "" {
 			n.hard.Vote = m.From
-			n.write(nil)
+			n.writeHard()
 		}
 		n.resetElection()
 	}
--- a/pkg/quorum/install.go
+++ b/pkg/quorum/install.go
@@ -83,7 +83,6 @@
 	}
 	n.synced = 0
 	n.nextSeq++
-	n.hardSeq = n.nextSeq
 	n.writes = append(n.writes, write{
 		seq:  n.nextSeq,
 		last: s.Meta.Index,
--- a/pkg/quorum/node.go
+++ b/pkg/quorum/node.go
@@ -230,7 +230,7 @@
 	n.votes = nil
 	if term > n.hard.Term {
 		n.hard = HardState{Term: term}
-		n.write(nil)
+		n.writeHard()
 	}
 	n.resetElection()
 }
@@ -240,10 +240,15 @@
 	n.electAt = n.now.Add(d + time.Duration(n.rand.Int64N(int64(d))))
 }
 
+// writeHard asks the disk for a changed hard state.
+func (n *Node) writeHard() {
+	n.write(nil)
+	n.hardSeq = n.nextSeq
+}
+
 // write asks the disk for the current hard state and the given entries.
 func (n *Node) write(es []Entry) {
 	n.nextSeq++
-	n.hardSeq = n.nextSeq
 	n.writes = append(n.writes, write{
 		seq:  n.nextSeq,
 		last: n.log.last(),
--- a/pkg/quorum/quorum_test.go
+++ b/pkg/quorum/quorum_test.go
@@ -29,7 +29,7 @@
 func act(rt *rapid.T, s *sim) {
 	h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(rt, "host")]
 	o := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(rt, "other")]
-	switch rapid.IntRange(0, 20).Draw(rt, "action") {
+	switch rapid.IntRange(0, 21).Draw(rt, "action") {
 	case 0, 1:
 		s.propose(h)
 	case 2, 3:
@@ -60,6 +60,10 @@
 		}
 	case 12, 13:
 		changeMembers(rt, s, o)
+	case 14:
+		if h.up {
+			s.step(h, quorum.DiskFailed{Now: h.clock(s.now)})
+		}
 	default:
 		if l := s.leader(); l != nil && l != h {
 			actOnLeader(rt, s, l, h)
@@ -340,3 +344,58 @@
 	n.Step(quorum.Synced{Now: now, Seq: 2})
 	is.Equal(n.Status(now).Commit, quorum.Index(3))
 }
+
+// Guards against a follower that confirms an entry because an earlier write
+// at the same index became durable, although the leader has replaced it since.
+func TestReplacedEntryIsNotConfirmedEarly(t *testing.T) {
+	for _, syncFirst := range []bool{true, false} {
+		is := is.New(t)
+		members := []quorum.Member{{ID: "a", Address: "sim"}, {ID: "b", Address: "sim"}, {ID: "c", Address: "sim"}}
+		n, err := quorum.New(quorum.Config{ID: "a"}, quorum.Stored{Snapshot: quorum.Bootstrap(members, nil)}, 0)
+		is.NoErr(err)
+		var confirmed quorum.Index
+		step := func(ev quorum.Event) (seq quorum.Seq) {
+			for _, e := range n.Step(ev) {
+				switch e := e.(type) {
+				case quorum.Append:
+					seq = e.Seq
+				case quorum.Send:
+					if r, ok := e.Message.Body.(quorum.AppendReply); ok && e.Message.To == "c" {
+						confirmed = max(confirmed, r.Match)
+					}
+				case quorum.SaveSnapshot, quorum.Restore, quorum.Apply, quorum.Reply:
+				}
+			}
+			return seq
+		}
+		lead := func(from ident.HostID, term quorum.Term, a quorum.AppendRequest) quorum.Seq {
+			return step(quorum.Receive{Message: quorum.Message{
+				From: from,
+				To:   "a",
+				Term: term,
+				Body: a,
+			}})
+		}
+		first := lead("b", 2, quorum.AppendRequest{
+			PrevIndex: 1,
+			PrevTerm:  1,
+			Entries:   []quorum.Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}},
+		})
+		if syncFirst {
+			step(quorum.Synced{Seq: first})
+		}
+		second := lead("c", 3, quorum.AppendRequest{
+			PrevIndex: 1,
+			PrevTerm:  1,
+			Entries:   []quorum.Entry{{Index: 2, Term: 3}},
+		})
+		step(quorum.Synced{Seq: second - 1}) // all but the replacement
+		lead("c", 3, quorum.AppendRequest{
+			PrevIndex: 2,
+			PrevTerm:  3,
+		})
+		is.Equal(confirmed, quorum.Index(1))
+		step(quorum.Synced{Seq: second})
+		is.Equal(confirmed, quorum.Index(2))
+	}
+}
--- a/pkg/quorum/sim_test.go
+++ b/pkg/quorum/sim_test.go
@@ -382,6 +382,9 @@
 	clear(s.cut)
 	s.loss = 0
 	for _, h := range s.hosts {
+		if h.up && h.node.Status(0).Failed {
+			s.crash(h)
+		}
 		if !h.up {
 			s.boot(h)
 		}
