--- a/pkg/engine/admit.go
+++ b/pkg/engine/admit.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/limit"
+	"github.com/jujubethread/jujubethread/pkg/place"
 	"github.com/jujubethread/jujubethread/pkg/preset"
 	"github.com/jujubethread/jujubethread/pkg/route"
 )
@@ -15,10 +16,10 @@
 		Class:    q.ask.Class,
 		Deadline: q.deadline,
 	}
-	if ix.queue.Len() == 0 && e.paced(now, q) {
+	if ix.queue.Len() == 0 && now >= e.nextPaced(q) {
 		switch e.admission(now, ix) {
 		case admitNow:
-			ix.pace.Admitted(now)
+			ix.admitted(now, q.rank)
 			e.plan(now, q)
 			return
 		case admitNever:
@@ -39,8 +40,8 @@
 const unserved = "no upstream that holds a shard of the index can be reached: check the upstreams"
 
 func (e *Engine) pumpAll(now ident.Instant) {
-	for i := range e.state.Upstreams {
-		e.pump(now, e.indexes[e.state.Upstreams[i].Index])
+	for _, ix := range e.indexes {
+		e.pump(now, ix)
 	}
 }
 
@@ -52,13 +53,13 @@
 			e.refuse(q, "too little time was left after the wait: send the request again later or give it more time")
 			continue
 		}
-		if !e.paced(now, q) {
-			e.arm(&ix.timer, min(ix.pace.Next(), now.Add(pumpEvery)))
+		if next := e.nextPaced(q); now < next {
+			e.arm(&ix.timer, min(next, now.Add(pumpEvery)))
 			return
 		}
 		switch e.admission(now, ix) {
 		case admitNow:
-			ix.pace.Admitted(now)
+			ix.admitted(now, q.rank)
 			ix.queue.Admit(now, w)
 			e.plan(now, q)
 		case admitNever:
@@ -71,11 +72,42 @@
 	e.disarm(&ix.timer)
 }
 
-// paced reports whether the pace of the index allows q now. The class that is
-// shed last is not paced.
-func (e *Engine) paced(now ident.Instant, q *query) bool {
-	return e.cfg.Policy != PolicyTolerant || q.limits.ShedOrder == q.preset.Limits(preset.Critical).ShedOrder ||
-		q.index.pace.Sparse(q.index.run) || now >= q.index.pace.Next()
+// nextPaced returns the time from which the pace of its class allows q. The
+// foremost class is not paced.
+func (e *Engine) nextPaced(q *query) ident.Instant {
+	if q.rank == 0 || e.cfg.Policy != PolicyTolerant {
+		return 0
+	}
+	p := q.index.paces[q.rank-1]
+	if p.Sparse(q.index.run) {
+		return 0
+	}
+	return p.Next()
+}
+
+// admitted notes an admission in the paces of all classes.
+func (ix *index) admitted(now ident.Instant, rank int) {
+	for _, p := range ix.paces {
+		p.Admitted(now, rank)
+	}
+}
+
+// observe tells the paces how much slower than usual an upstream answered.
+func (ix *index) observe(now ident.Instant, slowdown float64) {
+	for _, p := range ix.paces {
+		p.Observe(now, slowdown, ix.run)
+	}
+}
+
+// rank returns the number of classes that are shed later than c.
+func rank(p *preset.Preset, c preset.Class) int {
+	n := 0
+	for _, o := range preset.Classes {
+		if p.Limits(o).ShedOrder < p.Limits(c).ShedOrder {
+			n++
+		}
+	}
+	return n
 }
 
 type admission uint8
@@ -89,23 +121,23 @@
 // admission tells whether one attempt for every shard of ix can be sent now.
 // Shards that no upstream can serve do not hold a query back.
 func (e *Engine) admission(now ident.Instant, ix *index) admission {
-	p := e.pinned(ix)
-	if p.waiting {
+	p := e.places.Pinned(ix.Index)
+	if p.Waiting {
 		return admitLater
 	}
-	if p.version == 0 {
+	if p.Version == 0 {
 		return admitNever
 	}
 	if e.cfg.Policy != PolicyTolerant {
 		return admitNow
 	}
-	if ix.blocked != nil && e.room(now, ix.blocked, p.version) == route.RoomFull {
+	if ix.blocked != nil && e.room(now, ix.blocked, p.Version) == route.RoomFull {
 		return admitLater
 	}
 	ix.blocked = nil
 	free := false
-	for _, s := range ix.shards {
-		switch e.room(now, s, p.version) {
+	for _, s := range ix.Shards {
+		switch e.room(now, s, p.Version) {
 		case route.RoomFull:
 			ix.blocked = s
 			return admitLater
@@ -119,8 +151,8 @@
 	return admitNow
 }
 
-func (e *Engine) room(now ident.Instant, s *shard, v ident.IndexVersion) route.Room {
-	if len(s.waiting) > 0 {
+func (e *Engine) room(now ident.Instant, s *place.Shard, v ident.IndexVersion) route.Room {
+	if len(e.lists[s]) > 0 {
 		return route.RoomFull
 	}
 	e.gather(now, s, v, nil)
@@ -130,9 +162,9 @@
 // freed gives the room of a request to u that ended to tasks that wait for
 // it, and what is left to the queue.
 func (e *Engine) freed(now ident.Instant, u *upstream) {
-	for _, r := range u.replicas {
-		if len(r.shard.waiting) > 0 {
-			e.serve(now, r.shard)
+	if len(e.lists) > 0 {
+		for _, r := range u.Replicas {
+			e.serve(now, r.Shard)
 		}
 	}
 	ix := u.index
@@ -140,8 +172,8 @@
 		return
 	}
 	if ix.blocked != nil {
-		for _, r := range u.replicas {
-			if r.shard == ix.blocked {
+		for _, r := range u.Replicas {
+			if r.Shard == ix.blocked {
 				e.pump(now, ix)
 				return
 			}
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -17,6 +17,7 @@
 	ceiling int
 	limit   float64
 	short   float64 // mean latency, ns
+	steady  float64 // mean latency over more answers, ns
 	long    float64 // mean latency without load, ns
 	sampled ident.Instant
 	shrunk  ident.Instant
@@ -45,14 +46,16 @@
 func (a *Adaptive) Answered(now ident.Instant, latency time.Duration, outstanding int) {
 	l := float64(latency)
 	if a.long == 0 {
-		a.short, a.long = l, l
+		a.short, a.steady, a.long = l, l, l
 	}
-	a.short += shortShare * (min(l, outlier*a.short) - a.short)
-	if a.short < a.long {
-		a.long += fallShare * (a.short - a.long)
+	l = min(l, outlier*a.short)
+	a.short += shortShare * (l - a.short)
+	a.steady += steadyShare * (l - a.steady)
+	if a.steady < a.long {
+		a.long += fallShare * (a.steady - a.long)
 	} else {
 		gap := min(now.Sub(a.sampled), riseMost)
-		a.long += float64(gap) / float64(riseTime) * (a.short - a.long)
+		a.long += float64(gap) / float64(riseTime) * (a.steady - a.long)
 	}
 	a.sampled = now
 	if a.short > growth*a.long {
