scene: fuzz the scenario decoder

Cause: scenario files come from outside and had no fuzz test. Change: FuzzParse with the built-in scenarios and one with targets as seeds.

--- a/internal/scene/scene_test.go
+++ b/internal/scene/scene_test.go
@@ -294,3 +294,26 @@
 	is.NoErr(<-ended)
 	is.NoErr(<-ended)
 }
+
+// Guards against a scenario file that makes the tool panic.
+func FuzzParse(f *testing.F) {
+	for _, name := range scene.Examples() {
+		doc, err := os.ReadFile(filepath.Join("example", name+".json"))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(doc)
+	}
+	f.Add([]byte(`{"Name":"x","Versions":[1],"DurationMillis":9,"Flows":[{"Name":"f","Index":"a","PerSecond":1}],
+		"Targets":[{"Name":"t","Policy":"Plain","Leaves":[{"Upstream":{"ID":"u","Index":"a","Shards":["a/1"]}}]}],
+		"Events":[{"AtMillis":1,"Do":"Slow","Match":"u*","Fraction":0.5,"Factor":2}]}`))
+	f.Fuzz(func(t *testing.T, doc []byte) {
+		s, err := scene.Parse(doc)
+		if err != nil {
+			return
+		}
+		if _, err := s.Callers(); err != nil || s.Whole() <= 0 {
+			t.Fatalf("accepted a scenario of length %s with callers that give %v", s.Whole(), err)
+		}
+	})
+}
