Hold refused requests until the listener is closed

Cause: TestGracefulShutdownCutsNothing failed in half of its runs with EOF or a reset connection. A caller that was refused while the host drained connected again at once; a connection that waits to be accepted when the listener closes is reset, and Shutdown of net/http does not know of one that was just accepted.

Change: while the host drains, refused requests are held back for 100 ms, until the listener is closed; callers that wait for their answer make no new connection in that moment. TestShutdownCutsNoNewConnection guards it with callers that ignore the health check. A socket filter that drops new connection requests was tried and is not supported by the kernel here.

A caller that connects anew within the microseconds of the close can still be reset, with nothing run.

--- a/internal/host/const.go
+++ b/internal/host/const.go
@@ -21,6 +21,9 @@
 	// 30 s after which a reservation becomes Unknown.
 	filingLimit = 20 * time.Second
 
+	// settleTime is how long requests are held back before the listener closes.
+	settleTime = 100 * time.Millisecond
+
 	// showInterval is how often gauges are set.
 	showInterval = time.Second
 
--- a/internal/host/filing.go
+++ b/internal/host/filing.go
@@ -27,7 +27,7 @@
 		h.answerFault(w, call, fault)
 		return
 	}
-	leave, refused := h.admit()
+	leave, refused := h.admit(r.Context())
 	if leave == nil {
 		h.answerFiling(w, call, FilingEnd{
 			Outcome: engine.NotRun,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -125,6 +125,8 @@
 	seat    atomic.Value // engine.Seat
 	phase   atomic.Int32
 	running atomic.Int64 // requests in progress
+	// shut is closed when the listener is closed.
+	shut chan struct{}
 	// lastQuery numbers the queries of this process.
 	lastQuery atomic.Uint64
 }
@@ -143,7 +145,10 @@
 	if err := c.check(); err != nil {
 		return nil, err
 	}
-	h := &Host{config: c}
+	h := &Host{
+		config: c,
+		shut:   make(chan struct{}),
+	}
 	h.seat.Store(engine.SeatNone)
 	c.Dial.Emit = func(ev engine.Event) { h.loop.post(ev) }
 	c.Dial.Observe = h.observe
@@ -156,6 +161,7 @@
 		MaxHeaderBytes:    c.MaxHeader,
 		ErrorLog:          slog.NewLogLogger(c.Log.Handler(), slog.LevelWarn),
 	}
+	h.server.RegisterOnShutdown(func() { close(h.shut) })
 	return h, nil
 }
 
@@ -201,6 +207,10 @@
 	h.phase.Store(phaseDraining)
 	h.loop.post(engine.DrainStarted{})
 	h.config.Log.Info("draining: new requests are refused", "InFlight", h.running.Load())
+	select {
+	case <-time.After(settleTime):
+	case <-ctx.Done():
+	}
 	return errors.Wrap(h.server.Shutdown(ctx), "callers' server did not shut down")
 }
 
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -9,10 +9,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/jujubethread/jujubethread/internal/audit"
 	"github.com/jujubethread/jujubethread/internal/host"
@@ -167,6 +169,43 @@
 	is.True(done.Load() > 100)
 }
 
+// Guards against a connection that is reset or dropped because it was made in
+// the moment in which the listener closes. Callers that ignore the health check
+// are answered or refused, with nothing in between.
+func TestShutdownCutsNoNewConnection(t *testing.T) {
+	r := newRig(t, nil, http.HandlerFunc(answering))
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var callers sync.WaitGroup
+	started := make(chan struct{}, 8)
+	for range 8 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				resp, err := fresh.Post(r.url+wire.PathSearch, "application/json", strings.NewReader(`{"Index":"review-panel"}`))
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					return
+				}
+				if err != nil {
+					t.Errorf("request was cut: %v", err)
+					return
+				}
+				var body wire.SearchAnswer
+				if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || (body.Outcome != engine.Done && body.Outcome != engine.NotRun) {
+					t.Errorf("answer was cut: %v %v", body, err)
+				}
+				resp.Body.Close()
+				if n == 0 {
+					started <- struct{}{}
+				}
+			}
+		})
+	}
+	for range 8 {
+		<-started
+	}
+	r.end()
+	callers.Wait()
+}
+
 // Guards against a filing that runs twice, or whose recorded outcome differs
 // from the answer.
 func TestFilingRunsOnce(t *testing.T) {
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -61,11 +61,12 @@
 
 // admit counts a request in, or refuses it. The caller calls the returned
 // function at the end of an admitted request.
-func (h *Host) admit() (func(), string) {
+func (h *Host) admit(ctx context.Context) (func(), string) {
 	n := h.running.Add(1)
 	leave := func() { h.running.Add(-1) }
 	switch {
 	case h.phase.Load() == phaseDraining:
+		h.hold(ctx)
 		leave()
 		return nil, "this host is shutting down: send the request again, the balancer uses another host"
 	case h.phase.Load() == phaseStarting:
@@ -78,6 +79,16 @@
 	return leave, ""
 }
 
+// hold keeps a refused request until the listener is closed, at most
+// settleTime. A caller that were answered before would connect again at once,
+// and a connection that waits to be accepted when the listener closes is reset.
+func (h *Host) hold(ctx context.Context) {
+	select {
+	case <-h.shut:
+	case <-ctx.Done():
+	}
+}
+
 func (h *Host) search(w http.ResponseWriter, r *http.Request) {
 	call, fault := h.begin(r)
 	var ev engine.QueryArrived
@@ -88,7 +99,7 @@
 		h.answerFault(w, call, fault)
 		return
 	}
-	leave, refused := h.admit()
+	leave, refused := h.admit(r.Context())
 	if leave == nil {
 		h.answerSearch(w, call, ev.Class, &engine.Reply{
 			Outcome: engine.NotRun,
