--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -186,15 +186,38 @@
 	return rest
 }
 
+// Guards against a pace that starves the lesser classes for ever, or that
+// stays when the overload is over.
+func TestPaceFollowsSlowdown(t *testing.T) {
+	is := is.New(t)
+	p := limit.NewPace(1)
+	now := ident.Instant(1)
+	run := func(seconds int, slowdown float64) (admitted int) {
+		for end := now.Add(time.Duration(seconds) * time.Second); now < end; now = now.Add(time.Millisecond) {
+			p.Observe(now, slowdown, 10*time.Millisecond)
+			if now >= p.Next() {
+				p.Admitted(now, 1)
+				admitted++
+			}
+		}
+		return admitted
+	}
+	is.Equal(run(2, 1), 2000) // no load: nothing is spaced out
+	slow := run(3, 4)
+	is.True(slow > 0 && slow < 600)
+	run(10, 1)
+	is.Equal(run(1, 1), 1000)
+}
+
 // Guards against pacing rare queries, which waited seconds for upstreams that
 // were slow for another reason.
 func TestPaceOfRareQueriesIsSparse(t *testing.T) {
 	is := is.New(t)
 	const run = 10 * time.Millisecond
-	var rare, busy limit.Pace
+	rare, busy := limit.NewPace(1), limit.NewPace(1)
 	for i := range 100 {
-		rare.Admitted(ident.Instant(0).Add(time.Duration(i+1) * 20 * run))
-		busy.Admitted(ident.Instant(0).Add(time.Duration(i+1) * run))
+		rare.Admitted(ident.Instant(0).Add(time.Duration(i+1)*20*run), 1)
+		busy.Admitted(ident.Instant(0).Add(time.Duration(i+1)*run), 1)
 	}
 	is.True(rare.Sparse(run))
 	is.True(!busy.Sparse(run))
