Give up connections to hosts that vanished and bound connections in a test

Cause: a watch stream to a host that lost power would live for about 15 minutes of TCP retransmissions, since small writes do not block.

Change: TCP_USER_TIMEOUT of 10 s on both sides under Linux. A test covers the bound on a server's connections. A benchmark measures a heartbeat at the leader with 4,900 hosts.

TestStream could hang: when the caller closes right after the last message, the handler's last send can fail, and the test waited for a channel that only the other path closed. It is now closed whenever the handler ends.

--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -36,6 +36,7 @@
 			_ = conn.Close()
 			continue
 		}
+		detectVanished(conn)
 		var c net.Conn = rawConn{
 			Conn:  conn,
 			stats: &l.server.stats,
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -158,6 +158,7 @@
 	if err != nil {
 		return nil, id.fail(Unreachable, err)
 	}
+	detectVanished(conn)
 	var raw net.Conn = rawConn{
 		Conn:  conn,
 		stats: &c.stats,
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -145,12 +145,42 @@
 	is.Equal(link.KindOf(err), link.Broken)
 }
 
+// Guards against a server that takes connections without bound, and against a
+// call that waits for a free one instead of failing.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, link.Config{MaxConns: 1}, func(s *link.Server) {
+		echo(s)
+		link.HandleStream(s, proto.MethodWatch, func(ctx context.Context, _ *proto.Watch, send func(*proto.Update) error) error {
+			if err := send(&proto.Update{}); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			return nil
+		})
+	})
+	c := client(t, link.Config{})
+	s, err := c.Stream(t.Context(), addr, proto.MethodWatch, &proto.Watch{})
+	is.NoErr(err)
+	is.NoErr(s.Recv(&proto.Update{}))
+	call := func() error {
+		return c.Call(t.Context(), addr, proto.MethodPeer, &proto.Peer{}, &proto.PeerAnswer{})
+	}
+	is.Equal(link.KindOf(call()), link.Broken)
+	s.Close()
+	is.True(within(func() bool { return call() == nil })) // the slot is free again
+}
+
 // Guards against streams that lose or reorder messages, or that do not end.
 func TestStream(t *testing.T) {
 	is := is.New(t)
 	ended := make(chan struct{})
 	addr := serve(t, link.Config{}, func(s *link.Server) {
 		link.HandleStream(s, proto.MethodWatch, func(ctx context.Context, in *proto.Watch, send func(*proto.Update) error) error {
+			if in.Digest != 0 {
+				// Also when the last send fails because the caller has closed.
+				defer close(ended)
+			}
 			for n := range uint64(100) {
 				if err := send(&proto.Update{Version: ident.ConfigVersion{Number: n}}); err != nil {
 					return err
@@ -160,7 +190,6 @@
 				return nil
 			}
 			<-ctx.Done()
-			close(ended)
 			return ctx.Err()
 		})
 	})
--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -300,3 +300,29 @@
 	effects := h.Step(2, member.ConfigApplied{Seats: 1})
 	is.Equal(effects[0], member.SeatChanged{Seat: engine.SeatNone})
 }
+
+// BenchmarkBeat measures one heartbeat at the leader of a deployment of the
+// two-year target.
+func BenchmarkBeat(b *testing.B) {
+	const hosts = 4900
+	table := member.NewTable()
+	table.Step(0, member.LeaderStarted{Seats: hosts + 100, Fresh: true})
+	beats := make([]member.Beat, hosts)
+	now := ident.Instant(0)
+	for i := range beats {
+		beats[i] = member.Beat{
+			Host:    ident.HostID(fmt.Sprintf("entry-%04d", i)),
+			Domain:  ident.Domain(fmt.Sprint("d", i%9)),
+			Address: fmt.Sprintf("10.0.%d.%d:7000", i/256, i%256),
+		}
+		table.Step(now, beats[i])
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if i%hosts == 0 {
+			now = now.Add(member.BeatEvery)
+			table.Step(now, member.Ticked{})
+		}
+		table.Step(now, beats[i%hosts])
+	}
+}
