--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -28,7 +28,7 @@
 				install: &e.Snapshot,
 			})
 		case quorum.Restore:
-			if err := o.parts.restore(e.Snapshot.Data); err != nil {
+			if err := o.parts.Restore(e.Snapshot.Data); err != nil {
 				o.fatal = err
 			}
 		case quorum.Apply:
@@ -39,7 +39,7 @@
 	}
 	o.compact()
 	if o.node.Applied() > 0 {
-		o.host.feed.set(o.parts.config.machine.State, o.parts.config.deltas)
+		o.host.feed.Set(o.parts.Config(), o.parts.Deltas())
 	}
 }
 
@@ -57,7 +57,7 @@
 	if a.Entry.Kind != quorum.Command {
 		return
 	}
-	data, err := o.parts.apply(a.Entry.Data)
+	data, err := o.parts.Apply(a.Entry.Data)
 	if err != nil {
 		o.fatal = errors.Wrapf(err, "entry %d cannot be applied", a.Entry.Index)
 		return
@@ -87,21 +87,37 @@
 // compact asks for a snapshot when the log has outgrown the last one.
 func (o *owner) compact() {
 	limit := max(o.host.cfg.SnapshotBytes, o.snapSize)
-	if o.freezing || o.fault != nil || o.logBytes < limit || o.node.Applied() <= o.node.SnapshotIndex() {
+	if o.freezing || o.fault != nil || o.logBytes < limit || o.node.Applied() <= o.node.SnapshotIndex() || o.host.now() < o.freezeAt {
 		return
 	}
 	o.freezing = true
-	o.jobs = append(o.jobs, job{
-		freeze: o.parts.freeze(),
-		meta:   o.node.Meta(),
-	})
+	encode, meta, s, out := o.parts.Freeze(), o.node.Meta(), o.store, o.snapshots
+	o.freezers.Go(func() { out <- freeze(s, encode, meta) })
+}
+
+// onFrozen puts a written snapshot in use after the writes that wait. If it
+// could not be written, the log is kept and it is tried again later.
+func (o *owner) onFrozen(f frozen) {
+	var fault *store.Error
+	switch {
+	case o.fault != nil:
+	case f.err == nil:
+		o.jobs = append(o.jobs, job{use: &f})
+	case errors.As(f.err, &fault):
+		o.host.log.Warn("snapshot was not written", "error", fault)
+		o.freezing, o.freezeAt = false, o.host.now().Add(reopenPause)
+		o.slow, o.slowAt = fault, o.host.now()
+	default:
+		o.fatal = f.err
+	}
 }
 
 func (o *owner) onDisk(res diskResult) {
 	o.busy = false
+	o.host.meters.writes.RecordDuration(res.took)
 	o.logBytes, o.snapSize = res.logBytes, res.snapSize
 	if res.slow != nil {
-		o.slow = res.slow
+		o.slow, o.slowAt = res.slow, o.host.now()
 		o.host.log.Warn("disk is slow", "error", res.slow)
 	}
 	if res.err != nil {
@@ -142,6 +158,7 @@
 		return
 	}
 	o.reopenAt = o.host.now().Add(reopenPause)
+	o.freezers.Wait()
 	_ = o.store.Close()
 	err := o.open()
 	if err == nil {
@@ -161,15 +178,17 @@
 func (o *owner) view() view {
 	v := view{
 		quorum:  o.node.Status(o.host.now()),
-		config:  o.parts.config.machine.State,
+		config:  o.parts.Config(),
 		waiting: len(o.waiting),
 		log:     o.logBytes,
 		snap:    o.snapSize,
+		domains: o.seating.table.Domains(),
 	}
-	for _, f := range []*store.Error{o.fault, o.slow} {
-		if f != nil {
-			v.faults = append(v.faults, f)
-		}
+	if o.fault != nil {
+		v.faults = append(v.faults, o.fault)
+	}
+	if o.slow != nil && o.host.now() < o.slowAt.Add(slowShown) {
+		v.faults = append(v.faults, o.slow)
 	}
 	return v
 }
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -53,6 +53,7 @@
 
 func (d *driver) sample(r request) result.Sample {
 	return result.Sample{
+		Request:  r.id,
 		Flow:     r.flow.Name,
 		Class:    r.flow.Class,
 		Intended: r.intended.Sub(d.begin),
@@ -104,6 +105,15 @@
 	s.Outcome = answer.Outcome
 	s.Coverage = answer.Coverage
 	s.Violations = d.truth.Search(asked, answer)
+	if answer.Outcome == engine.NotRun {
+		d.mu.Lock()
+		d.refused = append(d.refused, refusal{
+			id:    r.id,
+			index: r.flow.Index,
+			at:    time.Now(),
+		})
+		d.mu.Unlock()
+	}
 }
 
 // file sends a filing. A caller that gets no answer, or Unknown, sends it again
--- a/internal/result/record.go
+++ b/internal/result/record.go
@@ -10,6 +10,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/check"
 	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/preset"
 )
 
@@ -21,12 +22,14 @@
 	minBucket    = 100 * time.Millisecond
 	maxExamples  = 20
 	maxMissing   = 10
+	maxSlowest   = 5
 )
 
 // Sample is one request as it ended.
 type Sample struct {
-	Flow  string
-	Class preset.Class
+	Request ident.RequestID
+	Flow    string
+	Class   preset.Class
 	// Intended is the planned start since the end of the warm-up; requests of
 	// the warm-up have negative ones and are verified only.
 	Intended time.Duration
@@ -131,16 +134,25 @@
 
 func (r *Recorder) violate(list []check.Violation) {
 	for _, c := range check.Tally(list) {
-		i, found := slices.BinarySearchFunc(r.broken, c.Kind, func(c check.Count, k check.Kind) int { return cmp.Compare(c.Kind, k) })
-		if !found {
-			r.broken = slices.Insert(r.broken, i, check.Count{Kind: c.Kind})
-		}
-		r.broken[i].Count += c.Count
+		r.broken = addCount(r.broken, c.Kind, uint64(c.Count))
 	}
 	room := min(len(list), maxExamples-len(r.example))
 	r.example = append(r.example, list[:room]...)
 }
 
+// addCount adds to the count of a kind in a list that is sorted by kind.
+func addCount(list []check.Count, kind check.Kind, n uint64) []check.Count {
+	if n == 0 {
+		return list
+	}
+	i, found := slices.BinarySearchFunc(list, kind, func(c check.Count, k check.Kind) int { return cmp.Compare(c.Kind, k) })
+	if !found {
+		list = slices.Insert(list, i, check.Count{Kind: kind})
+	}
+	list[i].Count += int(n)
+	return list
+}
+
 // Progress is the state of a run that is still going on.
 type Progress struct {
 	Total    int64
@@ -213,6 +225,7 @@
 		return
 	}
 	record(g.hist, s.Latency)
+	g.slow(s)
 	g.asked += int64(s.Coverage.Asked)
 	g.answered += int64(s.Coverage.Answered)
 	for _, m := range s.Coverage.Missing {
@@ -220,6 +233,20 @@
 	}
 }
 
+// slow keeps the sample if it is one of the slowest.
+func (g *group) slow(s Sample) {
+	one := Slow{
+		Request:  s.Request,
+		Micros:   s.Latency.Microseconds(),
+		Intended: s.Intended,
+	}
+	i, _ := slices.BinarySearchFunc(g.Slowest, one, func(a, b Slow) int { return cmp.Compare(b.Micros, a.Micros) })
+	if i < maxSlowest {
+		g.Slowest = slices.Insert(g.Slowest, i, one)
+		g.Slowest = g.Slowest[:min(len(g.Slowest), maxSlowest)]
+	}
+}
+
 func (b *bucket) add(s Sample) {
 	b.Sent++
 	switch {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -65,6 +65,15 @@
 	CoveragePercent float64 `json:"CoveragePercent"`
 	// Missing lists what was missing most, at most maxMissing entries.
 	Missing []Missing `json:"Missing"`
+	// Slowest lists the slowest answers, at most maxSlowest, the slowest first.
+	Slowest []Slow `json:"Slowest"`
+}
+
+// Slow is a slow answer. Its request id leads to its trace.
+type Slow struct {
+	Request  ident.RequestID `json:"Request"`
+	Micros   int64           `json:"Micros"`
+	Intended time.Duration   `json:"Intended"` // nanoseconds since the end of the warm-up
 }
 
 // Latency holds quantiles in microseconds.
@@ -113,9 +122,12 @@
 	VersionGone  uint64  `json:"VersionGone"`
 	WrongAnswers uint64  `json:"WrongAnswers"` // made by faults
 	FilingRuns   uint64  `json:"FilingRuns"`
-	// RefusedConns counts connections over the limit of an upstream, and
+	// LateWork counts requests to upstreams that had been draining for more
+	// than 2 s.
+	LateWork uint64 `json:"LateWork"`
+	// RefusedConns counts connections over the limit of an upstream.
 	// PeakConnsPercent is the most connections at any of them for 100 of its
-	// limit, both since the start of the upstreams.
+	// limit, since the start of the upstreams.
 	RefusedConns     uint64  `json:"RefusedConns"`
 	PeakConnsPercent float64 `json:"PeakConnsPercent"`
 	// Restarted counts upstreams whose counts fell, so that the sums are too low.
--- a/internal/scene/scene_test.go
+++ b/internal/scene/scene_test.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"github.com/jujubethread/jujubethread/internal/fault"
 	"github.com/jujubethread/jujubethread/internal/leaf"
 	"github.com/jujubethread/jujubethread/internal/scene"
 	"github.com/jujubethread/jujubethread/internal/shape"
@@ -89,6 +93,26 @@
 	}
 }
 
+// Guards against a leaves file that cannot be read again, or is looked for in
+// another folder than that of the scenario.
+func TestLeavesFile(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	f, err := os.Create(filepath.Join(dir, "leaves.json"))
+	is.NoErr(err)
+	is.NoErr(scene.WriteLeaves(f, target().Leaves))
+	is.NoErr(f.Close())
+	file := filepath.Join(dir, "scenario.json")
+	is.NoErr(os.WriteFile(file, []byte(`{"Name":"x","Versions":[1],"DurationMillis":1,"Mix":"amman","PerSecond":1,
+		"Targets":[{"Name":"t","Policy":"Plain","LeavesFile":"leaves.json"}]}`), 0o600))
+	s, err := scene.Load(file)
+	is.NoErr(err)
+	is.Equal(s.Targets[0].Leaves, target().Leaves)
+	is.NoErr(os.WriteFile(filepath.Join(dir, "leaves.json"), []byte(`[{"Address":"127.0.0.1:1"}]`), 0o600))
+	_, err = scene.Load(file)
+	is.True(err != nil && strings.Contains(err.Error(), "Address"))
+}
+
 // Guards against mistakes in a scenario file that only show in the middle of a run.
 func TestBadScenariosAreRefused(t *testing.T) {
 	for _, c := range []struct{ doc, problem string }{
@@ -114,6 +138,7 @@
 	for _, e := range []scene.Event{
 		{Do: "Explode"},
 		{Do: scene.Slow},
+		{Do: scene.Surge},
 		{Do: scene.Lost, Match: "no-such-*"},
 		{Do: scene.Lost, Match: "["},
 		{Do: scene.Partition, Match: "*"},
@@ -129,6 +154,50 @@
 	is.New(t).NoErr(good.Check())
 }
 
+// Guards against a partition that reaches the wrong links or does not end.
+func TestPartitionSetsProxies(t *testing.T) {
+	is := is.New(t)
+	var configs []fault.Config
+	for _, name := range []string{"entry-1>control-1", "entry-2>control-1"} {
+		configs = append(configs, fault.Config{Name: name, Listen: "127.0.0.1:0", Target: "127.0.0.1:1"})
+	}
+	g, err := fault.NewGroup(configs)
+	is.NoErr(err)
+	for _, p := range g.Proxies() {
+		defer p.Close()
+	}
+	control := httptest.NewServer(g.Handler())
+	defer control.Close()
+	r := scene.NewRemote(scene.Target{Proxies: strings.TrimPrefix(control.URL, "http://")}, nil)
+	defer r.Close()
+	e := scene.Event{Do: scene.Partition, Match: "entry-1>*", OneWay: true}
+	is.NoErr(r.Do(context.Background(), e, true))
+	is.Equal(g.Proxies()[0].Rules(), fault.Rules{Forward: fault.Path{Blackhole: true}})
+	is.Equal(g.Proxies()[1].Rules(), fault.Rules{})
+	is.NoErr(r.Do(context.Background(), e, false))
+	is.Equal(g.Proxies()[0].Rules(), fault.Rules{})
+	e.Match = "entry-3>*"
+	is.True(r.Do(context.Background(), e, true) != nil)
+}
+
+// Guards against a surge that hits other flows, targets or times.
+func TestSurge(t *testing.T) {
+	is := is.New(t)
+	s := &scene.Scenario{
+		WarmupMillis:   1_000,
+		DurationMillis: 9_000,
+		Events: []scene.Event{
+			{Do: scene.Surge, Factor: 2, AtMillis: 1_000, ForMillis: 2_000},
+			{Do: scene.Surge, Factor: 3, AtMillis: 2_000, Match: "clause *", Target: "t"},
+		},
+	}
+	is.Equal(s.Surge("clause lookup", "t", 1_900*time.Millisecond), 1.0)
+	is.Equal(s.Surge("clause lookup", "t", 2*time.Second), 2.0)
+	is.Equal(s.Surge("clause lookup", "t", 3*time.Second), 6.0)
+	is.Equal(s.Surge("clause lookup", "u", 3*time.Second), 2.0)
+	is.Equal(s.Surge("saved letter", "t", 9*time.Second), 1.0)
+}
+
 type recorder struct{ done chan scene.Happened }
 
 func (r *recorder) Do(_ context.Context, e scene.Event, on bool) error {
@@ -161,6 +230,34 @@
 	is.Equal(len(<-ended), 3)
 }
 
+// slow takes long to start an event.
+type slow struct {
+	mu  sync.Mutex
+	got []bool
+}
+
+func (s *slow) Do(_ context.Context, _ scene.Event, on bool) error {
+	if on {
+		time.Sleep(30 * time.Millisecond)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.got = append(s.got, on)
+	return nil
+}
+
+// Guards against a fault that stays in force because its end overtook its start.
+func TestEventEndsAfterItsStart(t *testing.T) {
+	is := is.New(t)
+	s := &scene.Scenario{
+		DurationMillis: 10,
+		Events:         []scene.Event{{Do: scene.Lost, ForMillis: 1}},
+	}
+	actor := &slow{}
+	s.Play(context.Background(), time.Now(), "t", actor, nil)
+	is.Equal(actor.got, []bool{true, false})
+}
+
 // Guards against events that reach the wrong upstreams, overwrite each other's
 // faults or are not undone.
 func TestRemoteActsOnUpstreams(t *testing.T) {
