--- a/internal/agent/group_test.go
+++ b/internal/agent/group_test.go
@@ -128,6 +128,7 @@
 	v := c.command("c1", config.SwitchPreset{Name: preset.Peak})
 	for _, a := range agents {
 		await(t, a, v)
+		is.Equal(<-a.Seats(), engine.SeatHeld)
 	}
 	const filings = 60
 	ran := &runs{of: make(map[ident.RequestID]int)}
@@ -160,6 +161,11 @@
 	v = c.command("c2", config.SwitchPreset{Name: preset.Ordinary})
 	for _, a := range agents {
 		await(t, a, v)
+		select {
+		case seat := <-a.Seats():
+			t.Errorf("a seat became %s through the change of leader", seat)
+		default:
+		}
 	}
 }
 
