Fetch a full copy when a source shows a version that it never sent

Cause: the property test found, with 2 of 10,000 checks, hosts that stayed behind: all had taken an old copy in place of the new one, each source took them to be up to date, and no peer was ahead.

Change: a source shows its version alone only after everything that leads to it, so a higher version in a message without deltas or copy is a gap and leads to a full copy. Received.Partial marks the parts of an unfinished copy. A better source is asked every 1 s instead of 2 s whether it is back, so that a domain that was cut off returns sooner. The propagation test uses 1,200 upstreams, whose full copy has two parts.

Conclusion: a host no longer depends on its peers to find out about a gap.

--- a/internal/agent/effect.go
+++ b/internal/agent/effect.go
@@ -87,6 +87,7 @@
 			if event.Copy, err = parts.Add(u.Part); err != nil {
 				return err
 			}
+			event.Partial = event.Copy == nil
 		}
 		a.post(func() { a.stepSpread(event) })
 	}
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -22,7 +22,7 @@
 		Hosts:     20,
 		Domains:   4,
 		Controls:  5,
-		Upstreams: 100,
+		Upstreams: 1200, // a full copy in two parts
 		Changes:   200,
 		Every:     10 * time.Millisecond,
 	}
--- a/pkg/spread/const.go
+++ b/pkg/spread/const.go
@@ -24,7 +24,7 @@
 
 	// preferEvery is how often a host on a lower tier asks a source of a
 	// better tier whether it is back.
-	preferEvery = 2 * time.Second
+	preferEvery = time.Second
 
 	// minBackoff and maxBackoff bound how long a failed source is left alone.
 	minBackoff = 5 * time.Second
--- a/pkg/spread/event.go
+++ b/pkg/spread/event.go
@@ -21,6 +21,9 @@
 	Deltas  []Delta             `json:"Deltas,omitempty"`
 	// Copy is a full copy, not verified yet; nil if the message has none.
 	Copy *config.State `json:"Copy,omitempty"`
+	// Partial says that the message is part of a full copy that is not
+	// complete yet.
+	Partial bool `json:"Partial,omitempty"`
 }
 
 // StreamEnded tells that a watch or pull stream ended.
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -163,6 +163,10 @@
 		fault = !r.replace(e.Copy, s.control)
 	}
 	fault = fault || !r.advance(e.Deltas)
+	// A source shows its version alone only after it has sent all that leads
+	// to it, so a higher version is a gap.
+	alone := e.Copy == nil && len(e.Deltas) == 0 && !e.Partial
+	fault = fault || alone && r.version().Less(e.Version)
 	if fault && !s.full {
 		r.refetch(now, s)
 		return
