admin: give each control host an equal part of the time

Cause: TestLeaderOutOfReach/frozen failed now and then with Unknown: when the frozen host came first in the list, it used up the whole time and the leader behind it was never asked. Change: each control host gets an equal part of the time that is left. Conclusion: fixed at its cause.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -146,14 +146,17 @@
 
 // post tries the control hosts in turn until one gives a final outcome. A
 // lost answer makes the outcome Unknown unless a later host knows better:
-// commands are idempotent, so sending the same id again is safe.
+// commands are idempotent, so sending the same id again is safe. Each host gets
+// an equal part of the time left, so that a frozen one does not use it up.
 func (c *Client) post(ctx context.Context, path string, body []byte, parse parser) (config.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
 	var last error
 	var notRun, unknown *config.Outcome
-	for _, address := range c.cfg.Controls {
-		out, err := c.postOne(ctx, address, path, body, parse)
+	end, _ := ctx.Deadline()
+	for i, address := range c.cfg.Controls {
+		part := time.Until(end) / time.Duration(len(c.cfg.Controls)-i)
+		out, err := c.postOne(ctx, part, address, path, body, parse)
 		switch {
 		case err != nil && notSent(err):
 			last = err
@@ -180,7 +183,9 @@
 	}
 }
 
-func (c *Client) postOne(ctx context.Context, address, path string, body []byte, parse parser) (config.Outcome, error) {
+func (c *Client) postOne(ctx context.Context, part time.Duration, address, path string, body []byte, parse parser) (config.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, part)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(address, path), bytes.NewReader(body))
 	if err != nil {
 		return config.Outcome{}, err
