ctrl: list the entry hosts with their versions in the status

Cause: an operator could not see which entry host is behind or silent. Change: the leader's status lists every entry host with the version in force, seat and liveness, and names those that are silent, without a seat or behind, each with a remedy.

--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -183,6 +183,7 @@
 		log:     o.logBytes,
 		snap:    o.snapSize,
 		domains: o.seating.table.Domains(),
+		hosts:   o.seating.table.Hosts(),
 	}
 	if o.fault != nil {
 		v.faults = append(v.faults, o.fault)
--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -70,6 +70,7 @@
 	snap    int64
 	faults  []*store.Error
 	domains []member.DomainState
+	hosts   []member.HostState
 }
 
 func newOwner(h *Host) (*owner, error) {
--- a/internal/ctrl/status.go
+++ b/internal/ctrl/status.go
@@ -28,7 +28,9 @@
 	Members       []MemberStatus `json:"Members"`
 	// Domains counts the entry hosts of each failure domain; leader only.
 	Domains []member.DomainState `json:"Domains"`
-	Faults  []Fault              `json:"Faults"`
+	// Hosts lists the entry hosts with the versions they have in force; leader only.
+	Hosts  []member.HostState `json:"Hosts"`
+	Faults []Fault            `json:"Faults"`
 }
 
 // MemberStatus describes one member. Match, Lag and Reached are known to the
@@ -73,6 +75,7 @@
 		SnapshotBytes: v.snap,
 		Members:       memberStatus(q),
 		Domains:       append([]member.DomainState{}, v.domains...),
+		Hosts:         append([]member.HostState{}, v.hosts...),
 		Faults:        []Fault{},
 	}
 	for _, f := range v.faults {
@@ -83,6 +86,7 @@
 		})
 	}
 	s.Faults = append(s.Faults, groupFaults(q)...)
+	s.Faults = append(s.Faults, hostFaults(v.hosts, s.Version)...)
 	return s, nil
 }
 
@@ -115,6 +119,34 @@
 	return list
 }
 
+// hostFaults names the entry hosts that are silent, without a seat or behind.
+func hostFaults(hosts []member.HostState, current ident.ConfigVersion) []Fault {
+	var faults []Fault
+	for _, h := range hosts {
+		switch {
+		case !h.Live:
+			faults = append(faults, Fault{
+				Kind:   "EntryHostSilent",
+				Detail: fmt.Sprintf("entry host %s in %s sends no heartbeat", h.Host, h.Domain),
+				Remedy: "bring it back, or leave it if it was stopped for good; its seat is kept until its lease has ended",
+			})
+		case !h.Seated:
+			faults = append(faults, Fault{
+				Kind:   "EntryHostWithoutSeat",
+				Detail: fmt.Sprintf("entry host %s in %s has no connection seat", h.Host, h.Domain),
+				Remedy: "stop hosts that are not needed or raise the number of seats",
+			})
+		case h.Version.Less(current):
+			faults = append(faults, Fault{
+				Kind:   "EntryHostBehind",
+				Detail: fmt.Sprintf("entry host %s in %s has version %s in force instead of %s", h.Host, h.Domain, h.Version, current),
+				Remedy: "wait for its next heartbeat; if it stays behind, check its way to the control hosts",
+			})
+		}
+	}
+	return faults
+}
+
 func groupFaults(q quorum.Status) []Fault {
 	var faults []Fault
 	if _, ok := memberOf(q.Members, q.ID); !ok {
--- a/internal/launch/operate.go
+++ b/internal/launch/operate.go
@@ -251,6 +251,13 @@
 		}
 		fmt.Fprintln(j.out)
 	}
+	for _, h := range s.Hosts {
+		seat := "no seat"
+		if h.Seated {
+			seat = fmt.Sprintf("seat %d", h.Seat)
+		}
+		fmt.Fprintf(j.out, "  entry host %s in %s: version %s in force, %s, live %t\n", h.Host, h.Domain, h.Version, seat, h.Live)
+	}
 	for _, f := range s.Faults {
 		fmt.Fprintf(j.out, "  wrong: %s: %s; remedy: %s\n", f.Kind, f.Detail, f.Remedy)
 	}
