bench: measure the slopes of reducers and codecs

Cause: docs/CAPACITY.md needs slopes. Change: the scale measurement runs config, engine, member table and ledger at three sizes each.

--- a/internal/bench/list.go
+++ b/internal/bench/list.go
@@ -12,5 +12,6 @@
 	{name: "entrycost", run: entryCost},
 	{name: "propagation", run: propagation},
 	{name: "controlcost", run: controlCost},
+	{name: "scale", run: scale},
 	{name: "filings", run: filings},
 }
--- /dev/null
+++ b/internal/bench/scale.go
@@ -0,0 +1,232 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/jujubethread/jujubethread/internal/meter"
+	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
+	"github.com/jujubethread/jujubethread/pkg/member"
+	"github.com/jujubethread/jujubethread/pkg/preset"
+)
+
+// The measurements of this file run the real reducers and codecs alone, at
+// several sizes, for the slopes of docs/CAPACITY.md. They have no bounds.
+
+const (
+	scaleChanges  = 50
+	scaleQueries  = 400
+	scaleBeats    = 3
+	scaleReserves = 20_000
+
+	// beatMicros spreads the heartbeats of one round.
+	beatMicros = 10
+)
+
+func scale(_ context.Context, s *sink) error {
+	for _, n := range []int{1_000, 10_000, 82_000} {
+		if err := scaleConfig(s, n); err != nil {
+			return err
+		}
+	}
+	for _, n := range []int{20, 60, 130} {
+		scaleEngine(s, n)
+	}
+	for _, n := range []int{500, 2_000, 4_900} {
+		scaleMembers(s, n)
+	}
+	for _, n := range []int{10_000, 50_000, 200_000} {
+		scaleLedger(s, n)
+	}
+	return nil
+}
+
+// scaleConfig measures one change and the full copy of a configuration.
+func scaleConfig(s *sink, upstreams int) error {
+	before := liveHeap()
+	state, err := meter.State(upstreams)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("Scale.Config%d", upstreams)
+	s.note(name+".Heap", float64(liveHeap()-before)/(1<<20), "MiB")
+	began := time.Now()
+	for i := range scaleChanges {
+		name := preset.Ordinary
+		if i%2 == 0 {
+			name = preset.Peak
+		}
+		if state, err = state.Apply(config.SwitchPreset{Name: name}); err != nil {
+			return err
+		}
+	}
+	s.note(name+".SwitchPreset", micros(time.Since(began), scaleChanges), "us")
+	began = time.Now()
+	for i := range scaleChanges {
+		u := state.Upstreams[i]
+		if state, err = state.Apply(config.PlaceShards{
+			ID:     u.ID,
+			Shards: u.Shards,
+		}); err != nil {
+			return err
+		}
+	}
+	s.note(name+".PlaceShards", micros(time.Since(began), scaleChanges), "us")
+	raw, err := proto.Marshal(state)
+	if err != nil {
+		return err
+	}
+	s.note(name+".FullCopy", float64(len(raw)), "bytes")
+	runtime.KeepAlive(state)
+	return nil
+}
+
+// scaleEngine measures the processor time of the query reducer for each
+// attempt of a query without failures.
+func scaleEngine(s *sink, shards int) {
+	state := config.NewState()
+	for i := range shards {
+		for r := range 2 {
+			state, _ = state.Apply(config.AddUpstream{Upstream: config.Upstream{
+				ID:        ident.Upstream(fmt.Sprintf("u-%d-%d", i, r)),
+				Address:   "127.0.0.1:1",
+				Domain:    "d",
+				Index:     "i",
+				Service:   ident.Service(fmt.Sprintf("s-%d", i)),
+				Shards:    []ident.Shard{ident.Shard(fmt.Sprintf("i/%d", i))},
+				Slots:     2,
+				ConnLimit: 50,
+			}})
+		}
+	}
+	e := engine.NewEngine(engine.Config{
+		Host:   "h",
+		Domain: "d",
+		Seed:   1,
+	})
+	now := ident.Instant(1)
+	e.Step(now, engine.ConfigApplied{State: state})
+	e.Step(now, engine.SeatChanged{Seat: engine.SeatHeld})
+	for _, u := range state.Upstreams {
+		e.Step(now, engine.UpstreamReported{
+			Upstream: u.ID,
+			Health:   engine.HealthReady,
+			Held:     held(u),
+		})
+	}
+	attempts := 0
+	began := time.Now()
+	for q := range scaleQueries {
+		now = now.Add(20 * time.Millisecond)
+		effects := e.Step(now, engine.QueryArrived{
+			Query:   ident.QueryID(q + 1),
+			Request: "r",
+			Index:   "i",
+		})
+		now = now.Add(4 * time.Millisecond)
+		for _, eff := range effects {
+			if send, ok := eff.(engine.Send); ok {
+				attempts++
+				e.Step(now, answered(send))
+			}
+		}
+	}
+	s.note(fmt.Sprintf("Scale.Engine%d.Attempt", shards), micros(time.Since(began), attempts), "us")
+}
+
+func held(u config.Upstream) []engine.Held {
+	return []engine.Held{{
+		Shard:    u.Shards[0],
+		Versions: []ident.IndexVersion{1},
+	}}
+}
+
+func answered(send engine.Send) engine.AttemptAnswered {
+	return engine.AttemptAnswered{
+		Attempt: send.Attempt,
+		Answer: engine.Answer{
+			Request: send.Request,
+			Attempt: send.Attempt,
+			Shard:   send.Shard,
+			Version: send.Version,
+		},
+	}
+}
+
+// scaleMembers measures one heartbeat at the control leader.
+func scaleMembers(s *sink, hosts int) {
+	t := member.NewTable()
+	now := ident.Instant(1)
+	t.Step(now, member.LeaderStarted{
+		Seats: hosts,
+		Fresh: true,
+	})
+	var took time.Duration
+	for round := range scaleBeats {
+		began := time.Now()
+		for i := range hosts {
+			now = now.Add(beatMicros * time.Microsecond)
+			t.Step(now, member.Beat{
+				Call:   uint64(round*hosts + i),
+				Host:   ident.HostID(fmt.Sprintf("h%d", i)),
+				Domain: ident.Domain(fmt.Sprintf("d%d", i%9)),
+				Boot:   1,
+				Holds:  round > 0,
+				Seat:   i,
+			})
+		}
+		took = time.Since(began)
+		now = now.Add(time.Second)
+	}
+	s.note(fmt.Sprintf("Scale.Members%d.Beat", hosts), micros(took, hosts), "us")
+}
+
+// scaleLedger measures a reservation with its completion in a full group.
+func scaleLedger(s *sink, ids int) {
+	before := liveHeap()
+	m := ledger.NewMachine(2 * ids)
+	at := ledger.Stamp(1)
+	file := func(i int) {
+		request := ident.RequestID(fmt.Sprintf("r%d", i))
+		at++
+		r := m.Run(ledger.Stamped(ledger.Reserve{
+			Request: request,
+			Host:    "h",
+			Attempt: uint64(i),
+		}, at))
+		m.Run(ledger.Stamped(ledger.Complete{
+			Request: request,
+			Fence:   r.Fence,
+			Receipt: "receipt",
+		}, at))
+	}
+	for i := range ids {
+		file(i)
+	}
+	name := fmt.Sprintf("Scale.Ledger%d", ids)
+	s.note(name+".Heap", float64(liveHeap()-before)/(1<<20), "MiB")
+	began := time.Now()
+	n := min(scaleReserves, ids)
+	for i := range n {
+		file(ids + i)
+	}
+	s.note(name+".Filing", micros(time.Since(began), n), "us")
+	runtime.KeepAlive(m)
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	var st runtime.MemStats
+	runtime.ReadMemStats(&st)
+	return st.HeapAlloc
+}
+
+func micros(d time.Duration, n int) float64 {
+	return float64(d.Nanoseconds()) / 1e3 / float64(max(n, 1))
+}
