Release a reservation that expired before its answer came

Change: the ledger names the fence to the attempt that made an expired reservation, and the host, which sent nothing under that attempt, releases it.

Conclusion: Unknown is left to filings that may have run, to killed hosts and to a Reserve that is applied after its sender ended.

--- a/pkg/filing/filing.go
+++ b/pkg/filing/filing.go
@@ -227,6 +227,13 @@
 		a.inFlight = true
 		r.retry(now, a)
 	case ledger.Recorded:
+		if res.Status == ledger.Unknown && res.Fence != 0 {
+			// The reservation of this attempt expired before its answer came.
+			// Nothing was sent under it, so it is released.
+			a.fence = res.Fence
+			r.record(now, a, engine.NotRun, "", remedyNoLedger)
+			return
+		}
 		r.replyAs(a, outcomeOf(res.Status), res.Receipt, res.Remedy)
 		r.drop(a)
 	default:
--- a/pkg/ledger/command.go
+++ b/pkg/ledger/command.go
@@ -99,7 +99,8 @@
 // Result is the result of a command.
 type Result struct {
 	Kind ResultKind `json:"Kind"`
-	// Fence is the number of the reservation, in results of kind Granted.
+	// Fence is the number of the reservation, in results of kind Granted, and
+	// of kind Recorded if the reservation was made by the same attempt.
 	Fence uint64 `json:"Fence,omitempty"`
 	// Status and Receipt are the outcome, in results of kind Recorded.
 	Status  Status `json:"Status,omitempty"`
--- a/pkg/ledger/machine.go
+++ b/pkg/ledger/machine.go
@@ -138,8 +138,13 @@
 		}
 	case known && (e.Status != NotRun || repeated):
 		// A repeated Reserve that arrives after its own Release gets no second
-		// grant, since its sender no longer waits for one.
-		return recorded(e)
+		// grant, since its sender no longer waits for one. The fence lets a host
+		// that never sent the filing release a reservation that has expired.
+		r := recorded(e)
+		if repeated {
+			r.Fence = e.Fence
+		}
+		return r
 	}
 	if !known {
 		if !m.makeRoom() {
