config: build a state from a list of upstreams at once

Cause: a configuration of 82,000 upstreams took minutes to build by single changes, each of which copies the list. Change: WithUpstreams builds it in one step; a test compares it with the state that changes give.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -146,9 +146,9 @@
 
 // State returns a configuration with the given number of upstreams.
 func State(upstreams int) (*config.State, error) {
-	s := config.NewState()
+	list := make([]config.Upstream, 0, upstreams)
 	for i := range upstreams {
-		next, err := s.Apply(config.AddUpstream{Upstream: config.Upstream{
+		list = append(list, config.Upstream{
 			ID:        ident.Upstream(fmt.Sprintf("leaf-%06d", i)),
 			Address:   fmt.Sprintf("10.%d.%d.%d:9000", i>>16&255, i>>8&255, i&255),
 			Domain:    "d0",
@@ -157,13 +157,10 @@
 			Shards:    []ident.Shard{ident.Shard(fmt.Sprintf("review-panel/%d", i/2))},
 			Slots:     2,
 			ConnLimit: 50,
-		}})
-		if err != nil {
-			return nil, err
-		}
-		s = next
+			Phase:     config.Active,
+		})
 	}
-	return s, nil
+	return config.NewState().WithUpstreams(list)
 }
 
 // follow notes when configurations arrive at host i. A configuration brings
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -69,3 +69,27 @@
 	is.Equal(m.State.InForce, preset.Peak)
 	is.Equal(m.State.Version.Number, uint64(1))
 }
+
+// Guards against a state that is built at once and differs from the same
+// state built by changes, and against an upstream that is listed twice.
+func TestBuiltStateEqualsChangedState(t *testing.T) {
+	is := is.New(t)
+	built, err := config.NewState().WithUpstreams([]config.Upstream{active("b"), active("a")})
+	is.NoErr(err)
+	is.NoErr(built.Verify())
+	changed := config.NewState()
+	for _, id := range []ident.Upstream{"a", "b"} {
+		changed, err = changed.Apply(config.AddUpstream{Upstream: upstream(id)})
+		is.NoErr(err)
+	}
+	is.Equal(built.Upstreams, changed.Upstreams)
+	is.Equal(built.Digest, changed.Digest)
+	_, err = config.NewState().WithUpstreams([]config.Upstream{active("a"), active("a")})
+	is.True(err != nil)
+}
+
+func active(id ident.Upstream) config.Upstream {
+	u := upstream(id)
+	u.Phase = config.Active
+	return u
+}
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -70,6 +70,24 @@
 	return s
 }
 
+// WithUpstreams returns s with the given upstreams in place of its own and the
+// same version. It serves to build large states; changes go through Apply.
+func (s *State) WithUpstreams(list []Upstream) (*State, error) {
+	next := *s
+	next.Upstreams = slices.Clone(list)
+	slices.SortFunc(next.Upstreams, func(a, b Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for i, u := range next.Upstreams {
+		if err := u.Check(); err != nil {
+			return nil, err
+		}
+		if i > 0 && u.ID == next.Upstreams[i-1].ID {
+			return nil, errors.Errorf("upstream %q is listed twice: give each its own id", u.ID)
+		}
+	}
+	next.Digest = next.FullDigest()
+	return &next, nil
+}
+
 // Preset returns the preset in force.
 func (s *State) Preset() preset.Preset {
 	p, _ := s.FindPreset(s.InForce)
