engine: show queue lengths and budgets in the gauges

Cause: host.Config.Depths was set by nobody, so queue_length and budget_tokens showed 0 on every host, and engine_held showed 0 while a host recorded, since the recorder only offers Step.

The entry role builds the engine itself and hands its Step to the recorder.

Figures: before, both gauges were 0 by construction.

Conclusion: the gauges show the state of the engine, also while recording.

--- a/internal/devel/entry.go
+++ b/internal/devel/entry.go
@@ -98,21 +98,23 @@
 	if err != nil {
 		return err
 	}
+	queries := engine.NewEngine(engine.Config{
+		Host:   e.ID,
+		Domain: domain,
+		Seed:   d.cfg.Seed + uint64(i),
+		Policy: d.cfg.Policy,
+	})
 	e.Host, err = host.New(host.Config{
 		ID:       e.ID,
 		Domain:   domain,
 		Listener: listener,
-		Engine: engine.NewEngine(engine.Config{
-			Host:   e.ID,
-			Domain: domain,
-			Seed:   d.cfg.Seed + uint64(i),
-			Policy: d.cfg.Policy,
-		}),
-		Control: e.Agent,
-		Grace:   d.cfg.Grace,
-		Stats:   meter,
-		Tracer:  tracer,
-		Log:     log,
+		Engine:   queries,
+		Control:  e.Agent,
+		Grace:    d.cfg.Grace,
+		Stats:    meter,
+		Tracer:   tracer,
+		Log:      log,
+		Depths:   host.DepthsOf(queries),
 	})
 	return err
 }
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -270,7 +271,8 @@
 }
 
 // Guards against a runtime and an engine that disagree about their interface,
-// and against a record of a running host that does not replay.
+// against a record of a running host that does not replay, and against gauges
+// that stay at zero while a host records.
 func TestEngineAnswersThroughTheHost(t *testing.T) {
 	is := is.New(t)
 	leaf := func(shard ident.Shard) http.HandlerFunc {
@@ -289,12 +291,22 @@
 		}
 	}
 	path := filepath.Join(t.TempDir(), "record")
-	rec, err := audit.RecordEngine(path, engine.Config{
+	setup := engine.Config{
 		Host: "h1",
 		Seed: 1,
-	}, nil)
+	}
+	queries := engine.NewEngine(setup)
+	rec, err := audit.NewRecorder(audit.Config{
+		Path:    path,
+		Reducer: audit.ReducerEngine,
+		Setup:   setup,
+	}, queries.Step)
 	is.NoErr(err)
-	r := newRig(t, func(c *host.Config) { c.Engine = rec }, leaf("review-panel/a"), leaf("review-panel/b"))
+	counts := stats.New()
+	defer counts.Close()
+	r := newRig(t, func(c *host.Config) {
+		c.Engine, c.Stats, c.Depths = rec, counts, host.DepthsOf(queries)
+	}, leaf("review-panel/a"), leaf("review-panel/b"))
 	status, _, body := r.post(wire.PathSearch, `{"Index":"review-panel"}`)
 	is.Equal(status, http.StatusServiceUnavailable) // no seat yet
 	is.Equal(body["Outcome"], "NotRun")
@@ -305,6 +317,11 @@
 	})
 	is.Equal(body["Version"], 7.0)
 	is.Equal(len(body["Documents"].([]any)), 2)
+	r.eventually(func() bool {
+		text := string(r.read(wire.PathMetrics))
+		return strings.Contains(text, `entry_queue_length{class="Critical"} 0`) &&
+			regexp.MustCompile(`entry_budget_tokens\{budget="retry"\} (5|10)\.[1-9]`).MatchString(text)
+	})
 	r.end()
 	is.NoErr(rec.Close())
 	file, err := os.Open(path)
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -42,3 +42,15 @@
 	}
 	h.config.Stats.Show(at)
 }
+
+// DepthsOf returns a Config.Depths that shows the state of e. A recorded engine
+// needs it too, since its recorder only offers Step.
+func DepthsOf(e *engine.Engine) func(*stats.Snapshot) {
+	return func(at *stats.Snapshot) {
+		d := e.Depths()
+		at.Retained = e.Retained()
+		at.Waiting = d.Waiting
+		at.HedgeTokens = d.HedgeTokens
+		at.RetryTokens = d.RetryTokens
+	}
+}
--- a/internal/launch/entry.go
+++ b/internal/launch/entry.go
@@ -18,6 +18,9 @@
 	"github.com/jujubethread/jujubethread/pkg/spread"
 )
 
+// recordBytes bounds a record of the engine: about 250,000 leaf calls at 1.1 KB.
+const recordBytes = 256 << 20
+
 // entry serves callers until it is interrupted; then it drains.
 func (j *job) entry(ctx context.Context) error {
 	o := j.opt
@@ -42,7 +45,8 @@
 	if err != nil {
 		return err
 	}
-	reducer, endRecord, err := j.reducer(func(err error) { log.Warn("recording stopped", "error", err) })
+	queries := engine.NewEngine(j.engineConfig())
+	reducer, endRecord, err := j.reducer(queries, func(err error) { log.Warn("recording stopped", "error", err) })
 	if err != nil {
 		return err
 	}
@@ -69,6 +73,7 @@
 		Stats:    meter,
 		Tracer:   tracer,
 		Log:      log,
+		Depths:   host.DepthsOf(queries),
 	})
 	if err != nil {
 		return err
@@ -100,17 +105,26 @@
 	return group.Wait()
 }
 
-// reducer returns the query engine, recorded if the settings say so.
-func (j *job) reducer(failed func(error)) (host.Reducer, func() error, error) {
-	cfg := engine.Config{
+func (j *job) engineConfig() engine.Config {
+	return engine.Config{
 		Host:   j.opt.Host,
 		Domain: j.opt.Domain,
 		Seed:   j.opt.Seed,
 	}
+}
+
+// reducer returns the query engine, recorded if the settings say so.
+func (j *job) reducer(e *engine.Engine, failed func(error)) (host.Reducer, func() error, error) {
 	if j.opt.RecordFile == "" {
-		return engine.NewEngine(cfg), func() error { return nil }, nil
+		return e, func() error { return nil }, nil
 	}
-	r, err := audit.RecordEngine(j.opt.RecordFile, cfg, failed)
+	r, err := audit.NewRecorder(audit.Config{
+		Path:     j.opt.RecordFile,
+		MaxBytes: recordBytes,
+		Reducer:  audit.ReducerEngine,
+		Setup:    j.engineConfig(),
+		Failed:   failed,
+	}, e.Step)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -146,3 +146,29 @@
 	}
 	return r
 }
+
+// Depths is how much waits for admission and what the budgets have left.
+type Depths struct {
+	// Waiting counts the queued queries of each class.
+	Waiting [len(preset.Classes)]int
+	// HedgeTokens is the sum over all indexes, RetryTokens over all services.
+	HedgeTokens float64
+	RetryTokens float64
+}
+
+// Depths returns the queue lengths and the tokens left.
+func (e *Engine) Depths() Depths {
+	// Whole numbers make the sums independent of the order of the map.
+	var hedges, retries int64
+	for _, ix := range e.indexes {
+		hedges += ix.hedges.Millionths()
+	}
+	for _, s := range e.services {
+		retries += s.retries.Millionths()
+	}
+	return Depths{
+		Waiting:     e.waiting,
+		HedgeTokens: float64(hedges) / 1e6,
+		RetryTokens: float64(retries) / 1e6,
+	}
+}
--- a/pkg/limit/bucket.go
+++ b/pkg/limit/bucket.go
@@ -33,6 +33,9 @@
 // Deposit notes one first attempt.
 func (b *Bucket) Deposit() { b.tokens = min(b.burst, b.tokens+b.share) }
 
+// Millionths returns the tokens left, in millionths of a token.
+func (b *Bucket) Millionths() int64 { return b.tokens }
+
 // Rich reports whether there is a token to take that leaves spare tokens.
 func (b *Bucket) Rich(spare int) bool { return b.tokens >= int64(spare+1)*millionths }
 
