limit: pace the lesser classes sooner, and never below a sparse rate

Cause: several hosts share the two slots of an upstream and none sees the requests of the others. The pace let Standard raise the mean latency to 1.3 and Tolerant to 1.15 times the usual one while Critical was served; the tail over 20 shards grew far more, and calls of Critical waited behind others in the upstreams. Apart from that a pace could fall to one admission a second, where a query of one shard gives it too few answers to rise again, so that queries waited seconds for idle upstreams.

Change: the ratios are 1.11 and 1.06, an adjustment needs 100 answers instead of 50 (stragglers are noise), the interval of a pace is at most the gap that counts as sparse (8 run times), and a pace far below its ratio also rises by a factor. TestOverloadManyHosts now asserts the bound on the p99 of Critical, which it only logged, and that Tolerant is shed first. TestPaceIsNeverSparse fails on the earlier pace.

--- a/internal/drive/scene_test.go
+++ b/internal/drive/scene_test.go
@@ -95,20 +95,28 @@
 	is.True(over.CallsPerAnswer <= 1.1*unloaded.CallsPerAnswer)
 	is.True(over.CriticalP99 <= 2*unloaded.CriticalP99)
 	is.Equal(over.CriticalWhole, 1.0)
+	tolerantFirst(is, over)
+}
+
+// tolerantFirst fails unless Tolerant queries are shed far more often than
+// Standard ones.
+func tolerantFirst(is *is.I, over drive.Overload) {
+	is.Helper()
 	standard, tolerant := over.Stats.Class[preset.Standard], over.Stats.Class[preset.Tolerant]
 	is.True(float64(tolerant.NotRun)/float64(tolerant.Asked) > 2*float64(standard.NotRun)/float64(standard.Asked))
 }
 
 // Guards against hosts that each keep to their limit and together overload the
-// few slots of their upstreams. The p99 of Critical is only logged: with
-// several hosts it is not yet within 2 times the unloaded one.
+// few slots of their upstreams, so that Critical queries wait behind others.
 func TestOverloadManyHosts(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
 	unloaded, best, over := overload(t, 4, 500, 600, 700)
 	is.True(over.Goodput >= 0.9*best.Goodput)
 	is.True(over.CallsPerAnswer <= 1.1*unloaded.CallsPerAnswer)
+	is.True(over.CriticalP99 <= 2*unloaded.CriticalP99)
 	is.Equal(over.CriticalWhole, 1.0)
+	tolerantFirst(is, over)
 }
 
 // Guards against mixed versions, false coverage and duplicates while versions
--- a/pkg/limit/const.go
+++ b/pkg/limit/const.go
@@ -35,26 +35,31 @@
 	// look like overload. It stands for a request that was shed.
 	SlowdownMost = 4
 
-	// A pace slows down above a ratio, else it speeds up. While more important
-	// classes were admitted within guardTime the ratio is 1 + slowdownGuarded
-	// for the second class and half as much above 1 for the third. With 4 hosts
-	// at twice capacity the p99 of Critical was 46 ms at 1.5 and 35 ms at 1.3.
-	// Nearer to 1 the noise of latencies alone would start the pace.
-	slowdownGuarded = 0.3
-	slowdownFree    = 1.8
-	guardTime       = time.Second
+	// A pace slows down above a ratio, else it speeds up. The first two ratios
+	// hold while more important classes were admitted within guardTime. With 4
+	// hosts at twice capacity the p99 of Critical was 2.8 times the unloaded one
+	// at 1.3 and 1.15, and up to 2.2 times at 1.13 and 1.08. With the same ratio
+	// for both classes Standard was shed more than half as often as Tolerant.
+	slowdownSecond = 1.11
+	slowdownThird  = 1.06
+	slowdownFree   = 1.8
+	guardTime      = time.Second
 
 	// paceEvery is the interval between adjustments of a pace. It is several run
 	// times of a query, so that an adjustment shows before the next one. An
-	// adjustment needs paceAnswers since the last one.
+	// adjustment needs paceAnswers since the last one: among 50 answers, two
+	// stragglers alone raise the mean slowdown by 0.12.
 	paceEvery   = 100 * time.Millisecond
-	paceAnswers = 50
+	paceAnswers = 100
 
 	// paceUp is the step up, in queries in flight. paceDown bounds the factor
-	// down, and paceLeast the pace: one query a second, so that it recovers.
+	// down. While the slowdown is below calmShare of what is allowed, the pace
+	// also rises by the factor paceCalm: by steps alone it allowed only 535
+	// queries a second 10 s after an overload.
 	paceUp    = 0.05
 	paceDown  = 1.5
-	paceLeast = 1 / float64(time.Second)
+	paceCalm  = 1.2
+	calmShare = 0.25
 
 	// paceOff is the ratio of the pace to the rate of admissions at which the
 	// pace is not needed any more.
@@ -63,6 +68,8 @@
 	// sparse is the gap between admissions, in run times of a query, beyond which
 	// a host is not paced. 25 hosts that each send a query every 6 run times keep
 	// the 4 slots of a service busy; pacing rarer queries only delayed them.
+	// It also bounds the interval of a pace, which at one query a second had too
+	// few answers to recover from.
 	sparse = 8
 
 	// intervalShare weighs a new interval between two admissions.
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -222,3 +222,21 @@
 	is.True(rare.Sparse(run))
 	is.True(!busy.Sparse(run))
 }
+
+// Guards against a pace that falls to one admission a second: it then gets too
+// few answers to recover, and queries waited seconds for idle upstreams.
+func TestPaceIsNeverSparse(t *testing.T) {
+	is := is.New(t)
+	const run = 10 * time.Millisecond
+	p := limit.NewPace(1)
+	now := ident.Instant(1)
+	for range 20_000 {
+		now = now.Add(time.Millisecond)
+		p.Observe(now, limit.SlowdownMost, run)
+		if now >= p.Next() {
+			p.Admitted(now, 1)
+		}
+	}
+	is.True(p.Next() > now) // it is paced
+	is.True(p.Next().Sub(now) <= 8*run)
+}
--- a/pkg/limit/pace.go
+++ b/pkg/limit/pace.go
@@ -27,10 +27,14 @@
 // NewPace returns a pace for the class with the given rank, from 1 for the
 // class after the foremost one. It spaces out nothing at first.
 func NewPace(rank int) *Pace {
-	return &Pace{
+	p := &Pace{
 		rank:    rank,
-		guarded: 1 + slowdownGuarded/float64(rank),
+		guarded: slowdownThird,
 	}
+	if rank == 1 {
+		p.guarded = slowdownSecond
+	}
+	return p
 }
 
 // Slowdown returns the ratio of a latency to the latency without load.
@@ -49,6 +53,7 @@
 	if now.Sub(p.adjusted) < paceEvery || p.answers < paceAnswers {
 		return
 	}
+	run = max(time.Millisecond, run)
 	mean := p.sum / p.answers
 	p.sum, p.answers, p.adjusted = 0, 0, now
 	high := slowdownFree
@@ -60,9 +65,12 @@
 		if p.rate == 0 {
 			p.rate = 1 / max(1, p.gap)
 		}
-		p.rate = max(p.rate/min(mean/high, paceDown), paceLeast)
+		p.rate = max(p.rate/min(mean/high, paceDown), 1/(sparse*float64(run)))
 	case p.rate > 0:
-		if p.rate += paceUp / float64(max(time.Millisecond, run)); p.rate > paceOff/max(1, p.gap) {
+		if mean-1 < calmShare*(high-1) {
+			p.rate *= paceCalm
+		}
+		if p.rate += paceUp / float64(run); p.rate > paceOff/max(1, p.gap) {
 			p.rate = 0 // arrivals are far slower than what is allowed
 		}
 	}
