audit: state outcomes in a record and replay every reducer

Cause: a record showed that effects stay the same, but not that they are right, and only the engine and the filing reducer could be replayed.

Change: a record may end with outcomes, bounds of named figures that a watch of the reducer counts from the events and the replayed effects. An outcome that does not hold is a difference of kind Unmet, with the event that last changed the figure, the expected bounds and the actual value. Run also replays ledger, config, spread, member-table, member-holder and quorum.

Conclusion: a trace can state what must hold independent of its effects.

--- a/internal/audit/known.go
+++ b/internal/audit/known.go
@@ -6,15 +6,25 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubethread/jujubethread/internal/jsonl"
+	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/filing"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
+	"github.com/jujubethread/jujubethread/pkg/member"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
+	"github.com/jujubethread/jujubethread/pkg/spread"
 )
 
 // Names of the reducers that Run can replay.
 const (
 	ReducerEngine = "engine"
 	ReducerFiling = "filing"
+	ReducerLedger = "ledger"
+	ReducerConfig = "config"
+	ReducerSpread = "spread"
+	ReducerTable  = "member-table"
+	ReducerHolder = "member-holder"
+	ReducerQuorum = "quorum"
 )
 
 // RecordEngine returns an engine whose events are recorded at path. It takes
@@ -53,6 +63,42 @@
 	quorum.AddMember{}, quorum.RemoveMember{},
 )
 
+// LedgerCommands decodes the commands of the filing ledger.
+var LedgerCommands = NewCodec[ledger.Command](
+	ledger.Reserve{}, ledger.Complete{}, ledger.Release{}, ledger.Expire{}, ledger.Resolve{},
+)
+
+// ConfigCommands decodes operator commands.
+var ConfigCommands = NewCodec(config.Command{}).Holding(changes...)
+
+// SpreadEvents decodes the events of the distribution of the configuration.
+var SpreadEvents = NewCodec[spread.Event](
+	spread.Started{}, spread.Received{}, spread.StreamEnded{}, spread.VersionAnswered{},
+	spread.VersionFailed{}, spread.PeersChanged{}, spread.Ticked{},
+).Holding(changes...)
+
+// TableEvents decodes the events of the seats on the control leader.
+var TableEvents = NewCodec[member.Event](
+	member.LeaderStarted{}, member.LeaderStopped{}, member.Beat{}, member.Listed{},
+	member.SeatsSet{}, member.Ticked{},
+)
+
+// HolderEvents decodes the events of the seat of one entry host.
+var HolderEvents = NewCodec[member.HolderEvent](
+	member.Started{}, member.Answered{}, member.Failed{}, member.ConfigApplied{},
+	member.Left{}, member.TimePassed{},
+)
+
+var changes = []any{
+	config.SwitchPreset{},
+	config.PutPreset{},
+	config.AddUpstream{},
+	config.RetireUpstream{},
+	config.RemoveUpstream{},
+	config.PlaceShards{},
+	config.SetSeats{},
+}
+
 // Run replays a record of any reducer that this package knows.
 func Run(r io.ReadSeeker) (Report, error) {
 	var head Header
@@ -64,26 +110,22 @@
 	}
 	switch head.Reducer {
 	case ReducerEngine:
-		return Replay(r, EngineEvents, newEngine)
+		return replay(r, EngineEvents, newEngine)
 	case ReducerFiling:
-		return Replay(r, FilingEvents, newFiling)
+		return replay(r, FilingEvents, newFiling)
+	case ReducerLedger:
+		return replay(r, LedgerCommands, newLedger)
+	case ReducerConfig:
+		return replay(r, ConfigCommands, newConfig)
+	case ReducerSpread:
+		return replay(r, SpreadEvents, newSpread)
+	case ReducerTable:
+		return replay(r, TableEvents, newTable)
+	case ReducerHolder:
+		return replay(r, HolderEvents, newHolder)
+	case ReducerQuorum:
+		return replay(r, QuorumEvents, newQuorum)
 	default:
 		return Report{}, errors.Errorf("reducer %q cannot be replayed: use the version that wrote the record", head.Reducer)
 	}
 }
-
-func newEngine(h Header) (Step[engine.Event, engine.Effect], error) {
-	var c engine.Config
-	if err := jsonl.Decode(h.Setup, &c); err != nil {
-		return nil, errors.Wrap(err, "set-up of the engine")
-	}
-	return engine.NewEngine(c).Step, nil
-}
-
-func newFiling(h Header) (Step[filing.Event, filing.Effect], error) {
-	var c filing.Config
-	if err := jsonl.Decode(h.Setup, &c); err != nil {
-		return nil, errors.Wrap(err, "set-up of the filing reducer")
-	}
-	return filing.New(c).Step, nil
-}
--- /dev/null
+++ b/internal/audit/outcome.go
@@ -0,0 +1,124 @@
+package audit
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/jsonl"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+const typeOutcome = "Outcome"
+
+// Outcome states bounds of one figure of the whole record. A figure is counted
+// from the recorded events and the replayed effects, so that it does not rely
+// on the recorded effects.
+type Outcome struct {
+	// Figure is one of the names that the watch of the reducer declares.
+	Figure  string `json:"Figure"`
+	AtLeast int64  `json:"AtLeast"`
+	AtMost  int64  `json:"AtMost"`
+}
+
+// figure is a count with the line that last changed it.
+type figure struct {
+	value  int64
+	line   *line
+	number int
+}
+
+// figures are the counts of one replay.
+type figures struct {
+	byName map[string]*figure
+	line   *line
+	number int
+}
+
+func newFigures(names ...string) *figures {
+	f := &figures{byName: make(map[string]*figure, len(names))}
+	for _, n := range names {
+		f.byName[n] = &figure{}
+	}
+	return f
+}
+
+func (f *figures) add(name string) { f.set(name, f.byName[name].value+1) }
+
+func (f *figures) addIf(wrong bool, name string) {
+	if wrong {
+		f.add(name)
+	}
+}
+
+func (f *figures) set(name string, v int64) {
+	g := f.byName[name]
+	if g.value != v {
+		g.value, g.line, g.number = v, f.line, f.number
+	}
+}
+
+// watch counts figures of one reducer.
+type watch[E, F any] struct {
+	figures *figures
+	see     func(now ident.Instant, ev E, effects []F)
+}
+
+// State writes the outcomes that a replay has to find. It comes after the last
+// event and before Close.
+func (r *Recorder[E, F]) State(outcomes ...Outcome) error {
+	for _, o := range outcomes {
+		if r.out == nil {
+			return errors.New("recording has stopped: raise its bound")
+		}
+		raw, err := json.Marshal(o)
+		if err != nil {
+			return errors.Wrap(err, "outcome cannot be recorded")
+		}
+		if err := r.write(r.last, typeOutcome, raw, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkOutcome compares a stated outcome with the figures of the replay. The
+// difference names the event that last changed the figure, if any did.
+func checkOutcome(rep *Report, l *line, number int, f *figures) error {
+	var o Outcome
+	if err := jsonl.Decode(l.Event, &o); err != nil {
+		return errors.Wrapf(err, "line %d, outcome", number)
+	}
+	if f == nil || f.byName[o.Figure] == nil {
+		return errors.Errorf("line %d: figure %q is not known for reducer %q: use the version that wrote the record", number, o.Figure, rep.Reducer)
+	}
+	rep.Outcomes++
+	g := f.byName[o.Figure]
+	if o.AtLeast <= g.value && g.value <= o.AtMost {
+		return nil
+	}
+	if g.line != nil {
+		l, number = g.line, g.number
+	}
+	d := newDifference(Unmet, l, number)
+	actual := Outcome{
+		Figure:  o.Figure,
+		AtLeast: g.value,
+		AtMost:  g.value,
+	}
+	for _, p := range []struct {
+		to **Effect
+		o  Outcome
+	}{{&d.Expected, o}, {&d.Actual, actual}} {
+		raw, err := json.Marshal(p.o)
+		if err != nil {
+			return errors.Wrap(err, "outcome cannot be encoded")
+		}
+		*p.to = &Effect{
+			Type:   typeOutcome,
+			Effect: raw,
+		}
+	}
+	rep.Difference = d
+	return nil
+}
--- a/internal/audit/replay.go
+++ b/internal/audit/replay.go
@@ -21,6 +21,8 @@
 	Decided Kind = "Decided"
 	// Tampered means that the line does not match its digest.
 	Tampered Kind = "Tampered"
+	// Unmet means that a stated outcome does not hold.
+	Unmet Kind = "Unmet"
 )
 
 // Difference is the first place where a replay differs from its record.
@@ -44,6 +46,9 @@
 	if d.Kind == Tampered {
 		return at + ": the line does not match its digest, the record was changed: " + string(d.Event)
 	}
+	if d.Kind == Unmet {
+		return fmt.Sprintf("%s: expected %s, got %s, last changed by event %s", at, d.Expected, d.Actual, d.Event)
+	}
 	return fmt.Sprintf("%s, effect %d: expected %s, got %s, after event %s", at, d.Effect, d.Expected, d.Actual, d.Event)
 }
 
@@ -60,6 +65,8 @@
 	Reducer string `json:"Reducer"`
 	Events  int    `json:"Events"`
 	Effects int    `json:"Effects"`
+	// Outcomes counts the stated outcomes that were checked.
+	Outcomes int `json:"Outcomes"`
 	// Ended tells that the record has its last line.
 	Ended bool `json:"Ended"`
 	// Difference is nil when the replay agrees with the record.
@@ -69,7 +76,15 @@
 // Replay runs a record through a fresh reducer, which fresh makes from the
 // header. It stops at the first difference. An error means that the record
 // cannot be read; it names the line and any unknown type or field.
+// Stated outcomes need the figures of a reducer and are checked by Run only.
 func Replay[E, F any](r io.Reader, codec Codec[E], fresh func(Header) (Step[E, F], error)) (Report, error) {
+	return replay(r, codec, func(h Header) (Step[E, F], watch[E, F], error) {
+		step, err := fresh(h)
+		return step, watch[E, F]{}, err
+	})
+}
+
+func replay[E, F any](r io.Reader, codec Codec[E], fresh func(Header) (Step[E, F], watch[E, F], error)) (Report, error) {
 	in := jsonl.NewReader(r)
 	var head Header
 	if err := in.Read(&head); err != nil {
@@ -83,7 +98,7 @@
 	if err != nil {
 		return rep, errors.Wrap(err, "header cannot be encoded")
 	}
-	step, err := fresh(head)
+	step, w, err := fresh(head)
 	if err != nil {
 		return rep, err
 	}
@@ -100,13 +115,13 @@
 		if rep.Ended {
 			return rep, errors.Errorf("line %d follows the end of the record: remove it", in.Line())
 		}
-		if err := replayLine(&rep, &l, in.Line(), chain, codec, step); err != nil || rep.Difference != nil {
+		if err := replayLine(&rep, &l, in.Line(), chain, codec, step, w); err != nil || rep.Difference != nil {
 			return rep, err
 		}
 	}
 }
 
-func replayLine[E, F any](rep *Report, l *line, number int, chain *chain, codec Codec[E], step Step[E, F]) error {
+func replayLine[E, F any](rep *Report, l *line, number int, chain *chain, codec Codec[E], step Step[E, F], w watch[E, F]) error {
 	if chain.next(l) != l.Digest {
 		rep.Difference = newDifference(Tampered, l, number)
 		return nil
@@ -115,6 +130,12 @@
 		rep.Ended = true
 		return nil
 	}
+	if l.Type == typeOutcome {
+		return checkOutcome(rep, l, number, w.figures)
+	}
+	if rep.Outcomes > 0 {
+		return errors.Errorf("line %d is an event after the stated outcomes: record it again", number)
+	}
 	ev, err := codec.decode(l.Type, l.Event)
 	if err != nil {
 		return errors.Wrapf(err, "line %d", number)
@@ -130,6 +151,10 @@
 	rep.Events++
 	rep.Effects += len(got)
 	rep.Difference = compare(l, number, got)
+	if w.see != nil {
+		w.figures.line, w.figures.number = l, number
+		w.see(l.At, ev, effects)
+	}
 	return nil
 }
 
--- a/internal/launch/replay.go
+++ b/internal/launch/replay.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		if !j.opt.JSON {
-			fmt.Fprintf(j.out, "%s: %s, %d events, %d effects, no difference\n", name, rep.Reducer, rep.Events, rep.Effects)
+			fmt.Fprintf(j.out, "%s: %s, %d events, %d effects, %d outcomes, no difference\n", name, rep.Reducer, rep.Events, rep.Effects, rep.Outcomes)
 		}
 	}
 	if differing > 0 {
