drive: let a host's engine be recorded and leaves be cold

Cause: the driver kept its engines to itself, so its scenarios could not be recorded, and it had no cold upstreams and no late configuration.

Change: Setup.Record wraps the Step of a host, Reapply delivers an earlier configuration and the mode Cold reports a cold leaf. Runs without Record are as before.

Conclusion: scenarios of the driver can become traces.

--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -29,8 +29,14 @@
 	SlowFactor  float64
 	// Wrong is the chance that an answer is crossed, doubled or lies.
 	Wrong float64
+	// Record, if set, gives the Step that takes the place of a host's own, for
+	// example one that records its events.
+	Record func(host int, c engine.Config, step Step) Step
 }
 
+// Step is the Step of an engine.
+type Step func(now ident.Instant, ev engine.Event) []engine.Effect
+
 // Driver holds virtual time, the hosts and the leaves.
 type Driver struct {
 	Setup  Setup
@@ -88,6 +94,7 @@
 type host struct {
 	d        *Driver
 	engine   *engine.Engine
+	decide   Step
 	domain   ident.Domain
 	seat     engine.Seat
 	draining bool
@@ -112,16 +119,21 @@
 		}
 	}
 	for i := range max(1, s.Hosts) {
+		c := engine.Config{
+			Host:   ident.HostID(rune('a' + i)),
+			Domain: domain(i),
+			Seed:   s.Seed + uint64(i),
+			Policy: s.Policy,
+		}
 		h := &host{
 			d:      d,
 			domain: domain(i),
 			calls:  map[ident.AttemptID]*call{},
-			engine: engine.NewEngine(engine.Config{
-				Host:   ident.HostID(rune('a' + i)),
-				Domain: domain(i),
-				Seed:   s.Seed + uint64(i),
-				Policy: s.Policy,
-			}),
+			engine: engine.NewEngine(c),
+		}
+		h.decide = h.engine.Step
+		if s.Record != nil {
+			h.decide = s.Record(i, c, h.decide)
 		}
 		d.hosts = append(d.hosts, h)
 		h.step(engine.ConfigApplied{State: d.State})
@@ -169,6 +181,11 @@
 	}
 }
 
+// Reapply delivers an earlier configuration to a host, late.
+func (d *Driver) Reapply(host int, s *config.State) {
+	d.hosts[host%len(d.hosts)].step(engine.ConfigApplied{State: s})
+}
+
 // Seat changes the seat of a host.
 func (d *Driver) Seat(host int, s engine.Seat) {
 	h := d.hosts[host%len(d.hosts)]
@@ -224,7 +241,7 @@
 }
 
 func (h *host) step(ev engine.Event) {
-	for _, eff := range h.engine.Step(h.d.now, ev) {
+	for _, eff := range h.decide(h.d.now, ev) {
 		switch eff := eff.(type) {
 		case engine.Send:
 			h.send(eff)
--- a/internal/drive/leaf.go
+++ b/internal/drive/leaf.go
@@ -21,6 +21,8 @@
 	Draining
 	// Misleading leaves report well but break every call.
 	Misleading
+	// Cold leaves serve and report that they are cold.
+	Cold
 )
 
 // Leaf is a fake upstream.
@@ -275,8 +277,12 @@
 		d.After(2*hop, func() { h.step(engine.ProbeFailed{Upstream: id}) })
 	default:
 		health := engine.HealthReady
-		if l.Mode == Draining {
+		switch l.Mode {
+		case Draining:
 			health = engine.HealthDraining
+		case Cold:
+			health = engine.HealthCold
+		default:
 		}
 		ev := engine.UpstreamReported{
 			Upstream: id,
