--- a/internal/audit/fresh.go
+++ b/internal/audit/fresh.go
@@ -86,7 +86,7 @@
 	if err == nil && m.State == nil {
 		err = errors.New("set-up of the configuration has no State: record it again")
 	}
-	return ConfigStep(&m), watchConfig(m.Recent), err
+	return ConfigStep(&m), watchConfig(&m), err
 }
 
 func newSpread(h Header) (Step[spread.Event, spread.Effect], watch[spread.Event, spread.Effect], error) {
--- a/internal/audit/query.go
+++ b/internal/audit/query.go
@@ -37,6 +37,7 @@
 	w := &engineWatch{
 		figures: newFigures(append([]string{
 			"Done", "Partial", "NotRun", "Hedges", "Retries", "Cancels", "BadAnswers", "StaleConfigs", "Version", "Failures",
+			"MissingTimedOut", "MissingShed", "MissingLost", "MissingCutOff", "MissingVersionGone",
 		}, EngineBroken...)...),
 		config:  c,
 		state:   config.NewState(),
@@ -80,8 +81,6 @@
 			draining: w.draining,
 			answers:  make(map[ident.IndexVersion]map[ident.Shard][]engine.Document),
 		}
-	case engine.QueryCancelled:
-		delete(w.queries, ev.Query)
 	case engine.AttemptAnswered:
 		w.answered(ev)
 	case engine.AttemptFailed:
@@ -172,6 +171,11 @@
 	missing := make(map[ident.Shard]bool)
 	for _, m := range c.Missing {
 		missing[m.Shard] = true
+		reason := "Missing" + string(m.Reason)
+		if w.byName[reason] == nil {
+			reason = "FalseCoverages"
+		}
+		w.add(reason)
 	}
 	covered := 0
 	want := make(map[string]engine.Document)
--- /dev/null
+++ b/internal/audit/tamper_test.go
@@ -0,0 +1,271 @@
+package audit_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/internal/audit"
+	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/engine"
+	"github.com/jujubethread/jujubethread/pkg/filing"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
+	"github.com/jujubethread/jujubethread/pkg/member"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
+	"github.com/jujubethread/jujubethread/pkg/spread"
+)
+
+const traces = "../../testdata/traces"
+
+func traceLines(t *testing.T, name string) []string {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join(traces, name+".jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Split(strings.TrimSpace(string(raw)), "\n")
+}
+
+// caught expects an edit of one line to be found by its digest, and with valid
+// digests by the replay. It returns the difference of the second replay, which
+// is nil if the edited event broke the reducer's rules for events.
+func caught(t *testing.T, what string, lines []string, at int, edited string) *audit.Difference {
+	t.Helper()
+	if edited == lines[at] {
+		t.Fatalf("%s: line %d is not changed: %.200s", what, at+1, edited)
+	}
+	lines = slices.Clone(lines)
+	lines[at] = edited
+	rep, err := replay(lines)
+	if err != nil || rep.Difference == nil || rep.Difference.Kind != audit.Tampered || rep.Difference.Line != at+1 {
+		t.Errorf("%s: edit of line %d is not found: %v, %v", what, at+1, rep.Difference, err)
+	}
+	sealed, err := audit.Reseal(lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep, err = replay(sealed)
+	if err == nil && rep.Difference == nil {
+		t.Errorf("%s: edit of line %d with valid digests is not found", what, at+1)
+	}
+	return rep.Difference
+}
+
+// last returns the last line that holds all parts.
+func last(t *testing.T, lines []string, parts ...string) int {
+	t.Helper()
+	for i := len(lines) - 1; i > 0; i-- {
+		if !slices.ContainsFunc(parts, func(p string) bool { return !strings.Contains(lines[i], p) }) {
+			return i
+		}
+	}
+	t.Fatalf("no line holds %q", parts)
+	return 0
+}
+
+// Guards against an edited event that a replay accepts, for each reducer.
+func TestTamperedEventOfEachReducerIsCaught(t *testing.T) {
+	for _, tc := range []struct{ trace, find, old, new string }{
+		{"engine-roll-over", `"Outcome":"Done"`, `"Answer":{"Request":"r`, `"Answer":{"Request":"x`},
+		{"filing-done", `"Type":"ReserveAnswered"`, `"Kind":"Granted"`, `"Kind":"Full"`},
+		{"ledger-done", `"Kind":"InFlight"`, `"Request":"r2"`, `"Request":"r3"`},
+		{"config-restart", `"Kind":"Accepted"`, `"Expect":{"Epoch":0`, `"Expect":{"Epoch":1`},
+		{"spread-deltas", `"Deltas":[{`, `"Value":{"Seats":12}`, `"Value":{"Seats":13}`},
+		{"table-replaced-hosts", `"Granted":true`, `"Type":"Beat","Event":{"Call":`, `"Type":"Beat","Event":{"Call":9`},
+		{"holder-cut-off", `"Seat":"Held"`, `"Granted":true`, `"Granted":false`},
+		{"quorum-leader-isolated", `"Type":"AppendRequest","Value":{"PrevIndex":4`, `"PrevIndex":4`, `"PrevIndex":7`},
+	} {
+		lines := traceLines(t, tc.trace)
+		at := last(t, lines, tc.find, tc.old)
+		caught(t, tc.trace, lines, at, strings.Replace(lines[at], tc.old, tc.new, 1))
+	}
+}
+
+// Guards against an edited effect or stated outcome that a replay accepts, in
+// every trace.
+func TestTamperedEffectAndOutcomeOfEachTraceIsCaught(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob(filepath.Join(traces, "*.jsonl"))
+	is.NoErr(err)
+	is.True(len(files) > 0)
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), ".jsonl")
+		lines := traceLines(t, name)
+		at := last(t, lines, `"Effects":[{`)
+		d := caught(t, name, lines, at, dropEffect(t, lines[at]))
+		is.True(d != nil && d.Kind == audit.Decided && d.Line == at+1)
+		for at := range lines {
+			if !strings.Contains(lines[at], `"Type":"Outcome","Event":{"Figure"`) {
+				continue
+			}
+			edited := strings.Replace(lines[at], `"AtLeast":`, `"AtLeast":9000000000000`, 1)
+			d := caught(t, name, lines, at, edited)
+			is.True(d != nil && d.Kind == audit.Unmet)
+			is.Equal(d.Expected.Type, "Outcome")
+			is.True(d.Actual != nil && len(d.Event) > 0)
+		}
+	}
+}
+
+func dropEffect(t *testing.T, line string) string {
+	t.Helper()
+	var l map[string]json.RawMessage
+	var effects []json.RawMessage
+	is := is.New(t)
+	is.NoErr(json.Unmarshal([]byte(line), &l))
+	is.NoErr(json.Unmarshal(l["Effects"], &effects))
+	raw, err := json.Marshal(effects[1:])
+	is.NoErr(err)
+	l["Effects"] = raw
+	out, err := json.Marshal(l)
+	is.NoErr(err)
+	return string(out)
+}
+
+// broken expects a fault of a reducer to show in a figure that is zero in the
+// trace as recorded. The effects alone would agree with a record of the fault.
+func broken[F any](t *testing.T, trace, figure string, figures func(string, func(F) []F) (map[string]int64, error), fault func(F) []F) {
+	t.Helper()
+	text := strings.Join(traceLines(t, trace), "\n")
+	whole, err := figures(text, func(ef F) []F { return []F{ef} })
+	if err != nil || whole[figure] != 0 {
+		t.Errorf("%s: %s is %d: %v", trace, figure, whole[figure], err)
+	}
+	got, err := figures(text, fault)
+	if err != nil || got[figure] == 0 {
+		t.Errorf("%s: fault does not show in %s: %v, %v", trace, figure, got, err)
+	}
+}
+
+// engineReply changes the replies of an engine.
+func engineReply(f func(*engine.Reply)) func(engine.Effect) []engine.Effect {
+	return func(ef engine.Effect) []engine.Effect {
+		if r, ok := ef.(engine.Reply); ok {
+			f(&r)
+			ef = r
+		}
+		return []engine.Effect{ef}
+	}
+}
+
+// engineSend changes the sends of an engine.
+func engineSend(f func(*engine.Send)) func(engine.Effect) []engine.Effect {
+	return func(ef engine.Effect) []engine.Effect {
+		if s, ok := ef.(engine.Send); ok {
+			f(&s)
+			ef = s
+		}
+		return []engine.Effect{ef}
+	}
+}
+
+// Guards against figures that stay zero although the engine breaks a promise.
+func TestFaultsOfTheEngineShowInTheFigures(t *testing.T) {
+	e := audit.EngineFigures
+	toFirst := engineSend(func(s *engine.Send) { s.Upstream = "u000-0" })
+	broken(t, "engine-roll-over", "MixedAnswers", e, engineReply(func(r *engine.Reply) { r.Version++ }))
+	broken(t, "engine-lost-service", "FalseCoverages", e, engineReply(func(r *engine.Reply) {
+		r.Coverage.Answered, r.Coverage.Missing = r.Coverage.Asked, nil
+	}))
+	broken(t, "engine-roll-over", "NotRunSent", e, engineReply(func(r *engine.Reply) { r.Outcome = engine.NotRun }))
+	broken(t, "engine-wrong-answers", "WrongReplies", e, engineReply(func(r *engine.Reply) { r.Request += "x" }))
+	broken(t, "engine-shutdown", "RunsWhileDraining", e, engineReply(func(r *engine.Reply) { r.Outcome = engine.Done }))
+	broken(t, "engine-drain-slow", "SendsDraining", e, toFirst)
+	broken(t, "engine-retire-slow", "SendsRetired", e, toFirst)
+	broken(t, "engine-cut-off", "SendsCutOff", e, engineSend(func(s *engine.Send) { s.Upstream = "u000-1" }))
+	broken(t, "engine-stragglers", "SendsUnasked", e, engineSend(func(s *engine.Send) { s.Request = "x" }))
+	broken(t, "engine-stragglers", "Open", e, func(ef engine.Effect) []engine.Effect {
+		if _, ok := ef.(engine.Reply); ok {
+			return nil
+		}
+		return []engine.Effect{ef}
+	})
+}
+
+// Guards against figures that stay zero although filings run twice.
+func TestFaultsOfFilingsShowInTheFigures(t *testing.T) {
+	send := func(f func(filing.Send) []filing.Effect) func(filing.Effect) []filing.Effect {
+		return func(ef filing.Effect) []filing.Effect {
+			if s, ok := ef.(filing.Send); ok {
+				return f(s)
+			}
+			return []filing.Effect{ef}
+		}
+	}
+	f := audit.FilingFigures
+	broken(t, "filing-done", "SecondSends", f, send(func(s filing.Send) []filing.Effect { return []filing.Effect{s, s} }))
+	broken(t, "filing-done", "UngrantedSends", f, send(func(s filing.Send) []filing.Effect {
+		s.Fence += 5
+		return []filing.Effect{s}
+	}))
+	broken(t, "filing-answer-lost", "NotRunSent", f, func(ef filing.Effect) []filing.Effect {
+		if r, ok := ef.(filing.Reply); ok {
+			r.Outcome = engine.NotRun
+			ef = r
+		}
+		return []filing.Effect{ef}
+	})
+	granted := func(r ledger.Result) []ledger.Result {
+		if r.Kind == ledger.Recorded || r.Kind == ledger.InFlight {
+			r.Kind, r.Fence = ledger.Granted, 1
+		}
+		return []ledger.Result{r}
+	}
+	broken(t, "ledger-done", "GrantsAfterDone", audit.LedgerFigures, granted)
+	broken(t, "ledger-answer-lost", "SecondGrants", audit.LedgerFigures, granted)
+}
+
+// Guards against figures that stay zero although configurations, seats or the
+// replicated log break a promise.
+func TestFaultsOfControlShowInTheFigures(t *testing.T) {
+	broken(t, "config-racing-operators", "WrongAccepts", audit.ConfigFigures, func(o config.Outcome) []config.Outcome {
+		o.Kind = config.Accepted
+		return []config.Outcome{o}
+	})
+	calls := uint64(0)
+	broken(t, "config-restart", "OtherOutcomes", audit.ConfigFigures, func(o config.Outcome) []config.Outcome {
+		calls++
+		o.Version.Number += calls
+		return []config.Outcome{o}
+	})
+	broken(t, "spread-late-config", "VersionFalls", audit.SpreadFigures, func(ef spread.Effect) []spread.Effect {
+		if a, ok := ef.(spread.Apply); ok {
+			return []spread.Effect{a, spread.Apply{State: config.NewState()}}
+		}
+		return []spread.Effect{ef}
+	})
+	broken(t, "table-replaced-hosts", "SeatConflicts", audit.TableFigures, func(ef member.Effect) []member.Effect {
+		if a, ok := ef.(member.Answer); ok {
+			a.Seat = 0
+			ef = a
+		}
+		return []member.Effect{ef}
+	})
+	broken(t, "holder-cut-off", "HeldPastLease", audit.HolderFigures, func(ef member.HolderEffect) []member.HolderEffect {
+		if _, ok := ef.(member.SeatChanged); ok {
+			return []member.HolderEffect{member.SeatChanged{Seat: engine.SeatHeld}}
+		}
+		return []member.HolderEffect{ef}
+	})
+	broken(t, "quorum-restart", "ApplyGaps", audit.QuorumFigures, func(ef quorum.Effect) []quorum.Effect {
+		if a, ok := ef.(quorum.Apply); ok && a.Entry.Index%50 == 0 {
+			return nil
+		}
+		return []quorum.Effect{ef}
+	})
+	votes := 0
+	broken(t, "quorum-leader-isolated", "SecondVotes", audit.QuorumFigures, func(ef quorum.Effect) []quorum.Effect {
+		if a, ok := ef.(quorum.Append); ok {
+			votes++
+			a.Hard.Vote = []ident.HostID{"m1", "m2"}[votes%2]
+			ef = a
+		}
+		return []quorum.Effect{ef}
+	})
+}
--- a/internal/audit/watch.go
+++ b/internal/audit/watch.go
@@ -15,7 +15,7 @@
 var (
 	FilingBroken = []string{"SecondSends", "UngrantedSends", "RunsAgain", "WrongReplies", "NotRunSent", "Open"}
 	LedgerBroken = []string{"SecondGrants", "GrantsAfterDone"}
-	ConfigBroken = []string{"OtherOutcomes", "VersionFalls", "VersionSkips"}
+	ConfigBroken = []string{"OtherOutcomes", "VersionFalls", "WrongAccepts"}
 	SpreadBroken = []string{"VersionFalls", "WrongDigests"}
 	TableBroken  = []string{"SeatConflicts", "GrantsOffice"}
 	HolderBroken = []string{"HeldPastLease"}
@@ -122,13 +122,16 @@
 	}
 }
 
-func watchConfig(recent []config.Handled) watch[config.Command, config.Outcome] {
+func watchConfig(m *config.Machine) watch[config.Command, config.Outcome] {
 	f := newFigures(append([]string{"Accepted", "Conflict", "NotRun", "Resent", "Version"}, ConfigBroken...)...)
 	first := map[ident.CommandID]config.Outcome{}
-	for _, h := range recent {
+	for _, h := range m.Recent {
 		first[h.ID] = h.Outcome
 	}
 	var version ident.ConfigVersion
+	if m.State != nil {
+		version = m.State.Version
+	}
 	return watch[config.Command, config.Outcome]{
 		figures: f,
 		see: func(_ ident.Instant, c config.Command, out []config.Outcome) {
@@ -145,7 +148,8 @@
 			default:
 			}
 			f.addIf(o.Version.Less(version), "VersionFalls")
-			f.addIf(o.Kind == config.Accepted && o.Version.Number != c.Expect.Number+1, "VersionSkips")
+			f.addIf(o.Kind == config.Accepted && (c.Expect != version || o.Version.Number != version.Number+1), "WrongAccepts")
+			f.addIf(o.Kind != config.Accepted && o.Version != version, "WrongAccepts")
 			version = o.Version
 			f.set("Version", int64(version.Number))
 		},
@@ -153,15 +157,22 @@
 }
 
 func watchSpread() watch[spread.Event, spread.Effect] {
-	f := newFigures(append([]string{"Applies", "Copies", "Watches", "Pulls", "Version"}, SpreadBroken...)...)
+	f := newFigures(append([]string{"Applies", "Copies", "Watches", "Pulls", "OpenWatches", "Version"}, SpreadBroken...)...)
+	open := map[uint64]bool{}
 	var version ident.ConfigVersion
 	return watch[spread.Event, spread.Effect]{
 		figures: f,
-		see: func(_ ident.Instant, _ spread.Event, effects []spread.Effect) {
+		see: func(_ ident.Instant, ev spread.Event, effects []spread.Effect) {
+			if end, ok := ev.(spread.StreamEnded); ok {
+				delete(open, end.Stream)
+			}
 			for _, ef := range effects {
 				switch ef := ef.(type) {
 				case spread.Watch:
 					f.add("Watches")
+					open[ef.Stream] = true
+				case spread.CloseStream:
+					delete(open, ef.Stream)
 				case spread.Pull:
 					f.add("Pulls")
 				case spread.Apply:
@@ -174,6 +185,7 @@
 				default:
 				}
 			}
+			f.set("OpenWatches", int64(len(open)))
 		},
 	}
 }
