load, devel: follow entry hosts that are added and removed during a run

Cause: a long run replaces entry hosts, but the load tool asked a fixed list of addresses, and a deployment kept every stopped entry host in memory, which would look like a leak. Change: load.Entries has Add and Remove; devel.Deployment has RemoveEntry, which stops a host gracefully and forgets it. Ids count the hosts ever started. Conclusion: callers reach added hosts at once and removed hosts never.

--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -59,10 +59,12 @@
 	Leaves   []*leaf.Leaf
 	Controls []*ctrl.Host
 	// Entries are the entry hosts in the order of their start, the stopped ones
-	// included.
+	// included unless RemoveEntry stopped them.
 	Entries []*Entry
 
 	cfg Config
+	// started counts the entry hosts ever started, so that no id is used twice.
+	started int
 	// back runs the upstreams and control hosts, front the entry hosts. The
 	// front stops first, so that no request in flight loses its upstreams.
 	back, front         *errgroup.Group
--- a/internal/devel/devel_test.go
+++ b/internal/devel/devel_test.go
@@ -99,6 +99,31 @@
 	is.Equal(filed(d), 0)                                         // and the upstreams did not run it again
 }
 
+// Guards against a replaced entry host that goes on serving or is kept in
+// memory, and against a replacement under an id that was used before.
+func TestEntriesAreReplaced(t *testing.T) {
+	is := is.New(t)
+	d, err := devel.Start(devel.Config{
+		Shape:   "hanbit",
+		Factor:  0.1,
+		Entries: 2,
+		Folder:  t.TempDir(),
+		Grace:   time.Millisecond,
+		Seed:    1,
+	})
+	is.NoErr(err)
+	defer func() { is.NoErr(d.Stop()) }()
+	first, second := d.Entries[0], d.Entries[1]
+	is.NoErr(d.RemoveEntry(first))
+	added, err := d.AddEntry()
+	is.NoErr(err)
+	is.Equal(d.Entries, []*devel.Entry{second, added})
+	is.True(added.ID != first.ID)
+	is.True(added.ID != second.ID)
+	_, err = http.Get("http://" + first.Address() + wire.PathHealth)
+	is.True(err != nil) // the listener is closed
+}
+
 // filed returns the number of filings that the upstreams ran.
 func filed(d *devel.Deployment) int {
 	n := 0
--- a/internal/devel/entry.go
+++ b/internal/devel/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -49,7 +50,8 @@
 // AddEntry starts one more entry host. It serves once it has a configuration
 // and a seat.
 func (d *Deployment) AddEntry() (*Entry, error) {
-	i := len(d.Entries)
+	i := d.started
+	d.started++
 	address := freePort
 	if i == 0 {
 		address = d.cfg.EntryListen
@@ -84,6 +86,13 @@
 	return e, nil
 }
 
+// RemoveEntry stops an entry host gracefully and forgets it.
+func (d *Deployment) RemoveEntry(e *Entry) error {
+	err := e.Stop()
+	d.Entries = slices.DeleteFunc(d.Entries, func(other *Entry) bool { return other == e })
+	return err
+}
+
 func (d *Deployment) makeEntry(e *Entry, i int, listener net.Listener, tracer *span.Tracer, meter *stats.Stats) error {
 	domain := d.Shape.Domains[i%len(d.Shape.Domains)]
 	log := d.cfg.Log.With("Host", string(e.ID), "Domain", string(domain))
--- a/internal/load/entry.go
+++ b/internal/load/entry.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,9 +29,12 @@
 // hosts that fail their health check and tries another host when a connection
 // is refused, since nothing was sent then.
 type Entries struct {
+	http *http.Client
+	turn atomic.Uint64
+
+	mu sync.Mutex
+	// hosts is replaced as a whole, so that a list that was read stays valid.
 	hosts []*entryHost
-	http  *http.Client
-	turn  atomic.Uint64
 }
 
 type entryHost struct {
@@ -41,11 +46,31 @@
 func NewEntries(addresses []string) *Entries {
 	e := &Entries{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}}
 	for _, a := range addresses {
-		e.hosts = append(e.hosts, &entryHost{address: a})
+		e.Add(a)
 	}
 	return e
 }
 
+// Add takes one more entry host into the turn.
+func (e *Entries) Add(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hosts = append(slices.Clip(e.hosts), &entryHost{address: address})
+}
+
+// Remove takes an entry host out of the turn; requests that it has go on.
+func (e *Entries) Remove(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hosts = slices.DeleteFunc(slices.Clone(e.hosts), func(h *entryHost) bool { return h.address == address })
+}
+
+func (e *Entries) list() []*entryHost {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hosts
+}
+
 // Run checks the health of the entry hosts until the context ends.
 func (e *Entries) Run(ctx context.Context) error {
 	defer e.http.CloseIdleConnections()
@@ -53,7 +78,7 @@
 	defer tick.Stop()
 	for {
 		var group errgroup.Group
-		for _, h := range e.hosts {
+		for _, h := range e.list() {
 			group.Go(func() error {
 				h.down.Store(!e.healthy(ctx, h))
 				return nil
@@ -96,13 +121,13 @@
 
 // pick returns the next host that is not down, or the next one if all are.
 func (e *Entries) pick() *entryHost {
-	n := e.turn.Add(1)
-	for i := range e.hosts {
-		if h := e.hosts[(n+uint64(i))%uint64(len(e.hosts))]; !h.down.Load() {
+	n, hosts := e.turn.Add(1), e.list()
+	for i := range hosts {
+		if h := hosts[(n+uint64(i))%uint64(len(hosts))]; !h.down.Load() {
 			return h
 		}
 	}
-	return e.hosts[n%uint64(len(e.hosts))]
+	return hosts[n%uint64(len(hosts))]
 }
 
 func post[A any](ctx context.Context, e *Entries, path string, id ident.RequestID, body any, decode func(io.Reader) (A, error)) (A, error) {
@@ -112,7 +137,7 @@
 		return none, err
 	}
 	var res *http.Response
-	for range e.hosts {
+	for range e.list() {
 		if res, err = e.try(ctx, path, id, doc); !refused(err) {
 			break
 		}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -295,6 +295,41 @@
 	is.Equal(draining, 0)
 }
 
+// Guards against a run that never asks an entry host that was added while it
+// goes on, or that still asks one that was taken out.
+func TestEntriesFollowAddedAndRemovedHosts(t *testing.T) {
+	is := is.New(t)
+	var served [2]int
+	var addresses [2]string
+	for i := range served {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			served[i]++
+			id, _ := wire.RequestIDFrom(r.Header)
+			_ = wire.Reply(w, http.StatusOK, wire.SearchAnswer{RequestID: id, Outcome: engine.Done})
+		}))
+		defer s.Close()
+		addresses[i] = strings.TrimPrefix(s.URL, "http://")
+	}
+	e := load.NewEntries(addresses[:1])
+	ask := func(n int) {
+		for range n {
+			_, err := e.Search(t.Context(), "r-1", wire.SearchRequest{Index: "a"})
+			is.NoErr(err)
+		}
+	}
+	ask(2)
+	is.Equal(served, [2]int{2, 0})
+	e.Add(addresses[1])
+	ask(4)
+	is.Equal(served, [2]int{4, 2})
+	e.Remove(addresses[0])
+	ask(3)
+	is.Equal(served, [2]int{4, 5})
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.NoErr(e.Run(ended)) // closes the idle connections
+}
+
 // signal calls a function when each target has told its progress twice.
 type signal struct {
 	do    func()
