feed, leaf, launch: merge logic that stood twice

Cause: feed divided a full copy into parts as proto.Parts does, with another bound; the store of the stand-in upstream had insertion into and removal from a sorted list twice; the operator commands had the choice of JSON or table three times. Conclusion: one place for each; output of the commands is unchanged.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -88,20 +88,7 @@
 
 func fullCopy(s *config.State) []*proto.Update {
 	var list []*proto.Update
-	rest := s.Upstreams
-	for first := true; first || len(rest) > 0; first = false {
-		n := min(len(rest), upstreamsPerPart)
-		part := &proto.CopyPart{
-			Version:   s.Version,
-			Digest:    s.Digest,
-			Upstreams: rest[:n],
-			First:     first,
-			Last:      n == len(rest),
-		}
-		if first {
-			part.InForce, part.Presets, part.Seats = s.InForce, s.Presets, s.Seats
-		}
-		rest = rest[n:]
+	for _, part := range proto.Parts(s) {
 		list = append(list, &proto.Update{
 			Version: s.Version,
 			Part:    part,
--- a/internal/launch/operate.go
+++ b/internal/launch/operate.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -187,20 +188,17 @@
 	if err != nil {
 		return err
 	}
-	if j.opt.JSON {
-		return json.NewEncoder(j.out).Encode(s.Presets)
-	}
-	w := tabwriter.NewWriter(j.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "PRESET\tIN FORCE\tHEDGE %\tRETRY %\tCRITICAL ms\tSTANDARD ms\tTOLERANT ms")
-	for _, p := range s.Presets {
-		inForce := ""
-		if p.Name == s.InForce {
-			inForce = "yes"
+	return j.list(s.Presets, func(w io.Writer) {
+		fmt.Fprintln(w, "PRESET\tIN FORCE\tHEDGE %\tRETRY %\tCRITICAL ms\tSTANDARD ms\tTOLERANT ms")
+		for _, p := range s.Presets {
+			inForce := ""
+			if p.Name == s.InForce {
+				inForce = "yes"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%v\t%v\t%d\t%d\t%d\n", p.Name, inForce, p.HedgePercent, p.RetryPercent,
+				p.Critical.DeadlineMillis, p.Standard.DeadlineMillis, p.Tolerant.DeadlineMillis)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%v\t%v\t%d\t%d\t%d\n", p.Name, inForce, p.HedgePercent, p.RetryPercent,
-			p.Critical.DeadlineMillis, p.Standard.DeadlineMillis, p.Tolerant.DeadlineMillis)
-	}
-	return w.Flush()
+	})
 }
 
 func (j *job) listUpstreams(ctx context.Context) error {
@@ -208,14 +206,22 @@
 	if err != nil {
 		return err
 	}
+	return j.list(s.Upstreams, func(w io.Writer) {
+		fmt.Fprintln(w, "UPSTREAM\tPHASE\tADDRESS\tDOMAIN\tSERVICE\tSHARDS\tSLOTS\tCONNECTIONS")
+		for _, u := range s.Upstreams {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%d\n", u.ID, u.Phase, u.Address, u.Domain, u.Service, u.Shards, u.Slots, u.ConnLimit)
+		}
+	})
+}
+
+// list prints values as JSON if that is asked for, else as a table with
+// columns separated by tabs.
+func (j *job) list(values any, table func(io.Writer)) error {
 	if j.opt.JSON {
-		return json.NewEncoder(j.out).Encode(s.Upstreams)
+		return json.NewEncoder(j.out).Encode(values)
 	}
 	w := tabwriter.NewWriter(j.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "UPSTREAM\tPHASE\tADDRESS\tDOMAIN\tSERVICE\tSHARDS\tSLOTS\tCONNECTIONS")
-	for _, u := range s.Upstreams {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%d\n", u.ID, u.Phase, u.Address, u.Domain, u.Service, u.Shards, u.Slots, u.ConnLimit)
-	}
+	table(w)
 	return w.Flush()
 }
 
@@ -289,13 +295,10 @@
 	if err != nil {
 		return err
 	}
-	if j.opt.JSON {
-		return json.NewEncoder(j.out).Encode(list)
-	}
-	w := tabwriter.NewWriter(j.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "REQUEST\tAGE\tENTRY HOST\tFENCE")
-	for _, f := range list {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", f.Filing.Request, f.Age.Round(time.Second), f.Filing.Host, f.Filing.Fence)
-	}
-	return w.Flush()
+	return j.list(list, func(w io.Writer) {
+		fmt.Fprintln(w, "REQUEST\tAGE\tENTRY HOST\tFENCE")
+		for _, f := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", f.Filing.Request, f.Age.Round(time.Second), f.Filing.Host, f.Filing.Fence)
+		}
+	})
 }
--- a/internal/leaf/store.go
+++ b/internal/leaf/store.go
@@ -1,6 +1,7 @@
 package leaf
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -63,31 +64,38 @@
 func (s *store) addVersion(v ident.IndexVersion) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i, found := slices.BinarySearch(s.versions, v); !found {
-		s.versions = slices.Insert(s.versions, i, v)
-	}
+	s.versions = with(s.versions, v)
 }
 
 func (s *store) dropVersion(v ident.IndexVersion) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i, found := slices.BinarySearch(s.versions, v); found {
-		s.versions = slices.Delete(s.versions, i, i+1)
-	}
+	s.versions = without(s.versions, v)
 }
 
 func (s *store) holdShard(shard ident.Shard) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i, found := slices.BinarySearch(s.shards, shard); !found {
-		s.shards = slices.Insert(s.shards, i, shard)
-	}
+	s.shards = with(s.shards, shard)
 }
 
 func (s *store) dropShard(shard ident.Shard) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i, found := slices.BinarySearch(s.shards, shard); found {
-		s.shards = slices.Delete(s.shards, i, i+1)
+	s.shards = without(s.shards, shard)
+}
+
+// with puts a value into a sorted list that holds each value once.
+func with[T cmp.Ordered](list []T, v T) []T {
+	if i, found := slices.BinarySearch(list, v); !found {
+		return slices.Insert(list, i, v)
 	}
+	return list
+}
+
+func without[T cmp.Ordered](list []T, v T) []T {
+	if i, found := slices.BinarySearch(list, v); found {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
 }
