spread: keep a watch that was opened before the start

Cause: the agent tells the reducer its peers before Started; the reducer opened a watch for the peers, then a second one, and never closed the first (trace spread-peers-before-start: OpenWatches 2, at most 1 allowed). Change: Started opens a watch only if there is none; the trace moves from the known faults to the library, and the list of known faults is empty.

--- a/internal/trace/copy.go
+++ b/internal/trace/copy.go
@@ -198,6 +198,7 @@
 	const second = 10 // rounds
 	old := func(ev *spread.Received) { ev.Copy, ev.Deltas = config.NewState(), nil }
 	return []Trace{
+		startedLate("peers-before-start", "a second watch stream that is opened while the first stays open"),
 		copied("deltas", "a change that is lost, or applied twice", func(c *copier) {
 			for range 12 {
 				c.change(everywhere...)
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -41,15 +41,6 @@
 	return all
 }
 
-// Faults returns traces whose stated outcomes do not hold yet, since they show
-// faults of reducers that are not repaired. They are kept in a folder of their
-// own; a repair moves the trace to List.
-func Faults() []Trace {
-	return []Trace{
-		startedLate("peers-before-start", "a second watch stream that is opened while the first stays open"),
-	}
-}
-
 // Path returns the file of the trace in a folder.
 func (t Trace) Path(folder string) string { return filepath.Join(folder, t.Name+ending) }
 
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -13,10 +13,7 @@
 	"github.com/jujubethread/jujubethread/internal/trace"
 )
 
-const (
-	folder = "../../testdata/traces"
-	faults = folder + "/faults"
-)
+const folder = "../../testdata/traces"
 
 var update = flag.Bool("update", false, "write the traces under testdata/traces anew")
 
@@ -67,21 +64,6 @@
 	t.Logf("%d traces, %d bytes, %d events, %d effects, %d outcomes, %d differences", len(files), total, events, effects, stated, differences)
 }
 
-// Guards against a trace of a known fault that no longer shows it. When the
-// reducer is repaired, the trace moves to List.
-func TestFaultTracesShowTheirFault(t *testing.T) {
-	is := is.New(t)
-	for _, tr := range trace.Faults() {
-		if *update {
-			is.NoErr(tr.Write(faults))
-		}
-		rep := run(t, tr.Path(faults))
-		if rep.Difference == nil || rep.Difference.Kind != audit.Unmet {
-			t.Errorf("%s: shows no unmet outcome: %v", tr.Name, rep.Difference)
-		}
-	}
-}
-
 // Guards against a generator that depends on map order or the clock: traces
 // could then not be made again.
 func TestTracesAreMadeAgainAlike(t *testing.T) {
--- a/pkg/spread/spread.go
+++ b/pkg/spread/spread.go
@@ -108,7 +108,9 @@
 	switch e := event.(type) {
 	case Started:
 		r.askAt, r.preferAt = now.Add(askEvery), now.Add(preferEvery)
-		r.watchNext(now)
+		if r.watch.id == 0 { // peers that were known before may be watched already
+			r.watchNext(now)
+		}
 	case Received:
 		r.received(now, e)
 	case StreamEnded:
