bench: soak a deployment with seeded faults, commands and replacements

Cause: no measurement ran faults of all kinds together or looked for growth of memory, descriptors and goroutines over minutes.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -4,12 +4,14 @@
 package bench
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Line is one measured figure.
@@ -37,6 +39,8 @@
 	Names []string
 	// Seed makes callers and faults reproducible.
 	Seed uint64
+	// Duration is the length of the soak; zero means 60 s.
+	Duration time.Duration
 	// Out gets a JSON line for each figure, Progress a line for each measurement.
 	Out      io.Writer
 	Progress io.Writer
@@ -64,9 +68,10 @@
 		}
 	}
 	s := &sink{
-		out:  json.NewEncoder(cfg.Out),
-		seed: cfg.Seed,
-		met:  true,
+		out:      json.NewEncoder(cfg.Out),
+		seed:     cfg.Seed,
+		duration: cmp.Or(cfg.Duration, soakDuration),
+		met:      true,
 	}
 	for _, m := range measurements {
 		if len(cfg.Names) > 0 && !slices.Contains(cfg.Names, m.name) {
@@ -94,10 +99,11 @@
 
 // sink writes lines and remembers whether all bounds were met.
 type sink struct {
-	out  *json.Encoder
-	seed uint64
-	met  bool
-	err  error
+	out      *json.Encoder
+	seed     uint64
+	duration time.Duration // of the soak
+	met      bool
+	err      error
 }
 
 func (s *sink) write(l Line) {
--- a/internal/bench/list.go
+++ b/internal/bench/list.go
@@ -13,4 +13,5 @@
 	{name: "propagation", run: propagation},
 	{name: "controlcost", run: controlCost},
 	{name: "filings", run: filings},
+	{name: "soak", run: soak},
 }
--- a/internal/launch/bench.go
+++ b/internal/launch/bench.go
@@ -11,6 +11,7 @@
 	met, err := bench.Run(ctx, bench.Config{
 		Names:    j.opt.Args,
 		Seed:     j.opt.Seed,
+		Duration: j.opt.Duration,
 		Out:      j.out,
 		Progress: j.err,
 	})
--- a/internal/option/const.go
+++ b/internal/option/const.go
@@ -14,6 +14,7 @@
 	defaultConnCost    = 6 * time.Millisecond
 	defaultServiceTime = 4 * time.Millisecond
 	defaultDuration    = 10 * time.Second
+	defaultSoak        = 60 * time.Second
 
 	defaultTraceRatio   = 0.01
 	defaultSlots        = 2
--- a/internal/option/option.go
+++ b/internal/option/option.go
@@ -179,7 +179,7 @@
 	fs.IntVar(&o.ControlHosts, "controls", defaultControlHosts, "")
 	fs.StringVar(&o.Scenario, "scenario", "", "")
 	fs.Float64Var(&o.Rate, "rate", defaultRate, "")
-	fs.DurationVar(&o.Duration, "duration", defaultDuration, "")
+	fs.DurationVar(&o.Duration, "duration", o.defaultDuration(), "")
 	fs.StringVar(&o.Report, "report", "", "")
 	fs.StringVar(&l.from, "from", "http://"+defaultEntryListen, "")
 	fs.StringVar(&o.To, "to", "", "")
@@ -219,6 +219,13 @@
 	return defaultTraceRatio
 }
 
+func (o *Options) defaultDuration() time.Duration {
+	if o.Command == Bench {
+		return defaultSoak
+	}
+	return defaultDuration
+}
+
 func (o *Options) isOperator() bool {
 	switch o.Command {
 	case Status, Preset, Upstream, Member, Filing:
--- a/internal/option/usage.go
+++ b/internal/option/usage.go
@@ -77,7 +77,8 @@
   -controls N            number of control hosts
   -scenario NAME         load: scenario file or built-in scenario
   -rate N                load: requests a second
-  -duration DURATION     load: length of the run
+  -duration DURATION     load: length of the run (default 10s);
+                         bench: length of the soak (default 60s)
   -report FILE           load: write an HTML report
   -seed N                seed of callers and faults
 
