--- a/internal/bench/list.go
+++ b/internal/bench/list.go
@@ -14,4 +14,5 @@
 	{name: "controlcost", run: controlCost},
 	{name: "scale", run: scale},
 	{name: "filings", run: filings},
+	{name: "soak", run: soak},
 }
