host, load: send no filing to a draining upstream; bound filings by the caller's time

Cause: the soak found two faults. Filings, which the engine does not plan, went to upstreams that had been draining for over 2 s (LateWork 8 to 10 in 40 s of drains). And the load tool sent no deadline with a filing, so the host used its own of 20 s while the tool gave up after 7 s (NoAnswer 10). Change: the host keeps what reports and failures say about draining and leaves those upstreams out for filings; the tool sends its deadline.

--- a/internal/bench/scale.go
+++ b/internal/bench/scale.go
@@ -49,13 +49,13 @@
 
 // scaleConfig measures one change and the full copy of a configuration.
 func scaleConfig(s *sink, upstreams int) error {
-	before := liveHeap()
+	before := heapInUse()
 	state, err := meter.State(upstreams)
 	if err != nil {
 		return err
 	}
 	name := fmt.Sprintf("Scale.Config%d", upstreams)
-	s.note(name+".Heap", float64(liveHeap()-before)/(1<<20), "MiB")
+	s.note(name+".Heap", float64(heapInUse()-before)/(1<<20), "MiB")
 	began := time.Now()
 	for i := range scaleChanges {
 		name := preset.Ordinary
@@ -189,7 +189,7 @@
 
 // scaleLedger measures a reservation with its completion in a full group.
 func scaleLedger(s *sink, ids int) {
-	before := liveHeap()
+	before := heapInUse()
 	m := ledger.NewMachine(2 * ids)
 	at := ledger.Stamp(1)
 	file := func(i int) {
@@ -210,7 +210,7 @@
 		file(i)
 	}
 	name := fmt.Sprintf("Scale.Ledger%d", ids)
-	s.note(name+".Heap", float64(liveHeap()-before)/(1<<20), "MiB")
+	s.note(name+".Heap", float64(heapInUse()-before)/(1<<20), "MiB")
 	began := time.Now()
 	n := min(scaleReserves, ids)
 	for i := range n {
@@ -220,7 +220,7 @@
 	runtime.KeepAlive(m)
 }
 
-func liveHeap() uint64 {
+func heapInUse() uint64 {
 	runtime.GC()
 	var st runtime.MemStats
 	runtime.ReadMemStats(&st)
--- a/internal/host/filing.go
+++ b/internal/host/filing.go
@@ -71,7 +71,7 @@
 
 // sendFiling sends a filing to one upstream, another one for each earlier send.
 func (h *Host) sendFiling(ctx context.Context, c *call, req wire.FilingRequest, order FilingOrder) (string, engine.FailKind) {
-	shard, targets := filingTargets(h.current.Load(), h.config.Domain, req.Index, c.id)
+	shard, targets := filingTargets(h.current.Load(), h.config.Domain, req.Index, c.id, h.leaving.has)
 	if len(targets) == 0 || !time.Now().Before(order.Until) {
 		return "", engine.Refused
 	}
@@ -103,6 +103,9 @@
 	switch {
 	case fail != nil:
 		kind = fail.Kind
+		if kind == engine.Draining {
+			h.leaving.note(up.ID, true)
+		}
 		h.config.Log.Warn("filing was not answered", "RequestID", string(c.id), "Upstream", string(up.ID), "Error", fail.Error())
 	case got.Request != c.id || got.Fence != order.Fence:
 		kind = engine.Malformed
@@ -113,8 +116,9 @@
 }
 
 // filingTargets returns the shard that a filing belongs to, chosen by its id,
-// and the upstreams that hold it, those of the host's own domain first.
-func filingTargets(s *config.State, own ident.Domain, index ident.Index, id ident.RequestID) (ident.Shard, []config.Upstream) {
+// and the upstreams that hold it and do not leave, those of the host's own
+// domain first.
+func filingTargets(s *config.State, own ident.Domain, index ident.Index, id ident.RequestID, leaves func(ident.Upstream) bool) (ident.Shard, []config.Upstream) {
 	var shards []ident.Shard
 	for i := range s.Upstreams {
 		if s.Upstreams[i].Index == index {
@@ -130,7 +134,7 @@
 	var near, far []config.Upstream
 	for _, u := range s.Upstreams {
 		switch {
-		case u.Index != index || u.Phase != config.Active || !slices.Contains(u.Shards, shard):
+		case u.Index != index || u.Phase != config.Active || !slices.Contains(u.Shards, shard) || leaves(u.ID):
 		case u.Domain == own:
 			near = append(near, u)
 		default:
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -122,6 +122,7 @@
 	client  *dial.Client
 	server  *http.Server
 	current atomic.Pointer[config.State]
+	leaving leaving
 	seat    atomic.Value // engine.Seat
 	phase   atomic.Int32
 	running atomic.Int64 // requests in progress
@@ -150,7 +151,10 @@
 		shut:   make(chan struct{}),
 	}
 	h.seat.Store(engine.SeatNone)
-	c.Dial.Emit = func(ev engine.Event) { h.loop.post(ev) }
+	c.Dial.Emit = func(ev engine.Event) {
+		h.leaving.hear(ev)
+		h.loop.post(ev)
+	}
 	c.Dial.Observe = h.observe
 	h.client = dial.New(c.Dial)
 	h.loop = newLoop(c.Engine, h.client)
@@ -248,6 +252,10 @@
 		return
 	}
 	h.current.Store(s)
+	h.leaving.forget(func(id ident.Upstream) bool {
+		_, ok := s.FindUpstream(id)
+		return ok
+	})
 	h.phase.CompareAndSwap(phaseStarting, phaseServing)
 	h.loop.post(engine.ConfigApplied{State: s})
 }
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -361,3 +362,25 @@
 			strings.Contains(text, `entry_seat{state="None"} 1`)
 	})
 }
+
+// Guards against a filing that is sent to an upstream which said that it
+// drains: it must get no new work.
+func TestFilingAvoidsDrainingUpstream(t *testing.T) {
+	is := is.New(t)
+	var filed atomic.Int64
+	r := newRig(t, nil, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == wire.PathLeafFile {
+			filed.Add(1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(wire.LeafError{Kind: engine.Draining})
+			return
+		}
+		answering(w, req)
+	}))
+	for i := range 5 {
+		status, _, body := r.post(wire.PathFilings, `{"Index":"review-panel","Body":"d"}`, wire.HeaderRequestID, fmt.Sprintf("f%d", i))
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.Equal(body["Outcome"], "NotRun")
+	}
+	is.Equal(filed.Load(), int64(1)) // the first one learned it; no later one was sent
+}
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -17,6 +17,9 @@
 		result = stats.Cancelled
 	case e.Failure != nil:
 		result = e.Failure.Kind
+		if result == engine.Draining {
+			h.leaving.note(e.Send.Upstream, true)
+		}
 		h.config.Log.Warn("attempt failed: "+string(result), "Upstream", string(e.Send.Upstream), "Shard", string(e.Send.Shard), "RequestID", string(e.Send.Request), "Error", e.Failure.Err.Error())
 	}
 	h.config.Stats.Attempt(e.Send.Reason, result, e.Took)
--- a/internal/load/entry.go
+++ b/internal/load/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -163,6 +164,12 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(wire.HeaderRequestID, string(id))
+	if end, ok := ctx.Deadline(); ok {
+		// The host must end before the tool gives up. The body of a search has a
+		// deadline of its own, which goes first.
+		left := max(time.Until(end)-answerGrace, time.Millisecond)
+		req.Header.Set(wire.HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	}
 	res, err := e.http.Do(req)
 	if refused(err) {
 		h.down.Store(true)
