ctrl, launch: mutual TLS for operators

Cause: the operator API was plaintext also when certificates were set; only the links between processes were protected. Change: the API listens with the same reloading certificates, takes the roles operator and control only, and operator commands show theirs.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -149,7 +149,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "cannot listen for operators on %s", h.cfg.Listen)
 	}
-	h.listener = lis
+	if h.listener, err = link.Secure(h.cfg.Link, lis); err != nil {
+		return err
+	}
 	o, err := newOwner(h)
 	if err != nil {
 		return err
--- a/internal/ctrl/http.go
+++ b/internal/ctrl/http.go
@@ -1,10 +1,12 @@
 package ctrl
 
 import (
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/jujubethread/jujubethread/pkg/config"
 )
@@ -30,7 +32,28 @@
 	mux.HandleFunc("GET "+PathConfig, h.serveConfig)
 	mux.HandleFunc("GET "+PathStatus, h.serveStatus)
 	mux.Handle("GET "+PathMetrics, h.meters.handler)
-	return mux
+	return allowed(mux)
+}
+
+// The roles whose certificates may use the operator API.
+var operatorRoles = []string{"operator", "control"}
+
+// allowed refuses callers whose certificate has another role. It has no effect
+// in plaintext.
+func allowed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS != nil && !hasRole(r.TLS.PeerCertificates) {
+			writeRefusal(w, http.StatusForbidden, "the certificate has no role for operators: use one with the role operator")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func hasRole(certs []*x509.Certificate) bool {
+	return len(certs) > 0 && slices.ContainsFunc(certs[0].Subject.OrganizationalUnit, func(unit string) bool {
+		return slices.Contains(operatorRoles, unit)
+	})
 }
 
 func (h *Host) serveCommand(w http.ResponseWriter, r *http.Request) {
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/jujubethread/jujubethread/internal/admin"
 	"github.com/jujubethread/jujubethread/internal/option"
 )
 
@@ -30,6 +31,8 @@
 	opt *option.Options
 	out io.Writer
 	err io.Writer
+	// client is set for the operator commands.
+	client *admin.Client
 }
 
 // Main runs the program with the arguments after its name and returns the
@@ -59,6 +62,11 @@
 }
 
 func (j *job) run(ctx context.Context) error {
+	if j.opt.Operator() {
+		if err := j.connect(); err != nil {
+			return err
+		}
+	}
 	switch j.opt.Command {
 	case option.Dev:
 		return j.dev(ctx)
--- a/internal/launch/operate.go
+++ b/internal/launch/operate.go
@@ -14,6 +14,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/admin"
 	"github.com/jujubethread/jujubethread/internal/ctrl"
+	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/ledger"
@@ -21,11 +22,19 @@
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
-func (j *job) client() *admin.Client {
-	return admin.NewClient(admin.Config{
+// connect makes the client of the operator commands.
+func (j *job) connect() error {
+	client, scheme, err := link.HTTPClient(j.linkConfig())
+	if err != nil {
+		return err
+	}
+	j.client = admin.NewClient(admin.Config{
 		Controls: j.opt.Controls,
 		Timeout:  j.opt.Timeout,
+		HTTP:     client,
+		Scheme:   scheme,
 	})
+	return nil
 }
 
 // words checks that the arguments are a verb with n words after it.
@@ -131,7 +140,7 @@
 	default:
 		return j.wrongWords()
 	}
-	out, err := j.client().Members(ctx, m)
+	out, err := j.client.Members(ctx, m)
 	if err != nil {
 		return err
 	}
@@ -140,7 +149,7 @@
 
 // change sends one change and turns its outcome into text and exit status.
 func (j *job) change(ctx context.Context, c config.Change) error {
-	cmd, out, err := j.client().Run(ctx, ident.CommandID(j.opt.ID), j.opt.Expect, c)
+	cmd, out, err := j.client.Run(ctx, ident.CommandID(j.opt.ID), j.opt.Expect, c)
 	if err != nil {
 		return err
 	}
@@ -184,7 +193,7 @@
 }
 
 func (j *job) listPresets(ctx context.Context) error {
-	s, err := j.client().Config(ctx)
+	s, err := j.client.Config(ctx)
 	if err != nil {
 		return err
 	}
@@ -202,7 +211,7 @@
 }
 
 func (j *job) listUpstreams(ctx context.Context) error {
-	s, err := j.client().Config(ctx)
+	s, err := j.client.Config(ctx)
 	if err != nil {
 		return err
 	}
@@ -227,7 +236,7 @@
 
 // status prints what each control host says of itself and the group.
 func (j *job) status(ctx context.Context) error {
-	list := j.client().Status(ctx)
+	list := j.client.Status(ctx)
 	if j.opt.JSON {
 		return json.NewEncoder(j.out).Encode(list)
 	}
@@ -278,7 +287,7 @@
 		if !ok {
 			return j.wrongWords()
 		}
-		out, err := j.client().Resolve(ctx, ctrl.ResolveFiling{
+		out, err := j.client.Resolve(ctx, ctrl.ResolveFiling{
 			Request: ident.RequestID(j.opt.Args[1]),
 			Status:  status,
 			Receipt: "resolved by an operator",
@@ -298,7 +307,7 @@
 }
 
 func (j *job) listFilings(ctx context.Context) error {
-	list, err := j.client().Unresolved(ctx)
+	list, err := j.client.Unresolved(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/option/option.go
+++ b/internal/option/option.go
@@ -205,7 +205,7 @@
 }
 
 func (o *Options) defaultControl() string {
-	if o.isOperator() {
+	if o.Operator() {
 		return defaultControlListen
 	}
 	return ""
@@ -226,7 +226,8 @@
 	return defaultDuration
 }
 
-func (o *Options) isOperator() bool {
+// Operator reports whether the command is one of the operator commands.
+func (o *Options) Operator() bool {
 	switch o.Command {
 	case Status, Preset, Upstream, Member, Filing:
 		return true
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -282,3 +285,34 @@
 	is.Equal(a.Coverage.Missing[0].Shard, ident.Shard("papers/1"))
 	is.Equal(a.Coverage.Answered, 1)
 }
+
+// Guards against an operator API or a link that takes a host without a
+// certificate, or with one of another role, when certificates are set.
+func TestMutualTLS(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	issue := func(role, host string) []string {
+		out, err := exec.Command(binary, "keys", "-out", folder, "-role", role, "-hosts", host+"=127.0.0.1").Output()
+		is.NoErr(err)
+		return strings.Fields(strings.SplitN(string(out), ": ", 2)[1])
+	}
+	control, entry, operator := issue("control", "c1"), issue("entry", "e1"), issue("operator", "op")
+	operate, links, callers := free(t), free(t), free(t)
+	run(t, append([]string{"control", "-host", "c1", "-domain", "d1", "-listen", operate, "-link-listen", links,
+		"-data", filepath.Join(t.TempDir(), "data"), "-new-group"}, control...)...)
+	run(t, append([]string{"entry", "-host", "e1", "-domain", "d1", "-listen", callers, "-link-listen", free(t),
+		"-control", links}, entry...)...)
+	status := func(flags ...string) string {
+		out, _ := exec.Command(binary, append([]string{"status", "-control", operate}, flags...)...).CombinedOutput()
+		return string(out)
+	}
+	end := time.Now().Add(waitFor)
+	for !strings.Contains(status(operator...), "entry host e1 in d1") {
+		if time.Now().After(end) {
+			t.Fatalf("the entry host is not listed: %s", status(operator...))
+		}
+		time.Sleep(pause)
+	}
+	is.True(strings.Contains(status(entry...), "role operator")) // a certificate of another role is refused
+	is.True(strings.Contains(status(), "no answer"))             // as is a caller without one
+}
