ctrl: read the platform's list of hosts; tie messages to certificates

Cause: the seat table had a rule for the platform's list that nothing fed, so a silent host's seat fell free 60 s after its lease although the list still showed it; and any entry host could beat or file in another's name. Change: -platform-list names a file that is read every second; with TLS the host of a heartbeat or reservation must be that of the certificate. Figures: go test ./internal/ctrl and the TLS and filing system tests pass; the list itself is covered by the reducer's property tests only.

--- a/internal/ctrl/const.go
+++ b/internal/ctrl/const.go
@@ -43,3 +43,6 @@
 	idleTimeout     = time.Minute
 	shutdownTimeout = 5 * time.Second
 )
+
+// platformEvery is the time between two reads of the platform's list.
+const platformEvery = time.Second
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -44,6 +44,9 @@
 	Bootstrap []quorum.Member
 	// Transport replaces the link to the other members in tests.
 	Transport Transport
+	// PlatformList is a file with the entry hosts that the platform lists as
+	// live, one id a line; empty means none. It may lag.
+	PlatformList string
 	// Parts are replicated besides the configuration.
 	Parts []state.Part
 
@@ -209,6 +212,7 @@
 		}
 		return nil
 	})
+	g.Go(func() error { return h.followPlatform(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
 		<-h.done
--- a/internal/ctrl/filing.go
+++ b/internal/ctrl/filing.go
@@ -52,6 +52,9 @@
 // serveFilings registers the methods by which entry hosts reserve filings.
 func (h *Host) serveFilings(s *link.Server) {
 	link.Handle(s, proto.MethodReserve, func(ctx context.Context, in *proto.Reserve) (*proto.FilingAnswer, error) {
+		if err := sameHost(ctx, in.Host); err != nil {
+			return nil, err
+		}
 		a := h.File(ctx, ledger.Reserve{
 			Request:  in.Request,
 			BodyHash: in.BodyHash,
--- a/internal/ctrl/seats.go
+++ b/internal/ctrl/seats.go
@@ -90,6 +90,9 @@
 
 func (h *Host) serveSeats(s *link.Server) {
 	link.Handle(s, proto.MethodHeartbeat, func(ctx context.Context, in *proto.Heartbeat) (*proto.HeartbeatAnswer, error) {
+		if err := sameHost(ctx, in.Beat.Host); err != nil {
+			return nil, err
+		}
 		var out *proto.HeartbeatAnswer
 		err := h.ask(ctx, func(o *owner) { out = o.beat(in.Beat) })
 		return out, err
--- a/internal/launch/control.go
+++ b/internal/launch/control.go
@@ -28,12 +28,13 @@
 		return err
 	}
 	cfg := ctrl.Config{
-		Folder:   o.Data,
-		Listen:   o.Listen,
-		Address:  o.LinkListen,
-		Link:     j.linkConfig(),
-		NewGroup: o.NewGroup,
-		Log:      log,
+		Folder:       o.Data,
+		Listen:       o.Listen,
+		Address:      o.LinkListen,
+		Link:         j.linkConfig(),
+		NewGroup:     o.NewGroup,
+		PlatformList: o.PlatformList,
+		Log:          log,
 	}
 	for _, p := range o.Bootstrap {
 		cfg.Bootstrap = append(cfg.Bootstrap, quorum.Member{
--- a/internal/option/option.go
+++ b/internal/option/option.go
@@ -57,9 +57,11 @@
 	TraceRatio float64
 	RecordFile string
 
-	Data      string
-	NewGroup  bool
-	Bootstrap []Pair
+	Data     string
+	NewGroup bool
+	// PlatformList is a file with the entry hosts that the platform lists.
+	PlatformList string
+	Bootstrap    []Pair
 
 	ID      string
 	Expect  *ident.ConfigVersion
@@ -156,6 +158,7 @@
 	fs.Float64Var(&o.TraceRatio, "trace-ratio", o.defaultTraceRatio(), "")
 	fs.StringVar(&o.RecordFile, "record-file", "", "")
 	fs.StringVar(&o.Data, "data", "", "")
+	fs.StringVar(&o.PlatformList, "platform-list", "", "")
 	fs.BoolVar(&o.NewGroup, "new-group", false, "")
 	fs.StringVar(&l.bootstrap, "bootstrap", "", "")
 	fs.StringVar(&o.ID, "id", "", "")
--- a/internal/option/usage.go
+++ b/internal/option/usage.go
@@ -48,6 +48,7 @@
 
 Control host
   -data FOLDER           data folder
+  -platform-list FILE    entry hosts that the platform lists as live, one a line
   -new-group             start a group with this host as its only member
   -bootstrap LIST        first members of a group, ID=IP:PORT each, the same on
                          all; both act only while the data folder is empty, and
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -298,10 +298,14 @@
 	}
 	control, entry, operator := issue("control", "c1"), issue("entry", "e1"), issue("operator", "op")
 	operate, links, callers := free(t), free(t), free(t)
-	run(t, append([]string{"control", "-host", "c1", "-domain", "d1", "-listen", operate, "-link-listen", links,
-		"-data", filepath.Join(t.TempDir(), "data"), "-new-group"}, control...)...)
-	run(t, append([]string{"entry", "-host", "e1", "-domain", "d1", "-listen", callers, "-link-listen", free(t),
-		"-control", links}, entry...)...)
+	run(t, append([]string{
+		"control", "-host", "c1", "-domain", "d1", "-listen", operate, "-link-listen", links,
+		"-data", filepath.Join(t.TempDir(), "data"), "-new-group",
+	}, control...)...)
+	run(t, append([]string{
+		"entry", "-host", "e1", "-domain", "d1", "-listen", callers, "-link-listen", free(t),
+		"-control", links,
+	}, entry...)...)
 	status := func(flags ...string) string {
 		out, _ := exec.Command(binary, append([]string{"status", "-control", operate}, flags...)...).CombinedOutput()
 		return string(out)
