Use the terms of the field for scenario actions, cold starts and violations

Cause: a read-through found names that a newcomer must look up: Deed, Chill, dice, liars, BrokenPromises. Conclusion: names only, no behaviour.

--- a/internal/audit/tamper_test.go
+++ b/internal/audit/tamper_test.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// Guards against figures that stay zero although the engine breaks a promise.
+// Guards against figures that stay zero although the engine violates a guarantee.
 func TestFaultsOfTheEngineShowInTheFigures(t *testing.T) {
 	e := audit.EngineFigures
 	toFirst := engineSend(func(s *engine.Send) { s.Upstream = "u000-0" })
@@ -222,7 +222,7 @@
 }
 
 // Guards against figures that stay zero although configurations, seats or the
-// replicated log break a promise.
+// replicated log violate a guarantee.
 func TestFaultsOfControlShowInTheFigures(t *testing.T) {
 	broken(t, "config-racing-operators", "WrongAccepts", audit.ConfigFigures, func(o config.Outcome) []config.Outcome {
 		o.Kind = config.Accepted
--- a/internal/bench/chaos.go
+++ b/internal/bench/chaos.go
@@ -15,7 +15,7 @@
 	faultEvery  = 700 * time.Millisecond
 	faultLeast  = time.Second
 	faultMost   = 5 * time.Second
-	faultShare  = 0.3 // of the requests of a slow, shedding or lying upstream
+	faultShare  = 0.3 // of the requests of a slow, shedding or faulty upstream
 	slowFactor  = 10
 	eventsStart = time.Second
 
--- a/internal/bench/query.go
+++ b/internal/bench/query.go
@@ -32,7 +32,7 @@
 	s.most("Stragglers.P99OfBaseline", ratio(tolerant.P99, plain.P99), "ratio", 0.40, 1)
 	s.most("Stragglers.ExtraCalls", tolerant.ExtraPercent, "percent", 5, plain.ExtraPercent)
 	s.least("Stragglers.Coverage", tolerant.CoveragePercent, "percent", 100, plain.CoveragePercent)
-	s.most("Stragglers.BrokenPromises", float64(tolerant.Stats.FaultCount), "count", 0)
+	s.most("Stragglers.Violations", float64(tolerant.Stats.FaultCount), "count", 0)
 	return nil
 }
 
@@ -48,7 +48,7 @@
 		plain := drive.LossRun(s.seed, engine.PolicyPlain, how.mode)
 		s.most("Loss."+how.name+".ErrorsAfter2s", float64(tolerant.ErrorsLate), "count", 0, float64(plain.ErrorsLate))
 		s.note("Loss."+how.name+".ErrorsWithin2s", float64(tolerant.ErrorsEarly), "count", float64(plain.ErrorsEarly))
-		s.most("Loss."+how.name+".BrokenPromises", float64(tolerant.Stats.FaultCount), "count", 0)
+		s.most("Loss."+how.name+".Violations", float64(tolerant.Stats.FaultCount), "count", 0)
 	}
 	return nil
 }
@@ -66,7 +66,7 @@
 		s.most("Outage."+how.name+".AttemptsPerQuery", tolerant.CallsPerQuery, "ratio", 1.2, naive.CallsPerQuery)
 		s.most("Outage."+how.name+".Recovery", tolerant.Recovery.Seconds(), "seconds", 3, naive.Recovery.Seconds())
 		s.most("Outage."+how.name+".WrongMissing", float64(tolerant.BadAnswers), "count", 0, float64(naive.BadAnswers))
-		s.most("Outage."+how.name+".BrokenPromises", float64(tolerant.Stats.FaultCount), "count", 0)
+		s.most("Outage."+how.name+".Violations", float64(tolerant.Stats.FaultCount), "count", 0)
 	}
 	return nil
 }
@@ -98,7 +98,7 @@
 	s.least(name+".CriticalWhole", 100*over.CriticalWhole, "percent", 100, 100*plain.CriticalWhole)
 	standard, tolerant := over.Stats.Class[preset.Standard], over.Stats.Class[preset.Tolerant]
 	s.least(name+".TolerantRefusedOverStandard", refused(tolerant)-refused(standard), "percent", 0)
-	s.most(name+".BrokenPromises", float64(over.Stats.FaultCount), "count", 0)
+	s.most(name+".Violations", float64(over.Stats.FaultCount), "count", 0)
 }
 
 func refused(o drive.Outcomes) float64 { return 100 * float64(o.NotRun) / float64(max(o.Asked, 1)) }
--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -63,9 +63,9 @@
 
 func writeSoak(s *sink, t *result.Target, ops *operator, usage *gauge) {
 	for _, v := range t.Violations {
-		s.most("Soak.BrokenPromises."+string(v.Kind), float64(v.Count), "count", 0)
+		s.most("Soak.Violations."+string(v.Kind), float64(v.Count), "count", 0)
 	}
-	s.most("Soak.BrokenPromises", float64(wrong(t)+ops.late), "count", 0)
+	s.most("Soak.Violations", float64(wrong(t)+ops.late), "count", 0)
 	var sent, done, partial, notRun, unknown int64
 	failures := make(map[string]int64)
 	for _, c := range t.Classes {
--- a/internal/drive/check.go
+++ b/internal/drive/check.go
@@ -12,7 +12,7 @@
 	"github.com/jujubethread/jujubethread/pkg/preset"
 )
 
-// Stats counts what happened and every broken promise.
+// Stats counts what happened and every violated guarantee.
 type Stats struct {
 	Asked   int
 	Done    int
@@ -24,7 +24,7 @@
 	Probes  int
 	// Distorted is the number of answers that were crossed, doubled or false.
 	Distorted int
-	// Faults lists the first broken promises, FaultCount counts all.
+	// Faults lists the first violations, FaultCount counts all.
 	Faults     []string
 	FaultCount int
 	// Latency of answers that are not NotRun, in microseconds, by class.
--- a/internal/leaf/control.go
+++ b/internal/leaf/control.go
@@ -68,7 +68,7 @@
 	mux.HandleFunc("POST "+PathDrain, change(l, func(s Switch) { l.Drain(s.On) }))
 	mux.HandleFunc("POST "+PathCold, change(l, func(s Switch) {
 		if s.On {
-			l.Chill()
+			l.StartCold()
 		}
 	}))
 	mux.HandleFunc("POST "+PathVersions, change(l, func(v VersionChange) {
--- a/internal/leaf/leaf.go
+++ b/internal/leaf/leaf.go
@@ -28,7 +28,7 @@
 	control  net.Listener
 	slots    *slots
 	store    *store
-	dice     *dice
+	random   *random
 	memory   memory
 	started  time.Time
 	// stop is closed when Run ends, to free requests that a fault holds.
@@ -62,7 +62,7 @@
 		listener: newListener(raw, cfg.Upstream.ConnLimit, cfg.Connect),
 		slots:    newSlots(cfg.Upstream.Slots, cfg.Waiting),
 		store:    newStore(cfg.Upstream.Shards, cfg.Versions),
-		dice:     newDice(cfg.Seed, cfg.Upstream.ID),
+		random:   newRandom(cfg.Seed, cfg.Upstream.ID),
 		started:  time.Now(),
 		stop:     make(chan struct{}),
 		faults:   cfg.Faults,
@@ -190,8 +190,8 @@
 	l.drain = on
 }
 
-// Chill starts a cold start: requests take longer for a while.
-func (l *Leaf) Chill() {
+// StartCold starts a cold start: requests take longer for a while.
+func (l *Leaf) StartCold() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.thawing = time.Now()
--- /dev/null
+++ b/internal/leaf/random.go
@@ -0,0 +1,40 @@
+package leaf
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// random draws service times and faults from the seed.
+type random struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newRandom(seed uint64, id ident.Upstream) *random {
+	return &random{rng: rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(id))))}
+}
+
+func (r *random) hit(fraction float64) bool {
+	if fraction <= 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.Float64() < fraction
+}
+
+func (r *random) serviceTime(s Service) time.Duration {
+	if s.Sigma == 0 {
+		return s.Median
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(float64(s.Median) * math.Exp(s.Sigma*r.rng.NormFloat64()))
+}
--- a/internal/leaf/serve.go
+++ b/internal/leaf/serve.go
@@ -70,7 +70,7 @@
 	start := time.Now()
 	l.work(context.WithoutCancel(ctx))
 	l.slots.leave(time.Since(start))
-	if l.dice.hit(l.Faults().LostAnswer) {
+	if l.random.hit(l.Faults().LostAnswer) {
 		panic(http.ErrAbortHandler)
 	}
 	_ = wire.Reply(w, http.StatusOK, wire.LeafFiled{
@@ -128,7 +128,7 @@
 	switch {
 	case drain:
 		return engine.Draining
-	case l.dice.hit(shed):
+	case l.random.hit(shed):
 		return engine.Shed
 	case !l.store.holds(shard):
 		return engine.WrongShard
@@ -139,8 +139,8 @@
 // work takes the service time. It reports false if the context ended first.
 func (l *Leaf) work(ctx context.Context) bool {
 	f := l.Faults()
-	took := float64(l.dice.serviceTime(l.cfg.Service)) * l.coldNow()
-	if l.dice.hit(f.SlowFraction) {
+	took := float64(l.random.serviceTime(l.cfg.Service)) * l.coldNow()
+	if l.random.hit(f.SlowFraction) {
 		took *= f.SlowFactor
 	}
 	if took <= 0 {
--- a/internal/leaf/spoil.go
+++ b/internal/leaf/spoil.go
@@ -15,16 +15,16 @@
 func (l *Leaf) spoil(a *engine.Answer, source *ident.IndexVersion) bool {
 	f := l.Faults()
 	switch {
-	case l.dice.hit(f.WrongID):
+	case l.random.hit(f.WrongID):
 		a.Request += "-other"
-	case l.dice.hit(f.WrongAttempt):
+	case l.random.hit(f.WrongAttempt):
 		a.Attempt++
-	case l.dice.hit(f.WrongVersion):
+	case l.random.hit(f.WrongVersion):
 		a.Version++
 		*source = a.Version
-	case l.dice.hit(f.WrongShard):
+	case l.random.hit(f.WrongShard):
 		a.Shard += "-other"
-	case l.dice.hit(f.SilentLie):
+	case l.random.hit(f.SilentLie):
 		*source++
 	default:
 		return false
@@ -36,16 +36,16 @@
 func (l *Leaf) sendBroken(w http.ResponseWriter, r *http.Request, a engine.Answer) bool {
 	f := l.Faults()
 	switch {
-	case l.dice.hit(f.LostAnswer):
+	case l.random.hit(f.LostAnswer):
 		panic(http.ErrAbortHandler)
-	case l.dice.hit(f.Malformed):
+	case l.random.hit(f.Malformed):
 		body, err := wire.Encode(a)
 		if err == nil {
 			_, _ = w.Write(body[:len(body)/2])
 		}
-	case l.dice.hit(f.Endless):
+	case l.random.hit(f.Endless):
 		l.endless(w, r)
-	case l.dice.hit(f.Drip):
+	case l.random.hit(f.Drip):
 		l.drip(w, r, a)
 	default:
 		return false
--- a/internal/scene/parse.go
+++ b/internal/scene/parse.go
@@ -196,7 +196,7 @@
 	switch e.Do {
 	case Slow, Lost, Kill, Shed, Faulty, Drain, Cold, RollOver, Move, Partition, Hook, Surge, Mark:
 	default:
-		return errors.Errorf("Do is %q: use one of the deeds in docs/scenario.schema.json", e.Do)
+		return errors.Errorf("Do is %q: use one of the actions in docs/scenario.schema.json", e.Do)
 	}
 	for _, t := range s.Targets {
 		if e.Target != "" && e.Target != t.Name {
--- a/internal/scene/scene.go
+++ b/internal/scene/scene.go
@@ -86,25 +86,25 @@
 	Control  string          `json:"Control"`
 }
 
-// Deed is what an event does.
-type Deed string
+// Action is what an event does.
+type Action string
 
-// The deeds. They are undone when ForMillis is over; RollOver and Move are
+// The actions. They are undone when ForMillis is over; RollOver and Move are
 // completed then, and Mark has no end.
 const (
-	Slow      Deed = "Slow"      // Fraction of the requests take Factor times as long
-	Lost      Deed = "Lost"      // upstreams stop answering
-	Kill      Deed = "Kill"      // upstreams break all connections
-	Shed      Deed = "Shed"      // upstreams shed Fraction of the requests
-	Faulty    Deed = "Faulty"    // Faults are in force
-	Drain     Deed = "Drain"     // upstreams answer Draining
-	Cold      Deed = "Cold"      // upstreams start cold
-	RollOver  Deed = "RollOver"  // Version is added, and the one before dropped when ForMillis is over
-	Move      Deed = "Move"      // Shard is added at the upstreams To, and dropped at Match when ForMillis is over
-	Partition Deed = "Partition" // fault proxies with names that fit Match hold everything back
-	Hook      Deed = "Hook"      // the program that runs the scenario does it; Match is the name
-	Surge     Deed = "Surge"     // callers send Factor times as much; Match is a pattern for names of flows
-	Mark      Deed = "Mark"      // only marked in the report
+	Slow      Action = "Slow"      // Fraction of the requests take Factor times as long
+	Lost      Action = "Lost"      // upstreams stop answering
+	Kill      Action = "Kill"      // upstreams break all connections
+	Shed      Action = "Shed"      // upstreams shed Fraction of the requests
+	Faulty    Action = "Faulty"    // Faults are in force
+	Drain     Action = "Drain"     // upstreams answer Draining
+	Cold      Action = "Cold"      // upstreams start cold
+	RollOver  Action = "RollOver"  // Version is added, and the one before dropped when ForMillis is over
+	Move      Action = "Move"      // Shard is added at the upstreams To, and dropped at Match when ForMillis is over
+	Partition Action = "Partition" // fault proxies with names that fit Match hold everything back
+	Hook      Action = "Hook"      // the program that runs the scenario does it; Match is the name
+	Surge     Action = "Surge"     // callers send Factor times as much; Match is a pattern for names of flows
+	Mark      Action = "Mark"      // only marked in the report
 )
 
 // Event is a fault at a time.
@@ -113,8 +113,8 @@
 	AtMillis ident.Millis `json:"AtMillis"`
 	// ForMillis is the time until the event is undone; 0 means at the end.
 	ForMillis ident.Millis `json:"ForMillis,omitempty"`
-	Do        Deed         `json:"Do"`
-	// Label is shown in the report; the deed is, if it is empty.
+	Do        Action       `json:"Do"`
+	// Label is shown in the report; the action is, if it is empty.
 	Label string `json:"Label,omitempty"`
 	// Match is a pattern of package path for the ids of upstreams or the names
 	// of proxies, for example "review-panel-*-1". Empty fits all upstreams.
--- a/internal/trace/query.go
+++ b/internal/trace/query.go
@@ -18,7 +18,7 @@
 const settle = 1500 * time.Millisecond
 
 // query returns a trace of the query engine of one host. A scenario that
-// breaks a promise which the driver checks is an error.
+// violates a guarantee that the driver checks is an error.
 func query(name, guards string, s drive.Setup, run func(*drive.Driver), outcomes ...audit.Outcome) Trace {
 	return Trace{
 		Name:   "engine-" + name,
