system: test entry hosts that are cut off from all control hosts

Cause: no test with real processes covered a cut from control. Change: a test cuts all control hosts silently, searches, files, starts a fresh entry host with a peer, and heals; dev prints all control addresses.

--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -112,6 +112,15 @@
 // EntryAddress returns the address of the first entry host.
 func (d *Deployment) EntryAddress() string { return d.Entries[0].Address() }
 
+// ControlAddresses returns the operator addresses of all control hosts.
+func (d *Deployment) ControlAddresses() []string {
+	list := make([]string, 0, len(d.Controls))
+	for _, c := range d.Controls {
+		list = append(list, c.Addr())
+	}
+	return list
+}
+
 // ControlAddress returns the address of the first control host.
 func (d *Deployment) ControlAddress() string { return d.Controls[0].Addr() }
 
--- a/internal/launch/dev.go
+++ b/internal/launch/dev.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -89,6 +90,7 @@
 
 func (j *job) printHints(d *devel.Deployment) {
 	entry, control := d.EntryAddress(), d.ControlAddress()
+	all := strings.Join(d.ControlAddresses(), ",")
 	index := d.Shape.Leaves[0].Upstream.Index
 	up := d.Shape.Leaves[0].Upstream.ID
 	fmt.Fprintf(j.out, `%s serves on loopback: %d entry hosts, %d control hosts, %d upstreams. Interrupt to stop.
@@ -109,7 +111,7 @@
   ./bin/jujubethread preset switch ordinary -control %s
   ./bin/jujubethread status -control %s
 `, d.Shape.Name, len(d.Entries), len(d.Controls), len(d.Leaves), index, entry, index,
-		control, control, control, control, up, entry, index, control, control)
+		control, control, control, control, up, entry, index, all, all)
 }
 
 // demo starts an example deployment, runs one committee lookup and prints the
--- a/internal/system/harness_test.go
+++ b/internal/system/harness_test.go
@@ -112,6 +112,7 @@
 	leaves   []*process
 	operate  []string // operator addresses of the control hosts
 	callers  []string // addresses of the entry hosts for callers
+	links    []string // addresses of the entry hosts for peers
 	steer    []string // control addresses of the upstreams
 	client   *admin.Client
 }
@@ -208,8 +209,9 @@
 	}
 	for i := range n {
 		s.callers = append(s.callers, free(s.t))
+		s.links = append(s.links, free(s.t))
 		s.entries = append(s.entries, run(s.t, "entry", "-host", fmt.Sprintf("e%d", i+1), "-domain", fmt.Sprintf("d%d", i%2+1),
-			"-listen", s.callers[i], "-link-listen", free(s.t), "-control", strings.Join(controls, ","), "-grace", "300ms"))
+			"-listen", s.callers[i], "-link-listen", s.links[i], "-control", strings.Join(controls, ","), "-grace", "300ms"))
 	}
 }
 
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os/exec"
@@ -28,6 +29,7 @@
 const (
 	newLeaderBound = 3 * time.Second
 	retireBound    = 2 * time.Second
+	inForceBound   = 2 * time.Second
 )
 
 // Guards against a shutdown that cuts or refuses a request of callers that
@@ -286,6 +288,65 @@
 	is.Equal(a.Coverage.Answered, 1)
 }
 
+// Guards against entry hosts that stop searching, or run filings, while no
+// control host is in reach, against a fresh entry host that gets no
+// configuration from a peer then, and against changes that do not arrive after
+// the cut heals.
+func TestCutOffFromControl(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	want := s.change(config.SwitchPreset{Name: preset.Peak}).Version
+	for i := range s.callers {
+		s.await(i, func(a wire.SearchAnswer) bool { return a.Preset == preset.Peak })
+	}
+	s.cutControl(true)
+	for i := range s.callers {
+		s.await(i, func(a wire.SearchAnswer) bool { return a.Outcome == engine.Done })
+	}
+	a, err := file(s.callers[0], "draft-cut")
+	is.NoErr(err)
+	is.True(a.Outcome != engine.Done)
+
+	fresh := free(t)
+	run(t, "entry", "-host", "e3", "-domain", "d1", "-listen", fresh, "-link-listen", free(t),
+		"-control", s.proxies[0].Address(), "-peers", s.links[0])
+	end := time.Now().Add(waitFor)
+	for version(fresh) != want && time.Now().Before(end) {
+		time.Sleep(pause)
+	}
+	is.Equal(version(fresh), want) // from the peer
+
+	s.cutControl(false)
+	s.change(config.SwitchPreset{Name: preset.Maintenance})
+	accepted := time.Now()
+	for i := range s.callers {
+		s.await(i, func(a wire.SearchAnswer) bool { return a.Preset == preset.Maintenance })
+	}
+	is.True(time.Since(accepted) <= inForceBound)
+	is.True(s.runs()["draft-cut"] <= 1)
+}
+
+// cutControl holds all traffic to the control hosts back without a sign.
+func (s *site) cutControl(on bool) {
+	rules := fault.Rules{}
+	rules.Forward.Blackhole, rules.Backward.Blackhole = on, on
+	for _, p := range s.proxies {
+		_ = p.Set(rules)
+	}
+}
+
+// version returns the version that an entry host has in force.
+func version(address string) ident.ConfigVersion {
+	var st struct{ Config ident.ConfigVersion }
+	res, err := caller.Get("http://" + address + wire.PathStatus)
+	if err != nil {
+		return ident.ConfigVersion{}
+	}
+	defer res.Body.Close()
+	_ = json.NewDecoder(res.Body).Decode(&st)
+	return st.Config
+}
+
 // Guards against an operator API or a link that takes a host without a
 // certificate, or with one of another role, when certificates are set.
 func TestMutualTLS(t *testing.T) {
