--- a/internal/bench/list.go
+++ b/internal/bench/list.go
@@ -12,6 +12,7 @@
 	{name: "entrycost", run: entryCost},
 	{name: "propagation", run: propagation},
 	{name: "controlcost", run: controlCost},
+	{name: "restart", run: restart},
 	{name: "scale", run: scale},
 	{name: "filings", run: filings},
 	{name: "soak", run: soak},
