Keep a connection to the upstream that it was opened for

Cause: idle connections were kept by address. Ruled out: extra answers on kept connections; the ids that they echo differ. Change: connections are kept by instance, one that answers for another instance is closed; a host that hears no leader asks for the document and redirects the operator.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -10,6 +10,7 @@
 	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/internal/watch"
 	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 	"github.com/jujubethread/jujubethread/platform"
 )
 
@@ -38,6 +39,9 @@
 		fail(w, http.StatusInternalServerError, err.Error())
 		return
 	}
+	if c.redirect(w, r) {
+		return
+	}
 	a := c.submit(r.Context(), h, documentCommand{Store: &watch.Document{
 		Version: doc.Version,
 		Packed:  packed,
@@ -51,6 +55,9 @@
 }
 
 func (c *Core) get(h *ctrl.Host, w http.ResponseWriter, r *http.Request) {
+	if c.redirect(w, r) {
+		return
+	}
 	a := c.submit(r.Context(), h, documentCommand{Read: true})
 	if a.Kind != config.Accepted {
 		fail(w, http.StatusServiceUnavailable, a.Remedy)
@@ -76,6 +83,22 @@
 	}
 }
 
+// redirect sends the operator to the leader if this host hears of it from
+// other hosts only, since it then is no member and cannot forward the request.
+func (c *Core) redirect(w http.ResponseWriter, r *http.Request) bool {
+	s, ok := c.status(r.Context())
+	if !ok || s.Leader != "" || s.Role == quorum.Leader {
+		return false
+	}
+	leader := c.board.Leader()
+	if leader.Operator == "" || leader.ID == c.self.ID {
+		return false
+	}
+	w.Header()["Location"] = []string{"http://" + leader.Operator + r.URL.Path}
+	w.WriteHeader(http.StatusTemporaryRedirect)
+	return true
+}
+
 // submit runs a command through the leader.
 func (c *Core) submit(ctx context.Context, h *ctrl.Host, cmd documentCommand) ctrl.Answer {
 	data, err := proto.Marshal(cmd)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -304,11 +304,12 @@
 }
 
 // follow asks the leader for the list and the roster while another host
-// leads. A host that is no member asks for the document as well, and is known
+// leads. A host that hears no leader in the replicated log, such as one that
+// has been removed from the group, asks for the document as well and is known
 // to the leader as one that may join.
 func (c *Core) follow(ctx context.Context) error {
 	seeds := c.cfg.Seeds
-	next := 0
+	next, known := 0, ""
 	for ctx.Err() == nil {
 		select {
 		case seeds = <-c.seeds:
@@ -316,11 +317,18 @@
 		}
 		s, ok := c.status(ctx)
 		if ok && s.Role == quorum.Leader {
+			known = ""
 			sleep(ctx, retryEvery)
 			continue
 		}
-		target := leaderAddress(s)
-		if target == "" && len(seeds) > 0 {
+		hears := s.Leader != ""
+		target := known
+		if hears {
+			target = leaderAddress(s)
+		}
+		// An ask to a seed only finds out who leads.
+		finding := target == ""
+		if finding && len(seeds) > 0 {
 			target = seeds[next%len(seeds)]
 			next++
 		}
@@ -328,19 +336,20 @@
 			sleep(ctx, retryEvery)
 			continue
 		}
-		leader, err := c.ask(ctx, target, len(s.Members) > 0)
-		if err == nil && leader != "" && leader != target && leader != c.cfg.Link {
-			_, err = c.ask(ctx, leader, len(s.Members) > 0)
-		}
-		if err != nil {
+		leader, err := c.ask(ctx, target, hears, finding)
+		known = leader
+		if err != nil || finding && leader == "" {
 			sleep(ctx, retryEvery)
 		}
+		if err == nil && !hears && leader != "" && leader != c.cfg.Link {
+			c.board.Lead(false, leader)
+		}
 	}
 	return nil
 }
 
 // ask asks one control host for news and returns who leads.
-func (c *Core) ask(ctx context.Context, address string, member bool) (leader string, err error) {
+func (c *Core) ask(ctx context.Context, address string, hears, atOnce bool) (leader string, err error) {
 	list, _ := c.board.List()
 	_, digest := c.board.Roster()
 	var r watch.Reply
@@ -349,7 +358,8 @@
 		Version:    c.board.Document().Version,
 		Digest:     list.Digest,
 		Roster:     digest,
-		NoDocument: member,
+		NoDocument: hears,
+		AtOnce:     atOnce,
 	}, &r)
 	if err != nil {
 		return "", err
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -79,7 +79,7 @@
 func (f *Front) keepConnections(ups []relay.Upstream) {
 	inUse := make(map[string]bool, len(ups))
 	for _, u := range ups {
-		inUse[u.Address] = true
+		inUse[string(u.ID)] = true
 	}
 	f.pool.Keep(inUse)
 }
@@ -134,13 +134,14 @@
 	c := &callState{query: e.Query}
 	f.calls[e.Attempt] = c
 	c.stop = f.pool.Start(pipe.Call{
-		Address: e.Upstream.Address,
-		ID:      q.id,
-		Method:  q.method,
-		Head:    q.callHead(e),
-		Body:    q.body,
-		Limit:   e.Limit,
-		Parse:   platform.AnswerOf,
+		Address:  e.Upstream.Address,
+		Instance: string(e.Upstream.ID),
+		ID:       q.id,
+		Method:   q.method,
+		Head:     q.callHead(e),
+		Body:     q.body,
+		Limit:    e.Limit,
+		Parse:    platform.AnswerOf,
 		Done: func(o pipe.Outcome) {
 			f.inputs <- input{
 				attempt: e.Attempt,
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -18,10 +18,10 @@
 // conn is one connection. Its reader goroutine hands each answer to the call
 // that waits for it.
 type conn struct {
-	pool    *Pool
-	address string
-	raw     net.Conn
-	reader  *bufio.Reader
+	pool   *Pool
+	key    string
+	raw    net.Conn
+	reader *bufio.Reader
 	// until is when an unused connection is too old, guarded by the pool.
 	until time.Time
 	keep  time.Duration
@@ -95,7 +95,7 @@
 	}
 	c.pool.mu.Lock()
 	c.until = time.Now().Add(c.keep)
-	c.pool.idle[c.address] = append(c.pool.idle[c.address], c)
+	c.pool.idle[c.key] = append(c.pool.idle[c.key], c)
 	c.pool.mu.Unlock()
 }
 
@@ -163,7 +163,7 @@
 			Body:   body,
 		}
 		c.keep = keepTime(res.Header)
-		return o, !res.Close && c.keep > 0, nil
+		return o, !res.Close && c.keep > 0 && !answer.Moved, nil
 	}
 	return o, false, errors.New("the upstream sent too many answers to other requests")
 }
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -50,8 +51,11 @@
 // Call is one request to one upstream.
 type Call struct {
 	Address string
-	ID      ident.RequestID
-	Method  string
+	// Instance names the upstream at the address. A connection that was opened
+	// for one is not used for another.
+	Instance string
+	ID       ident.RequestID
+	Method   string
 	// Head returns the whole head of the request. first is set on the first
 	// request of a connection.
 	Head func(first bool) []byte
@@ -115,12 +119,15 @@
 	stopped bool
 }
 
+// key names the connections that the call may use.
+func (r *running) key() string { return r.Instance + "@" + r.Address }
+
 func (r *running) run() {
-	c := r.pool.take(r.Address)
+	c := r.pool.take(r.key())
 	first := c == nil
 	if first {
 		var err error
-		if c, err = r.pool.dial(r.Address, min(dialTimeout, r.Limit)); err != nil {
+		if c, err = r.pool.dial(r.Address, r.key(), min(dialTimeout, r.Limit)); err != nil {
 			r.end(Outcome{
 				Result: relay.Unsent,
 				Err:    err,
@@ -165,14 +172,14 @@
 	}
 }
 
-func (p *Pool) take(address string) *conn {
+func (p *Pool) take(key string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
+	list := p.idle[key]
 	for len(list) > 0 {
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
-		p.idle[address] = list
+		p.idle[key] = list
 		if time.Now().Before(c.until) {
 			return c
 		}
@@ -181,7 +188,7 @@
 	return nil
 }
 
-func (p *Pool) dial(address string, timeout time.Duration) (*conn, error) {
+func (p *Pool) dial(address, key string, timeout time.Duration) (*conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	d := net.Dialer{
@@ -196,11 +203,11 @@
 		return nil, err
 	}
 	c := &conn{
-		pool:    p,
-		address: address,
-		raw:     raw,
-		reader:  bufio.NewReaderSize(raw, bufferSize),
-		keep:    maxIdle,
+		pool:   p,
+		key:    key,
+		raw:    raw,
+		reader: bufio.NewReaderSize(raw, bufferSize),
+		keep:   maxIdle,
 	}
 	go c.read()
 	return c, nil
@@ -221,26 +228,27 @@
 func (p *Pool) remove(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[c.address]
+	list := p.idle[c.key]
 	for i, o := range list {
 		if o == c {
-			p.idle[c.address] = append(list[:i:i], list[i+1:]...)
+			p.idle[c.key] = append(list[:i:i], list[i+1:]...)
 			break
 		}
 	}
-	if len(p.idle[c.address]) == 0 {
-		delete(p.idle, c.address)
+	if len(p.idle[c.key]) == 0 {
+		delete(p.idle, c.key)
 	}
 }
 
-// Keep closes the unused connections to addresses that are not in use any more.
+// Keep closes the unused connections to upstreams that are gone. inUse holds
+// the instances that are left.
 func (p *Pool) Keep(inUse map[string]bool) {
 	p.mu.Lock()
 	var closed []*conn
-	for address, list := range p.idle {
-		if !inUse[address] {
+	for key, list := range p.idle {
+		if instance, _, _ := strings.Cut(key, "@"); !inUse[instance] {
 			closed = append(closed, list...)
-			delete(p.idle, address)
+			delete(p.idle, key)
 		}
 	}
 	p.mu.Unlock()
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -73,9 +73,9 @@
 	Digest  uint64
 	// Roster is the digest of the hosts known to be alive.
 	Roster uint64
-	// NoDocument is set by members, which have the document from the log.
+	// NoDocument is set by members that follow the replicated log.
 	NoDocument bool `cbor:",omitempty"`
-	// At once is set to get an answer without a wait.
+	// AtOnce is set to get an answer without a wait.
 	AtOnce bool `cbor:",omitempty"`
 }
 
@@ -187,6 +187,18 @@
 	}
 }
 
+// Leader returns the leader's entry in the roster; it is empty if unknown.
+func (b *Board) Leader() Host {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, h := range b.roster {
+		if h.Link == b.leader {
+			return h
+		}
+	}
+	return Host{}
+}
+
 // Alive notes that a host is alive.
 func (b *Board) Alive(h Host) {
 	b.mu.Lock()
