Share the budgets over all entry hosts, not those of one domain

Change: control hosts report who asks them; the number of hosts counts once it has settled; a connection is verified by a good answer only.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,6 +77,9 @@
 	keeper *roster.Keeper
 
 	seeds chan []string
+
+	// confirmed is the digest of this host's askers that the leader knows.
+	confirmed uint64
 }
 
 // founder is the identity of a first member, which all others can work out
@@ -225,7 +228,8 @@
 	for _, p := range s.Peers {
 		v.Reached[p.ID] = p.Reached
 	}
-	for _, h := range c.board.Here() {
+	here, _ := c.board.Here()
+	for _, h := range here {
 		if h.Kind == watch.Control {
 			v.Alive = append(v.Alive, roster.Host{
 				ID:      h.ID,
@@ -352,15 +356,21 @@
 func (c *Core) ask(ctx context.Context, address string, hears, atOnce bool) (leader string, err error) {
 	list, _ := c.board.List()
 	_, digest := c.board.Roster()
-	var r watch.Reply
-	err = c.client.Call(ctx, address, watch.MethodAsk, &watch.Ask{
+	ask := watch.Ask{
 		From:       c.self,
 		Version:    c.board.Document().Version,
 		Digest:     list.Digest,
 		Roster:     digest,
 		NoDocument: hears,
 		AtOnce:     atOnce,
-	}, &r)
+	}
+	here, known := c.board.Here()
+	if ask.Here = known; known != c.confirmed {
+		ask.HereHosts = here
+	}
+	var r watch.Reply
+	err = c.client.Call(ctx, address, watch.MethodAsk, &ask, &r)
+	c.confirmed = r.Here
 	if err != nil {
 		return "", err
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,7 +37,7 @@
 	inputSize = 1024
 
 	// firstHosts is assumed until the roster is known; it errs on the high side.
-	firstHosts = 40
+	firstHosts = 128
 )
 
 // Config holds the settings of an entry host.
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -45,14 +45,13 @@
 	outcomes []pipe.Outcome
 }
 
-// head returns the head of the request to an upstream.
-func (q *request) callHead(c relay.Call) func(first bool) []byte {
-	return func(first bool) []byte {
+// callHead returns the head of the request to an upstream.
+func (q *request) callHead(c relay.Call) func(verify bool) []byte {
+	return func(verify bool) []byte {
 		b := make([]byte, 0, len(q.uri)+len(q.host)+len(q.head)+192)
 		b = append(b, q.method+" "+q.uri+" HTTP/1.1\r\nHost: "+q.host+"\r\n"...)
 		instance := ident.Upstream("")
-		if first {
-			// A connection stays with its upstream, so one check is enough.
+		if verify {
 			instance = c.Upstream.ID
 		}
 		b = platform.AppendCall(b, q.id, c.Limit, instance)
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -17,6 +17,9 @@
 	// hostsKept is how long the largest number of hosts seen is used, so that
 	// a domain that is cut off does not take the shares of the hosts beyond.
 	hostsKept = 30 * time.Second
+
+	// settleTime is how long the number of hosts must stay the same to count.
+	settleTime = 3 * time.Second
 )
 
 // watcher asks one control host for news, one in its own domain if possible.
@@ -32,9 +35,11 @@
 	roster  uint64
 	readAt  time.Time
 
-	most   int
-	mostAt time.Time
-	lost   bool
+	counted   int
+	countedAt time.Time
+	most      int
+	mostAt    time.Time
+	lost      bool
 }
 
 // watch follows a control host until ctx ends.
@@ -175,7 +180,8 @@
 	w.front.listed.Store(true)
 }
 
-// count tells the engine how many entry hosts share the budgets.
+// count tells the engine how many entry hosts share the budgets. While hosts
+// start, the roster grows, so a number counts only once it has settled.
 func (w *watcher) count() {
 	n := 0
 	for _, h := range w.hosts {
@@ -183,15 +189,21 @@
 			n++
 		}
 	}
-	if n == 0 {
+	now := time.Now()
+	if n != w.counted {
+		w.counted, w.countedAt = n, now
+	}
+	if n == 0 || now.Sub(w.countedAt) < settleTime {
 		return
 	}
-	if n >= w.most || time.Since(w.mostAt) > hostsKept {
-		if n != w.most {
-			w.front.inputs <- input{event: relay.Hosts{Count: n}}
-		}
-		w.most, w.mostAt = n, time.Now()
+	if n < w.most && now.Sub(w.mostAt) < hostsKept {
+		return
+	}
+	if n != w.most {
+		w.front.log.Info("entry hosts were counted", "Hosts", n, "Before", w.most)
+		w.front.inputs <- input{event: relay.Hosts{Count: n}}
 	}
+	w.most, w.mostAt = n, now
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -26,6 +26,9 @@
 	until time.Time
 	keep  time.Duration
 
+	// verified is set once the upstream has run a request that named it.
+	verified bool
+
 	mu      sync.Mutex
 	call    *running
 	written bool
@@ -33,7 +36,7 @@
 }
 
 // send writes the request of a call. The reader ends the call.
-func (c *conn) send(r *running, first bool) {
+func (c *conn) send(r *running) {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -45,7 +48,7 @@
 	}
 	c.call, c.written = r, false
 	c.mu.Unlock()
-	n, err := c.raw.Write(append(r.Head(first), r.Body...))
+	n, err := c.raw.Write(append(r.Head(!c.verified), r.Body...))
 	if err != nil {
 		c.fail(n > 0, err)
 		return
@@ -163,6 +166,8 @@
 			Body:   body,
 		}
 		c.keep = keepTime(res.Header)
+		// A rejection may come before the upstream has looked at its name.
+		c.verified = c.verified || o.Result == relay.Good
 		return o, !res.Close && c.keep > 0 && !answer.Moved, nil
 	}
 	return o, false, errors.New("the upstream sent too many answers to other requests")
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -56,9 +56,9 @@
 	Instance string
 	ID       ident.RequestID
 	Method   string
-	// Head returns the whole head of the request. first is set on the first
-	// request of a connection.
-	Head func(first bool) []byte
+	// Head returns the whole head of the request. verify is set until the
+	// upstream has run a request of the connection under its own name.
+	Head func(verify bool) []byte
 	Body []byte
 	// Limit is the time in which an answer must come.
 	Limit time.Duration
@@ -124,8 +124,7 @@
 
 func (r *running) run() {
 	c := r.pool.take(r.key())
-	first := c == nil
-	if first {
+	if c == nil {
 		var err error
 		if c, err = r.pool.dial(r.Address, r.key(), min(dialTimeout, r.Limit)); err != nil {
 			r.end(Outcome{
@@ -145,7 +144,7 @@
 	r.conn = c
 	r.timer = time.AfterFunc(r.Limit-time.Since(r.begin)+overtime, r.stop)
 	r.mu.Unlock()
-	c.send(r, first)
+	c.send(r)
 }
 
 // stop breaks the call off by closing its connection.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -73,6 +73,10 @@
 	Digest  uint64
 	// Roster is the digest of the hosts known to be alive.
 	Roster uint64
+	// Here is the digest of the hosts that ask the asking host, and HereHosts
+	// lists them unless the last reply has confirmed that digest.
+	Here      uint64 `cbor:",omitempty"`
+	HereHosts []Host `cbor:",omitempty"`
 	// NoDocument is set by members that follow the replicated log.
 	NoDocument bool `cbor:",omitempty"`
 	// AtOnce is set to get an answer without a wait.
@@ -87,6 +91,8 @@
 	ListAge int64
 	Hosts   []Host `cbor:",omitempty"`
 	Roster  uint64
+	// Here is the digest of the asking host's own askers as known here.
+	Here uint64 `cbor:",omitempty"`
 	// Leader is the link address of the leader as far as known.
 	Leader string
 }
@@ -99,6 +105,7 @@
 	list     List
 	readAt   time.Time
 	hosts    map[ident.HostID]seen
+	reports  map[ident.HostID]report
 	roster   []Host
 	digest   uint64
 	leader   string
@@ -110,11 +117,19 @@
 	at   time.Time
 }
 
+// report lists the hosts that ask another control host.
+type report struct {
+	digest uint64
+	hosts  []Host
+	at     time.Time
+}
+
 // NewBoard returns an empty board.
 func NewBoard() *Board {
 	return &Board{
 		changed: make(chan struct{}),
 		hosts:   make(map[ident.HostID]seen),
+		reports: make(map[ident.HostID]report),
 	}
 }
 
@@ -218,26 +233,62 @@
 			delete(b.hosts, id)
 		}
 	}
-	if !b.leading {
-		return
+	for id, r := range b.reports {
+		if time.Since(r.at) > aliveTime {
+			delete(b.reports, id)
+		}
+	}
+	if b.leading {
+		b.setRoster(b.everywhere())
 	}
-	b.setRoster(b.listed())
 }
 
-func (b *Board) listed() []Host {
+// here lists the hosts that ask this one.
+func (b *Board) here() []Host {
 	list := make([]Host, 0, len(b.hosts))
 	for _, s := range b.hosts {
 		list = append(list, s.host)
 	}
-	slices.SortFunc(list, func(x, y Host) int { return strings.Compare(string(x.ID), string(y.ID)) })
+	sortHosts(list)
 	return list
 }
 
-// Here returns the hosts that ask this one.
-func (b *Board) Here() []Host {
+// everywhere lists the hosts that ask this one or one that reports to it.
+func (b *Board) everywhere() []Host {
+	list := b.here()
+	for _, r := range b.reports {
+		list = append(list, r.hosts...)
+	}
+	sortHosts(list)
+	return slices.CompactFunc(list, func(x, y Host) bool { return x.ID == y.ID })
+}
+
+func sortHosts(list []Host) {
+	slices.SortFunc(list, func(x, y Host) int { return strings.Compare(string(x.ID), string(y.ID)) })
+}
+
+// Here returns the hosts that ask this one, and the digest of the list.
+func (b *Board) Here() ([]Host, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := b.here()
+	return list, rosterDigest(list)
+}
+
+// hear notes that a host is alive, and which hosts it has heard from.
+func (b *Board) hear(in *Ask) {
+	b.Alive(in.From)
+	if in.Here == 0 {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.listed()
+	r := b.reports[in.From.ID]
+	if len(in.HereHosts) > 0 {
+		r.digest, r.hosts = in.Here, in.HereHosts
+	}
+	r.at = time.Now()
+	b.reports[in.From.ID] = r
 }
 
 // SetRoster takes the leader's roster.
@@ -287,7 +338,7 @@
 
 // serve answers an ask once there is something newer, or after AskWait.
 func (b *Board) serve(ctx context.Context, in *Ask) (*Reply, error) {
-	b.Alive(in.From)
+	b.hear(in)
 	wait := time.NewTimer(AskWait)
 	defer wait.Stop()
 	for {
@@ -313,6 +364,7 @@
 		ListAge: -1,
 		Roster:  b.digest,
 		Leader:  b.leader,
+		Here:    b.reports[in.From.ID].digest,
 	}
 	if !b.readAt.IsZero() {
 		r.ListAge = time.Since(b.readAt).Milliseconds()
