Give a removed member the newer documents too

Ruled out: a hanging call; the log shows replies without news. Change: every control host asks with its version; one that follows the log gets a document only if it still lacks it 400 ms later. Broken-off connections to upstreams are reset.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -357,12 +357,12 @@
 	list, _ := c.board.List()
 	_, digest := c.board.Roster()
 	ask := watch.Ask{
-		From:       c.self,
-		Version:    c.board.Document().Version,
-		Digest:     list.Digest,
-		Roster:     digest,
-		NoDocument: hears,
-		AtOnce:     atOnce,
+		From:    c.self,
+		Version: c.board.Document().Version,
+		Digest:  list.Digest,
+		Roster:  digest,
+		Follows: hears,
+		AtOnce:  atOnce,
 	}
 	here, known := c.board.Here()
 	if ask.Here = known; known != c.confirmed {
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -78,14 +78,21 @@
 	})
 }
 
+// close resets the connection, so that bytes that a cut link holds up are
+// dropped and do not reach the upstream later.
 func (c *conn) close() {
 	c.mu.Lock()
 	closed := c.closed
 	c.closed = true
 	c.mu.Unlock()
-	if !closed {
-		_ = c.raw.Close()
+	if closed {
+		return
+	}
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		// Without it the connection still closes, so the error does not matter.
+		_ = tcp.SetLinger(0)
 	}
+	_ = c.raw.Close()
 }
 
 // giveBack makes an unused connection available.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -29,6 +29,10 @@
 	// AskTimeout ends an ask to a host that is out of reach.
 	AskTimeout = AskWait + 700*time.Millisecond
 
+	// followTime is how long the replicated log takes at most to bring a
+	// document to a member that follows it.
+	followTime = 400 * time.Millisecond
+
 	// aliveTime is how long a host counts as alive after it has asked.
 	aliveTime = 3500 * time.Millisecond
 )
@@ -77,8 +81,9 @@
 	// lists them unless the last reply has confirmed that digest.
 	Here      uint64 `cbor:",omitempty"`
 	HereHosts []Host `cbor:",omitempty"`
-	// NoDocument is set by members that follow the replicated log.
-	NoDocument bool `cbor:",omitempty"`
+	// Follows is set by hosts that get documents from the replicated log, if
+	// all is well. They get one here only if they still lack it a little later.
+	Follows bool `cbor:",omitempty"`
 	// AtOnce is set to get an answer without a wait.
 	AtOnce bool `cbor:",omitempty"`
 }
@@ -102,14 +107,16 @@
 	mu       sync.Mutex
 	changed  chan struct{}
 	document Document
-	list     List
-	readAt   time.Time
-	hosts    map[ident.HostID]seen
-	reports  map[ident.HostID]report
-	roster   []Host
-	digest   uint64
-	leader   string
-	leading  bool
+	// documentAt is when the document came.
+	documentAt time.Time
+	list       List
+	readAt     time.Time
+	hosts      map[ident.HostID]seen
+	reports    map[ident.HostID]report
+	roster     []Host
+	digest     uint64
+	leader     string
+	leading    bool
 }
 
 type seen struct {
@@ -147,7 +154,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if d.Version > b.document.Version {
-		b.document = d
+		b.document, b.documentAt = d, time.Now()
 		b.notify()
 	}
 }
@@ -369,9 +376,14 @@
 	if !b.readAt.IsZero() {
 		r.ListAge = time.Since(b.readAt).Milliseconds()
 	}
-	if b.document.Version > in.Version && !in.NoDocument {
+	if b.document.Version > in.Version {
 		d := b.document
-		r.Document, news = &d, true
+		switch {
+		case !in.Follows:
+			r.Document, news = &d, true
+		case time.Since(b.documentAt) > followTime:
+			r.Document = &d
+		}
 	}
 	if !b.readAt.IsZero() && b.list.Digest != in.Digest {
 		l := b.list
