Leave an upstream alone at whose address another one answers

Cause: a crashed upstream stays on the list for seconds while its address already belongs to another service. Ruled out: calls held up by the cut of machines; resetting them changed nothing.

--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -58,6 +58,11 @@
 	// downTime is how long a failed connection keeps an upstream last.
 	downTime = time.Second
 
+	// goneTime is how long an upstream at whose address another one answers is
+	// left alone. Each call there would count as an extra call to the other's
+	// service. The platform lists a crashed upstream for some seconds.
+	goneTime = 5 * time.Second
+
 	// drainCost ranks a draining upstream behind all that stay.
 	drainCost = 5 * time.Second
 
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -19,6 +19,7 @@
 	learnedAt ident.Instant
 	coldUntil ident.Instant
 	downUntil ident.Instant
+	goneUntil ident.Instant
 	drainSeen ident.Instant
 
 	// others is the load reported by the upstream beyond this host's own.
@@ -87,7 +88,7 @@
 	start := e.rand.IntN(len(ups))
 	for i := range ups {
 		u := ups[(start+i)%len(ups)]
-		if p.triedOn(u) || u.Draining && e.now >= u.drainSeen.Add(drainUse) {
+		if p.triedOn(u) || e.now < u.goneUntil || u.Draining && e.now >= u.drainSeen.Add(drainUse) {
 			continue
 		}
 		if len(u.live) >= limit {
@@ -168,7 +169,7 @@
 		u.downUntil = e.after(downTime)
 	case Rejected:
 		if ev.Moved {
-			u.downUntil = e.after(downTime)
+			u.goneUntil = e.after(goneTime)
 		}
 	case Bad, Lost:
 	}
