Gather the queries of a domain on few of its entry hosts

Change: one entry host for each 8 of a domain gathers; the others hand queries over by drpc under their own version and take them back when it stops answering.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,12 +67,15 @@
 	self   watch.Host
 	client *link.Client
 	pool   *pipe.Pool
+	peers  *peers
 	engine *relay.Engine
 
 	inputs  chan input
 	queries map[ident.QueryID]*request
 	calls   map[ident.AttemptID]*callState
 	lastID  atomic.Uint64
+	// handing counts the queries of other hosts in progress.
+	handing sync.WaitGroup
 
 	table    atomic.Pointer[rules.Table]
 	listed   atomic.Bool
@@ -102,7 +106,8 @@
 			Domain: cfg.Domain,
 			Link:   cfg.Link,
 		},
-		pool: pipe.NewPool(),
+		pool:  pipe.NewPool(),
+		peers: newPeers(cfg.Name),
 		engine: relay.New(relay.Config{
 			Domain: cfg.Domain,
 			Extra:  cfg.Extra,
@@ -148,6 +153,8 @@
 	g, tctx := errgroup.WithContext(tctx)
 	g.Go(func() error { return f.loop(tctx) })
 	g.Go(func() error { return f.watch(tctx) })
+	g.Go(func() error { return f.serveLink(tctx) })
+	g.Go(func() error { return f.pingPeers(tctx) })
 	g.Go(func() error { return served(srv.Serve(lis), "callers") })
 	g.Go(func() error { return served(checks.Serve(ready), "readiness checks") })
 	g.Go(func() error {
@@ -187,7 +194,9 @@
 	if err := srv.Shutdown(sctx); err != nil {
 		f.log.Warn("requests were still in progress at the end of the grace time", "Error", err.Error())
 		_ = srv.Close()
+		return
 	}
+	f.handing.Wait()
 }
 
 func (f *Front) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -108,22 +109,38 @@
 		body:   body,
 		reply:  make(chan reply, 1),
 	}
-	query := ident.QueryID(f.lastID.Add(1))
+	if t := f.table.Load(); t != nil && limit > 0 {
+		if route := t.Find(r.Host, r.URL.EscapedPath()); route != nil && route.Gathers() {
+			if out, ok := f.handOver(r.Context(), q, t.Version(), r.URL.EscapedPath(), limit); ok {
+				f.writeHanded(w, q, out)
+				return
+			}
+		}
+	}
+	if rep, ok := f.query(r.Context(), q, relay.Arrive{
+		Now:   begin,
+		Host:  r.Host,
+		Path:  r.URL.EscapedPath(),
+		Limit: limit,
+	}); ok {
+		f.write(w, q, rep)
+	}
+}
+
+// query runs a request in the engine of this host. It returns false if the
+// caller has left.
+func (f *Front) query(ctx context.Context, q *request, ev relay.Arrive) (reply, bool) {
+	ev.Query = ident.QueryID(f.lastID.Add(1))
 	f.inputs <- input{
-		event: relay.Arrive{
-			Now:   begin,
-			Query: query,
-			Host:  r.Host,
-			Path:  r.URL.EscapedPath(),
-			Limit: limit,
-		},
+		event:   ev,
 		request: q,
 	}
 	select {
 	case rep := <-q.reply:
-		f.write(w, q, rep)
-	case <-r.Context().Done():
-		f.inputs <- input{event: relay.Left{Query: query}}
+		return rep, true
+	case <-ctx.Done():
+		f.inputs <- input{event: relay.Left{Query: ev.Query}}
+		return reply{}, false
 	}
 }
 
@@ -137,21 +154,29 @@
 		w.WriteHeader(o.Answer.Status)
 		f.send(w, q, o.Body)
 	case relay.Merge:
-		stamps := make([]string, 0, len(rep.outcomes))
-		for _, o := range rep.outcomes {
-			stamps = append(stamps, o.Answer.Stamp)
-		}
-		platform.SetMerged(h, stamps, e.Missing)
-		body := merge(rep.outcomes, e.Top)
-		h["Content-Length"] = []string{itoa(len(body))}
-		w.WriteHeader(http.StatusOK)
-		f.send(w, q, body)
+		f.writeMerged(w, q, stampsOf(rep.outcomes), e.Missing, merge(rep.outcomes, e.Top))
 	case relay.Refuse:
 		f.refuse(w, q, e)
 	case relay.Call, relay.Stop:
 	}
 }
 
+func (f *Front) writeMerged(w http.ResponseWriter, q *request, stamps []string, left int, body []byte) {
+	h := w.Header()
+	platform.SetMerged(h, stamps, left)
+	h["Content-Length"] = []string{itoa(len(body))}
+	w.WriteHeader(http.StatusOK)
+	f.send(w, q, body)
+}
+
+func stampsOf(outcomes []pipe.Outcome) []string {
+	stamps := make([]string, 0, len(outcomes))
+	for _, o := range outcomes {
+		stamps = append(stamps, o.Answer.Stamp)
+	}
+	return stamps
+}
+
 func (f *Front) send(w http.ResponseWriter, q *request, body []byte) {
 	if _, err := w.Write(body); err != nil {
 		f.log.Debug("answer was not read to its end", "Request", string(q.id), "Error", err.Error())
@@ -163,7 +188,7 @@
 	switch e.Status {
 	case relay.NoRoute:
 		status = http.StatusNotFound
-	case relay.NotNow:
+	case relay.NotNow, relay.NoVersion:
 		platform.SetRetryAfter(w.Header(), e.After)
 	case relay.Failed:
 		status = http.StatusBadGateway
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -117,8 +117,10 @@
 func (w *watcher) ask(ctx context.Context) error {
 	f := w.front
 	var r watch.Reply
+	self := f.self
+	self.Draining = f.draining.Load()
 	err := f.client.Call(ctx, w.source, watch.MethodAsk, &watch.Ask{
-		From:    f.self,
+		From:    self,
 		Version: w.version,
 		Digest:  w.digest,
 		Roster:  w.roster,
@@ -133,6 +135,7 @@
 	w.list(r)
 	if r.Roster != w.roster {
 		w.hosts, w.roster = r.Hosts, r.Roster
+		f.peers.set(w.hosts, f.cfg.Domain)
 		if closer := w.closer(); closer != "" {
 			w.source, w.next = closer, 0
 		}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -34,7 +34,7 @@
 	serverIdle = 3 * idleConn
 
 	// connsPerPeer is the number of unused connections kept to one address.
-	connsPerPeer = 4
+	connsPerPeer = 16
 	keptConns    = 4096
 
 	// writeTimeout bounds one write, so that a peer that is cut off silently
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -54,6 +54,8 @@
 	// Link is where other hosts reach it, Operator where operators do.
 	Link     string
 	Operator string `cbor:",omitempty"`
+	// Draining is set on an entry host that stops.
+	Draining bool `cbor:",omitempty"`
 }
 
 // Document is one version of the configuration as the operator sent it.
@@ -323,7 +325,11 @@
 func rosterDigest(hosts []Host) uint64 {
 	f := fnv.New64a()
 	for _, h := range hosts {
-		_, _ = f.Write([]byte(string(h.ID) + "|" + h.Link + "|" + string(h.Domain) + "\n"))
+		_, _ = f.Write([]byte(string(h.ID) + "|" + h.Link + "|" + string(h.Domain)))
+		if h.Draining {
+			_, _ = f.Write([]byte("|draining"))
+		}
+		_, _ = f.Write([]byte("\n"))
 	}
 	return f.Sum64()
 }
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -117,6 +117,9 @@
 const (
 	// NoRoute means that no route matches.
 	NoRoute Refusal = iota + 1
+	// NoVersion means that the document for the request is not held here; the
+	// request has not run.
+	NoVersion
 	// NotNow means that the request has not run and never will.
 	NotNow
 	// Failed means that upstreams failed; the request may have run.
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -72,7 +72,7 @@
 	if table == nil {
 		e.emit(Refuse{
 			Query:  ev.Query,
-			Status: NotNow,
+			Status: NoVersion,
 			After:  retryAfter,
 			Reason: "this host does not hold the configuration yet",
 		})
