Let the gatherer of a domain answer for that domain's upstreams

Ruled out: leaving out headers towards upstreams; that is done already. Change: a gatherer hands the shards whose best upstream is elsewhere to the gatherer there, which hedges and retries them and returns one merged answer.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -107,7 +107,7 @@
 			Link:   cfg.Link,
 		},
 		pool:  pipe.NewPool(),
-		peers: newPeers(cfg.Name),
+		peers: newPeers(cfg.Name, cfg.Domain),
 		engine: relay.New(relay.Config{
 			Domain: cfg.Domain,
 			Extra:  cfg.Extra,
--- a/internal/front/hand.go
+++ b/internal/front/hand.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"net"
 	"net/http"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,11 +22,6 @@
 )
 
 const (
-	// hostsPerGatherer is the number of entry hosts of a domain for which one
-	// gathers. Fewer gatherers know more of each upstream's state; one spends
-	// about a quarter of its processor on the queries of 8 hosts.
-	hostsPerGatherer = 8
-
 	// pingEvery and pingTimeout find a gatherer that is frozen or gone.
 	pingEvery   = 250 * time.Millisecond
 	pingTimeout = 200 * time.Millisecond
@@ -51,6 +43,10 @@
 	Body    []byte `cbor:",omitempty"`
 	// LimitMicros is how long the caller still waits.
 	LimitMicros int64
+	// Shards, if set, are the positions of the shards that are asked for, and
+	// TargetMicros the time in which their answer is useful.
+	Shards       []int `cbor:",omitempty"`
+	TargetMicros int64 `cbor:",omitempty"`
 }
 
 // handOut is the end of a handed query.
@@ -59,7 +55,10 @@
 	Declined bool     `cbor:",omitempty"`
 	Stamps   []string `cbor:",omitempty"`
 	Missing  int      `cbor:",omitempty"`
-	Body     []byte   `cbor:",omitempty"`
+	// Shards are the positions of the shards that are included, if some were
+	// asked for.
+	Shards []int  `cbor:",omitempty"`
+	Body   []byte `cbor:",omitempty"`
 	// Refusal is set if the query was not served.
 	Refusal     relay.Refusal `cbor:",omitempty"`
 	AfterMicros int64         `cbor:",omitempty"`
@@ -70,119 +69,6 @@
 
 type pingOut struct{ Open bool }
 
-// peers is what this host knows of the gatherers of its domain. It is safe
-// for concurrent use.
-type peers struct {
-	self ident.HostID
-
-	mu        sync.Mutex
-	gatherers []watch.Host
-	good      map[ident.HostID]bool
-	// handed are the queries in progress at each gatherer.
-	handed map[ident.HostID]map[*handed]bool
-}
-
-// handed is a query in progress at a gatherer.
-type handed struct{ cancel context.CancelFunc }
-
-func newPeers(self ident.HostID) *peers {
-	return &peers{
-		self:   self,
-		good:   make(map[ident.HostID]bool),
-		handed: make(map[ident.HostID]map[*handed]bool),
-	}
-}
-
-// set takes a new roster and chooses the gatherers of a domain: those whose
-// ids hash lowest, so that all hosts agree and few change with the roster.
-func (p *peers) set(hosts []watch.Host, domain ident.Domain) {
-	var own []watch.Host
-	for _, h := range hosts {
-		if h.Kind == watch.Entry && h.Domain == domain {
-			own = append(own, h)
-		}
-	}
-	wanted := (len(own) + hostsPerGatherer - 1) / hostsPerGatherer
-	own = slices.DeleteFunc(own, func(h watch.Host) bool { return h.Draining })
-	slices.SortFunc(own, func(x, y watch.Host) int {
-		if hx, hy := hashOf(x.ID), hashOf(y.ID); hx != hy {
-			if hx < hy {
-				return -1
-			}
-			return 1
-		}
-		return 0
-	})
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.gatherers = own[:min(wanted, len(own))]
-}
-
-func hashOf(id ident.HostID) uint64 {
-	f := fnv.New64a()
-	_, _ = f.Write([]byte(id))
-	return f.Sum64()
-}
-
-// choose returns the gatherer for a request, or false if this host serves it.
-func (p *peers) choose(id ident.RequestID) (watch.Host, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := len(p.gatherers)
-	if n == 0 {
-		return watch.Host{}, false
-	}
-	start := int(hashOf(ident.HostID(id)) % uint64(n))
-	for i := range n {
-		h := p.gatherers[(start+i)%n]
-		if h.ID == p.self {
-			return watch.Host{}, false
-		}
-		if p.good[h.ID] {
-			return h, true
-		}
-	}
-	return watch.Host{}, false
-}
-
-// begin notes a query that is handed over; end must follow.
-func (p *peers) begin(to ident.HostID, cancel context.CancelFunc) (end func()) {
-	h := &handed{cancel: cancel}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.handed[to] == nil {
-		p.handed[to] = make(map[*handed]bool)
-	}
-	p.handed[to][h] = true
-	return func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.handed[to], h)
-	}
-}
-
-// mark notes whether a gatherer answers. The queries at one that does not are
-// taken back.
-func (p *peers) mark(id ident.HostID, good bool) (changed bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	changed = p.good[id] != good
-	p.good[id] = good
-	if !good {
-		for h := range p.handed[id] {
-			h.cancel()
-		}
-	}
-	return changed
-}
-
-func (p *peers) others() []watch.Host {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := slices.Clone(p.gatherers)
-	return slices.DeleteFunc(list, func(h watch.Host) bool { return h.ID == p.self })
-}
-
 // serveLink serves other entry hosts until ctx ends.
 func (f *Front) serveLink(ctx context.Context) error {
 	s, err := link.NewServer(link.Config{
@@ -208,7 +94,7 @@
 	tick := time.NewTicker(pingEvery)
 	defer tick.Stop()
 	for {
-		for _, h := range f.peers.others() {
+		for _, h := range f.peers.watched() {
 			go f.ping(ctx, h)
 		}
 		select {
@@ -228,42 +114,87 @@
 	took := time.Since(begin)
 	good := err == nil && out.Open && took < pingSlow
 	if f.peers.mark(h.ID, good) {
+		f.tellGatherers()
 		f.log.Info("gatherer changed", "Gatherer", string(h.ID), "Good", good, "RoundTripMicros", took.Microseconds())
 	}
 }
 
 // handOver lets a gatherer of the domain serve a query. It returns false if
 // this host has to serve it.
-func (f *Front) handOver(ctx context.Context, q *request, v rules.Version, path string, limit time.Duration) (*handOut, bool) {
-	to, ok := f.peers.choose(q.id)
+func (f *Front) handOver(ctx context.Context, q *request, v rules.Version, limit time.Duration) (*handOut, bool) {
+	to, ok := f.peers.choose(f.cfg.Domain, q.id)
 	if !ok {
 		return nil, false
 	}
+	out, err := f.hand(ctx, to, q.handIn(v, limit))
+	return out, err == nil && !out.Declined
+}
+
+// hand calls a gatherer and notes one that does not answer.
+func (f *Front) hand(ctx context.Context, to watch.Host, in handIn) (*handOut, error) {
+	limit := time.Duration(in.LimitMicros) * time.Microsecond
 	hctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	end := f.peers.begin(to.ID, cancel)
 	defer end()
 	var out handOut
-	err := f.client.Call(hctx, to.Link, methodHand, &handIn{
+	err := f.client.Call(hctx, to.Link, methodHand, &in, &out)
+	if err != nil && ctx.Err() == nil && f.peers.mark(to.ID, false) {
+		f.log.Warn("gatherer is lost", "Gatherer", string(to.ID), "Request", string(in.ID), "Error", err.Error())
+		f.tellGatherers()
+	}
+	return &out, err
+}
+
+// handIn describes a request for a gatherer.
+func (q *request) handIn(v rules.Version, limit time.Duration) handIn {
+	return handIn{
 		Version:     v,
 		ID:          q.id,
 		Method:      q.method,
 		URI:         q.uri,
 		Host:        q.host,
-		Path:        path,
+		Path:        q.path,
 		Head:        q.head,
 		Body:        q.body,
 		LimitMicros: limit.Microseconds(),
-	}, &out)
-	switch {
-	case err == nil:
-		return &out, !out.Declined
-	case ctx.Err() == nil:
-		if f.peers.mark(to.ID, false) {
-			f.log.Warn("gatherer is lost; queries are served here", "Gatherer", string(to.ID), "Request", string(q.id), "Error", err.Error())
-		}
 	}
-	return nil, false
+}
+
+// startHand lets the gatherer of another domain answer for some shards.
+func (f *Front) startHand(e relay.Hand) {
+	q := f.queries[e.Query]
+	if q == nil {
+		return
+	}
+	in := q.handIn(e.Version, e.Limit)
+	in.Shards, in.TargetMicros = e.Shards, e.Target.Microseconds()
+	to, ok := f.peers.choose(e.Domain, q.id)
+	if q.ctx == nil {
+		q.ctx, q.cancel = context.WithCancel(context.Background())
+	}
+	go func(ctx context.Context) {
+		ev := relay.Handed{
+			Query: e.Query,
+			Group: e.Group,
+		}
+		out := &handOut{}
+		if ok {
+			var err error
+			out, err = f.hand(ctx, to, in)
+			ev.Reached = err == nil && !out.Declined || err != nil && !link.NotRun(err)
+			ev.Good = out.Shards
+		}
+		f.inputs <- input{
+			event: ev,
+			out:   out,
+		}
+	}(q.ctx)
+}
+
+// tellGatherers tells the engine in which other domains a host gathers.
+func (f *Front) tellGatherers() {
+	f.inputs <- input{event: relay.Gatherers{Domains: f.peers.elsewhere()}}
 }
 
 // takeHanded serves a query that another host hands over.
@@ -278,6 +209,7 @@
 		method: in.Method,
 		uri:    in.URI,
 		host:   in.Host,
+		path:   in.Path,
 		head:   in.Head,
 		body:   in.Body,
 		reply:  make(chan reply, 1),
@@ -288,17 +220,23 @@
 		Path:    in.Path,
 		Limit:   time.Duration(in.LimitMicros) * time.Microsecond,
 		Version: in.Version,
+		Shards:  in.Shards,
+		Target:  time.Duration(in.TargetMicros) * time.Microsecond,
 	})
 	if !ok {
 		return nil, ctx.Err()
 	}
 	switch e := rep.effect.(type) {
 	case relay.Merge:
-		return &handOut{
-			Stamps:  stampsOf(rep.outcomes),
+		out := &handOut{
+			Stamps:  rep.stamps(),
 			Missing: e.Missing,
-			Body:    merge(rep.outcomes, e.Top),
-		}, nil
+			Body:    merge(rep, e.Top),
+		}
+		if in.Shards != nil {
+			out.Shards = e.Shards
+		}
+		return out, nil
 	case relay.Refuse:
 		return &handOut{
 			Declined:    e.Status == relay.NoVersion,
@@ -306,7 +244,7 @@
 			AfterMicros: e.After.Microseconds(),
 			Reason:      e.Reason,
 		}, nil
-	case relay.Pass, relay.Call, relay.Stop:
+	case relay.Pass, relay.Call, relay.Stop, relay.Hand:
 	}
 	return &handOut{Declined: true}, nil
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -19,6 +19,8 @@
 	request *request
 	attempt ident.AttemptID
 	outcome *pipe.Outcome
+	// out is the answer of a gatherer.
+	out *handOut
 }
 
 // callState is a call to an upstream, in progress or kept for its answer.
@@ -55,7 +57,22 @@
 	case relay.Arrive:
 		f.queries[ev.Query] = in.request
 		f.step(ev)
+	case relay.Gatherers:
+		ev.Now = f.now()
+		f.step(ev)
+	case relay.Handed:
+		if q := f.queries[ev.Query]; q != nil {
+			if q.groups == nil {
+				q.groups = make(map[int]*handOut)
+			}
+			q.groups[ev.Group] = in.out
+			ev.Now = f.now()
+			f.step(ev)
+		}
 	case relay.Left:
+		if q := f.queries[ev.Query]; q != nil && q.cancel != nil {
+			q.cancel()
+		}
 		delete(f.queries, ev.Query)
 		ev.Now = f.now()
 		f.step(ev)
@@ -117,6 +134,8 @@
 			}
 		case relay.Pass:
 			f.end(e.Query, e, e.Attempt)
+		case relay.Hand:
+			f.startHand(e)
 		case relay.Merge:
 			f.end(e.Query, e, e.Attempts...)
 		case relay.Refuse:
@@ -162,6 +181,11 @@
 	for _, a := range attempts {
 		rep.outcomes = append(rep.outcomes, f.calls[a].outcome)
 	}
+	if m, ok := effect.(relay.Merge); ok {
+		for _, g := range m.Groups {
+			rep.groups = append(rep.groups, q.groups[g])
+		}
+	}
 	q.reply <- rep
 	delete(f.queries, id)
 	for _, a := range q.calls {
--- a/internal/front/merge.go
+++ b/internal/front/merge.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"slices"
 	"strconv"
-
-	"github.com/jujubethread/jujubethread/internal/pipe"
 )
 
 // recordSize is the size of one record in bytes.
@@ -13,13 +11,19 @@
 
 // merge returns the greatest records of all parts, the greatest first. A
 // remainder shorter than a record is none.
-func merge(parts []pipe.Outcome, top int) []byte {
+func merge(r reply, top int) []byte {
 	var all [][]byte
-	for _, p := range parts {
-		for b := p.Body; len(b) >= recordSize; b = b[recordSize:] {
+	add := func(body []byte) {
+		for b := body; len(b) >= recordSize; b = b[recordSize:] {
 			all = append(all, b[:recordSize])
 		}
 	}
+	for _, o := range r.outcomes {
+		add(o.Body)
+	}
+	for _, g := range r.groups {
+		add(g.Body)
+	}
 	slices.SortFunc(all, func(x, y []byte) int { return bytes.Compare(y, x) })
 	return slices.Concat(all[:min(max(0, top), len(all))]...)
 }
--- /dev/null
+++ b/internal/front/peers.go
@@ -0,0 +1,151 @@
+package front
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+
+	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// hostsPerGatherer is the number of entry hosts of a domain for which one
+// gathers. Fewer gatherers know more of each upstream's state; one spends
+// about a quarter of its processor on the queries of 8 hosts.
+const hostsPerGatherer = 8
+
+// peers is what this host knows of the gatherers. It is safe for concurrent use.
+type peers struct {
+	self   ident.HostID
+	domain ident.Domain
+
+	mu        sync.Mutex
+	gatherers map[ident.Domain][]watch.Host
+	good      map[ident.HostID]bool
+	// handed are the queries in progress at each gatherer.
+	handed map[ident.HostID]map[*handed]bool
+}
+
+// handed is a query in progress at a gatherer.
+type handed struct{ cancel context.CancelFunc }
+
+func newPeers(self ident.HostID, domain ident.Domain) *peers {
+	return &peers{
+		self:   self,
+		domain: domain,
+		good:   make(map[ident.HostID]bool),
+		handed: make(map[ident.HostID]map[*handed]bool),
+	}
+}
+
+// set takes a new roster and chooses the gatherers of each domain: those whose
+// ids hash lowest, so that all hosts agree and few change with the roster.
+func (p *peers) set(hosts []watch.Host) {
+	domains := make(map[ident.Domain][]watch.Host)
+	for _, h := range hosts {
+		if h.Kind == watch.Entry {
+			domains[h.Domain] = append(domains[h.Domain], h)
+		}
+	}
+	for d, list := range domains {
+		wanted := (len(list) + hostsPerGatherer - 1) / hostsPerGatherer
+		list = slices.DeleteFunc(list, func(h watch.Host) bool { return h.Draining })
+		slices.SortFunc(list, func(x, y watch.Host) int { return cmp.Compare(hashOf(string(x.ID)), hashOf(string(y.ID))) })
+		domains[d] = list[:min(wanted, len(list))]
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gatherers = domains
+}
+
+func hashOf(id string) uint64 {
+	f := fnv.New64a()
+	_, _ = f.Write([]byte(id))
+	return f.Sum64()
+}
+
+// choose returns the gatherer of a domain for a request, or false if this
+// host serves it itself.
+func (p *peers) choose(d ident.Domain, id ident.RequestID) (watch.Host, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.gatherers[d]
+	if len(list) == 0 {
+		return watch.Host{}, false
+	}
+	start := int(hashOf(string(id)) % uint64(len(list)))
+	for i := range list {
+		h := list[(start+i)%len(list)]
+		if h.ID == p.self {
+			return watch.Host{}, false
+		}
+		if p.good[h.ID] {
+			return h, true
+		}
+	}
+	return watch.Host{}, false
+}
+
+// elsewhere lists the other domains with a gatherer that answers.
+func (p *peers) elsewhere() []ident.Domain {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []ident.Domain
+	for d, hosts := range p.gatherers {
+		if d != p.domain && slices.ContainsFunc(hosts, func(h watch.Host) bool { return p.good[h.ID] }) {
+			list = append(list, d)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// begin notes a query that is handed over; end must follow.
+func (p *peers) begin(to ident.HostID, cancel context.CancelFunc) (end func()) {
+	h := &handed{cancel: cancel}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.handed[to] == nil {
+		p.handed[to] = make(map[*handed]bool)
+	}
+	p.handed[to][h] = true
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.handed[to], h)
+	}
+}
+
+// mark notes whether a gatherer answers. The queries at one that does not are
+// taken back.
+func (p *peers) mark(id ident.HostID, good bool) (changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed = p.good[id] != good
+	p.good[id] = good
+	if !good {
+		for h := range p.handed[id] {
+			h.cancel()
+		}
+	}
+	return changed
+}
+
+// watched lists the hosts that this one has to watch: the gatherers of its
+// domain and, if it is one of them, those of the others.
+func (p *peers) watched() []watch.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	own := p.gatherers[p.domain]
+	isSelf := func(h watch.Host) bool { return h.ID == p.self }
+	if !slices.ContainsFunc(own, isSelf) {
+		return slices.Clone(own)
+	}
+	var list []watch.Host
+	for _, hosts := range p.gatherers {
+		list = append(list, hosts...)
+	}
+	return slices.DeleteFunc(list, isSelf)
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -34,16 +34,24 @@
 	method string
 	uri    string
 	host   string
-	head   string
-	body   []byte
-	reply  chan reply
-	calls  []ident.AttemptID
+	// path is the path as escaped by the caller, without the query.
+	path  string
+	head  string
+	body  []byte
+	reply chan reply
+	calls []ident.AttemptID
+	// groups are the answers of gatherers in other domains.
+	groups map[int]*handOut
+	// ctx ends the calls to them; it is set with the first.
+	ctx    context.Context //nolint:containedctx // the calls outlive the handler that starts them
+	cancel context.CancelFunc
 }
 
 // reply is the end of a request.
 type reply struct {
 	effect   relay.Effect
 	outcomes []pipe.Outcome
+	groups   []*handOut
 }
 
 // callHead returns the head of the request to an upstream.
@@ -105,13 +113,14 @@
 		method: r.Method,
 		uri:    r.RequestURI,
 		host:   r.Host,
+		path:   r.URL.EscapedPath(),
 		head:   platform.Forwarded(r.Header),
 		body:   body,
 		reply:  make(chan reply, 1),
 	}
 	if t := f.table.Load(); t != nil && limit > 0 {
-		if route := t.Find(r.Host, r.URL.EscapedPath()); route != nil && route.Gathers() {
-			if out, ok := f.handOver(r.Context(), q, t.Version(), r.URL.EscapedPath(), limit); ok {
+		if route := t.Find(q.host, q.path); route != nil && route.Gathers() {
+			if out, ok := f.handOver(r.Context(), q, t.Version(), limit); ok {
 				f.writeHanded(w, q, out)
 				return
 			}
@@ -120,7 +129,7 @@
 	if rep, ok := f.query(r.Context(), q, relay.Arrive{
 		Now:   begin,
 		Host:  r.Host,
-		Path:  r.URL.EscapedPath(),
+		Path:  q.path,
 		Limit: limit,
 	}); ok {
 		f.write(w, q, rep)
@@ -154,10 +163,10 @@
 		w.WriteHeader(o.Answer.Status)
 		f.send(w, q, o.Body)
 	case relay.Merge:
-		f.writeMerged(w, q, stampsOf(rep.outcomes), e.Missing, merge(rep.outcomes, e.Top))
+		f.writeMerged(w, q, rep.stamps(), e.Missing, merge(rep, e.Top))
 	case relay.Refuse:
 		f.refuse(w, q, e)
-	case relay.Call, relay.Stop:
+	case relay.Call, relay.Stop, relay.Hand:
 	}
 }
 
@@ -169,11 +178,15 @@
 	f.send(w, q, body)
 }
 
-func stampsOf(outcomes []pipe.Outcome) []string {
-	stamps := make([]string, 0, len(outcomes))
-	for _, o := range outcomes {
+// stamps returns the signatures of all parts.
+func (r reply) stamps() []string {
+	stamps := make([]string, 0, len(r.outcomes))
+	for _, o := range r.outcomes {
 		stamps = append(stamps, o.Answer.Stamp)
 	}
+	for _, g := range r.groups {
+		stamps = append(stamps, g.Stamps...)
+	}
 	return stamps
 }
 
--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -26,6 +26,13 @@
 	targetMargin      = 0.06
 	leastTargetMargin = 5 * time.Millisecond
 
+	// handMargin is kept of the target for the way back between two hosts.
+	handMargin = 4 * time.Millisecond
+
+	// leastHand is the smallest number of shards that are handed to another
+	// host together; fewer are called directly.
+	leastHand = 2
+
 	// lateGrace is the part of the target that a late answer waits for missing
 	// shards once it has enough of them.
 	lateGrace = 0.5
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -44,6 +44,9 @@
 	extras    map[ident.Service]*spend.Window
 	routes    map[string]*routeStats
 
+	// gatherers are the other domains in which a host gathers for this one.
+	gatherers map[ident.Domain]bool
+
 	queries  map[ident.QueryID]*query
 	order    []*query
 	attempts map[ident.AttemptID]*attempt
@@ -92,6 +95,15 @@
 	case Arrive:
 		e.now = ev.Now
 		e.arrive(ev)
+	case Gatherers:
+		e.now = ev.Now
+		e.gatherers = make(map[ident.Domain]bool, len(ev.Domains))
+		for _, d := range ev.Domains {
+			e.gatherers[d] = true
+		}
+	case Handed:
+		e.now = ev.Now
+		e.handed(ev)
 	case Ended:
 		e.now = ev.Now
 		e.ended(ev)
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -38,6 +38,27 @@
 	Limit time.Duration
 	// Version, if not 0, is the only document under which the request may run.
 	Version rules.Version
+	// Shards, if set, are the positions of the shards that another host asks
+	// for. The answer then holds what there is by Target.
+	Shards []int
+	Target time.Duration
+}
+
+// Gatherers tells in which other domains a host gathers for this one.
+type Gatherers struct {
+	Now     ident.Instant
+	Domains []ident.Domain
+}
+
+// Handed is the answer of another host to a Hand.
+type Handed struct {
+	Now   ident.Instant
+	Query ident.QueryID
+	Group int
+	// Good are the positions of the shards that the answer includes.
+	Good []int
+	// Reached is set if calls to upstreams may have been made.
+	Reached bool
 }
 
 // Ended is the end of a call to an upstream.
@@ -61,13 +82,15 @@
 // Tick tells the time.
 type Tick struct{ Now ident.Instant }
 
-func (Install) isEvent() {}
-func (Listed) isEvent()  {}
-func (Hosts) isEvent()   {}
-func (Arrive) isEvent()  {}
-func (Ended) isEvent()   {}
-func (Left) isEvent()    {}
-func (Tick) isEvent()    {}
+func (Install) isEvent()   {}
+func (Listed) isEvent()    {}
+func (Hosts) isEvent()     {}
+func (Arrive) isEvent()    {}
+func (Gatherers) isEvent() {}
+func (Handed) isEvent()    {}
+func (Ended) isEvent()     {}
+func (Left) isEvent()      {}
+func (Tick) isEvent()      {}
 
 // Effect is an output of the engine.
 type Effect interface{ isEffect() }
@@ -86,6 +109,20 @@
 // Stop asks for a call to be broken off, since its caller has left.
 type Stop struct{ Attempt ident.AttemptID }
 
+// Hand asks the gatherer of another domain for some shards of a query. They
+// are its own to hedge and retry until Handed.
+type Hand struct {
+	Query  ident.QueryID
+	Group  int
+	Domain ident.Domain
+	Shards []int
+	// Version is the document of the query.
+	Version rules.Version
+	Limit   time.Duration
+	// Target is the time in which the answer is useful.
+	Target time.Duration
+}
+
 // Pass ends a query with the answer of one attempt, unchanged.
 type Pass struct {
 	Query   ident.QueryID
@@ -96,8 +133,12 @@
 type Merge struct {
 	Query    ident.QueryID
 	Attempts []ident.AttemptID
-	Missing  int
-	Top      int
+	// Groups are the answers of other hosts that are included.
+	Groups  []int
+	Missing int
+	Top     int
+	// Shards are the positions of the shards that are included.
+	Shards []int
 }
 
 // Refuse ends a query without an answer of an upstream.
@@ -130,6 +171,7 @@
 
 func (Call) isEffect()   {}
 func (Stop) isEffect()   {}
+func (Hand) isEffect()   {}
 func (Pass) isEffect()   {}
 func (Merge) isEffect()  {}
 func (Refuse) isEffect() {}
--- /dev/null
+++ b/pkg/relay/group.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"slices"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// group is the shards of a query that the gatherer of another domain has in
+// hand. It alone calls, hedges and retries them until it ends, so that no
+// shard is in an answer twice.
+type group struct {
+	id    int
+	parts []*part
+	good  map[*part]bool
+	ended bool
+}
+
+// handGroups hands the shards whose best upstream is in another domain to the
+// gatherer there. One answer for all of them takes about a tenth of the bytes
+// between domains that their own answers take.
+func (e *Engine) handGroups(q *query) {
+	if len(e.gatherers) == 0 {
+		return
+	}
+	byDomain := make(map[ident.Domain][]*part)
+	for _, p := range q.parts {
+		if d, ok := e.domainOf(q, p); ok && d != e.cfg.Domain && e.gatherers[d] {
+			byDomain[d] = append(byDomain[d], p)
+		}
+	}
+	domains := make([]ident.Domain, 0, len(byDomain))
+	for d := range byDomain {
+		domains = append(domains, d)
+	}
+	slices.Sort(domains)
+	for _, d := range domains {
+		if parts := byDomain[d]; len(parts) >= leastHand {
+			e.hand(q, d, parts)
+		}
+	}
+}
+
+// domainOf returns the domain of the best upstream for a part.
+func (e *Engine) domainOf(q *query, p *part) (ident.Domain, bool) {
+	u, _ := e.pick(q, p)
+	if u == nil {
+		return "", false
+	}
+	return u.Domain, true
+}
+
+func (e *Engine) hand(q *query, d ident.Domain, parts []*part) {
+	g := &group{
+		id:    len(q.groups),
+		parts: parts,
+		good:  make(map[*part]bool),
+	}
+	q.groups = append(q.groups, g)
+	shards := make([]int, 0, len(parts))
+	for _, p := range parts {
+		p.group = g
+		shards = append(shards, p.shard)
+	}
+	e.emit(Hand{
+		Query:   q.id,
+		Group:   g.id,
+		Domain:  d,
+		Shards:  shards,
+		Version: q.table.Version(),
+		Limit:   q.until.Sub(e.now),
+		Target:  q.target.Sub(e.now),
+	})
+}
+
+// handed takes the answer of another host. The shards that it lacks are
+// called from here.
+func (e *Engine) handed(ev Handed) {
+	q := e.queries[ev.Query]
+	if q == nil || ev.Group < 0 || ev.Group >= len(q.groups) {
+		return
+	}
+	g := q.groups[ev.Group]
+	if g.ended {
+		return
+	}
+	g.ended = true
+	for _, p := range g.parts {
+		if slices.Contains(ev.Good, p.shard) {
+			g.good[p] = true
+			q.ran = true
+			continue
+		}
+		if ev.Reached {
+			p.arrivals++
+			q.ran = true
+		} else {
+			e.window(p.service).Request(e.now)
+		}
+	}
+	e.advance(q)
+}
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -20,6 +20,9 @@
 	target ident.Instant
 	until  ident.Instant
 	wake   ident.Instant
+	groups []*group
+	// sub is set for a query of another host: any part is better than none.
+	sub bool
 	// ran is set once a call may have run.
 	ran  bool
 	done bool
@@ -27,7 +30,9 @@
 
 // part is what one service contributes to a query.
 type part struct {
-	service  ident.Service
+	service ident.Service
+	// shard is the position in the route.
+	shard    int
 	attempts []*attempt
 	good     *attempt
 	// bad is a whole answer that reports a failure.
@@ -38,10 +43,15 @@
 	runs     int
 	lateAt   ident.Instant
 	pauseTo  ident.Instant
+	// group, if set, is what another host gathers; it has this part in hand.
+	group *group
 	// hopeless is set while there is nothing left to try.
 	hopeless bool
 }
 
+// has reports whether the part can be included in an answer.
+func (p *part) has() bool { return p.good != nil || p.group != nil && p.group.good[p] }
+
 // attempt is one call.
 type attempt struct {
 	id    ident.AttemptID
@@ -90,8 +100,14 @@
 	q := e.newQuery(ev, table, r)
 	e.queries[q.id] = q
 	e.order = append(e.order, q)
+	if q.route.Gathers() && !q.sub {
+		e.handGroups(q)
+	}
 	for _, p := range q.parts {
-		e.window(p.service).Request(e.now)
+		if p.group == nil {
+			// The host that has a part in hand counts its request.
+			e.window(p.service).Request(e.now)
+		}
 	}
 	e.advance(q)
 }
@@ -116,16 +132,36 @@
 		until:  e.after(min(limit-deadlineMargin, r.Timeout)),
 	}
 	if r.Gathers() {
-		q.parts = make([]*part, 0, len(r.Shards))
-		for _, shard := range r.Shards {
-			q.parts = append(q.parts, &part{service: shard})
-		}
+		e.addParts(q, ev)
 		return q
 	}
 	q.parts = []*part{{service: e.split(r, s)}}
 	return q
 }
 
+// addParts makes a part of each shard, or of those that another host asks for.
+func (e *Engine) addParts(q *query, ev Arrive) {
+	if ev.Shards == nil {
+		for i, shard := range q.route.Shards {
+			q.parts = append(q.parts, &part{
+				service: shard,
+				shard:   i,
+			})
+		}
+		return
+	}
+	q.sub = true
+	q.target = e.after(ev.Target - handMargin)
+	for _, i := range ev.Shards {
+		if i >= 0 && i < len(q.route.Shards) {
+			q.parts = append(q.parts, &part{
+				service: q.route.Shards[i],
+				shard:   i,
+			})
+		}
+	}
+}
+
 // advance sends what is due for a query and ends it if it can be ended.
 func (e *Engine) advance(q *query) {
 	if e.now >= q.until {
@@ -134,7 +170,7 @@
 	}
 	q.wake = q.until
 	for _, p := range q.parts {
-		if p.good == nil {
+		if !p.has() && (p.group == nil || p.group.ended) {
 			e.advancePart(q, p)
 		}
 	}
@@ -211,7 +247,7 @@
 	p.attempts = append(p.attempts, a)
 	u.live = append(u.live, a)
 	p.lateAt = e.after(q.stats.hedgeDelay(q.route.Target))
-	if p.runs+p.live() < q.route.Attempts {
+	if q.route.Kind == rules.Idempotent && p.runs+p.live() < q.route.Attempts {
 		q.wakeAt(p.lateAt)
 	}
 	e.emit(Call{
@@ -259,7 +295,7 @@
 func (e *Engine) unblock(s ident.Service) {
 	for _, q := range e.order {
 		for _, p := range q.parts {
-			if !q.done && p.service == s && p.good == nil && p.live() == 0 && !p.hopeless {
+			if !q.done && p.service == s && !p.has() && p.live() == 0 && !p.hopeless && (p.group == nil || p.group.ended) {
 				e.advance(q)
 				return
 			}
@@ -342,18 +378,21 @@
 	good, open := 0, 0
 	for _, p := range q.parts {
 		switch {
-		case p.good != nil:
+		case p.has():
 			good++
 		case !p.hopeless:
 			open++
 		}
 	}
 	least := q.route.LeastParts()
+	if q.sub {
+		least = min(1, good)
+	}
 	enough := good >= least && good > 0
 	switch {
 	case enough && (open == 0 || timeout || e.timely(q)):
 		e.merge(q, good)
-	case timeout || good+open < least || open == 0:
+	case timeout || good+open < least || open == 0 || q.sub && e.now >= q.target:
 		e.refuse(q, timeout)
 	default:
 		return
@@ -382,11 +421,21 @@
 		Attempts: make([]ident.AttemptID, 0, good),
 		Missing:  len(q.parts) - good,
 		Top:      q.route.Top,
+		Shards:   make([]int, 0, good),
 	}
 	for _, p := range q.parts {
+		if !p.has() {
+			continue
+		}
+		m.Shards = append(m.Shards, p.shard)
 		if p.good != nil {
 			m.Attempts = append(m.Attempts, p.good.id)
 		}
 	}
+	for _, g := range q.groups {
+		if len(g.good) > 0 {
+			m.Groups = append(m.Groups, g.id)
+		}
+	}
 	e.emit(m)
 }
