Carry the attempts of a handed shard back with it

Ruled out: hedges of the gatherer itself; it keeps to the attempts. Change: an answer says how often each missing shard was called and may have run; what a lost gatherer had in hand is not called again.

--- a/internal/front/hand.go
+++ b/internal/front/hand.go
@@ -57,8 +57,10 @@
 	Missing  int      `cbor:",omitempty"`
 	// Shards are the positions of the shards that are included, if some were
 	// asked for.
-	Shards []int  `cbor:",omitempty"`
-	Body   []byte `cbor:",omitempty"`
+	Shards []int `cbor:",omitempty"`
+	// Tried tells what was done for the others of those.
+	Tried []relay.Tried `cbor:",omitempty"`
+	Body  []byte        `cbor:",omitempty"`
 	// Refusal is set if the query was not served.
 	Refusal     relay.Refusal `cbor:",omitempty"`
 	AfterMicros int64         `cbor:",omitempty"`
@@ -133,15 +135,26 @@
 	}
 }
 
-// handOver lets a gatherer of the domain serve a query. It returns false if
-// this host has to serve it.
-func (f *Front) handOver(ctx context.Context, q *request, v rules.Version, limit time.Duration) (*handOut, bool) {
+// handOver lets a gatherer of the domain serve a query. It returns nil if this
+// host has to serve it. A query that was lost at the gatherer is not started
+// again here: its calls may have run, and the caller's own next try has all
+// its attempts.
+func (f *Front) handOver(ctx context.Context, q *request, v rules.Version, limit time.Duration) *handOut {
 	to, ok := f.peers.choose(f.cfg.Domain, q.id)
 	if !ok {
-		return nil, false
+		return nil
 	}
 	out, err := f.hand(ctx, to, q.handIn(v, limit))
-	return out, err == nil && !out.Declined
+	switch {
+	case link.NotRun(err) || err == nil && out.Declined:
+		return nil
+	case err != nil:
+		return &handOut{
+			Refusal: relay.Failed,
+			Reason:  "the gatherer " + string(to.ID) + " was lost",
+		}
+	}
+	return out
 }
 
 // hand calls a gatherer and notes one that does not answer.
@@ -196,8 +209,8 @@
 		if ok {
 			var err error
 			out, err = f.hand(ctx, to, in)
-			ev.Reached = err == nil && !out.Declined || err != nil && !link.NotRun(err)
-			ev.Good = out.Shards
+			ev.Lost = err != nil && !link.NotRun(err)
+			ev.Good, ev.Tried = out.Shards, out.Tried
 		}
 		f.inputs <- input{
 			event: ev,
@@ -248,13 +261,14 @@
 			Body:    merge(rep, e.Top),
 		}
 		if in.Shards != nil {
-			out.Shards = e.Shards
+			out.Shards, out.Tried = e.Shards, e.Tried
 		}
 		return out, nil
 	case relay.Refuse:
 		return &handOut{
 			Declined:    e.Status == relay.NoVersion,
 			Refusal:     e.Status,
+			Tried:       e.Tried,
 			AfterMicros: e.After.Microseconds(),
 			Reason:      e.Reason,
 		}, nil
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -129,7 +129,7 @@
 				})
 				return
 			}
-			if out, ok := f.handOver(r.Context(), q, t.Version(), limit); ok {
+			if out := f.handOver(r.Context(), q, t.Version(), limit); out != nil {
 				f.writeHanded(w, q, out)
 				return
 			}
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -57,8 +57,18 @@
 	Group int
 	// Good are the positions of the shards that the answer includes.
 	Good []int
-	// Reached is set if calls to upstreams may have been made.
-	Reached bool
+	// Tried tells what was done for those that it lacks.
+	Tried []Tried
+	// Lost is set if the host did not answer. It may have made any calls.
+	Lost bool
+}
+
+// Tried is how often a shard was called without success.
+type Tried struct {
+	Shard int
+	// Arrivals are all calls, Runs those that may have run.
+	Arrivals int
+	Runs     int
 }
 
 // Ended is the end of a call to an upstream.
@@ -137,8 +147,10 @@
 	Groups  []int
 	Missing int
 	Top     int
-	// Shards are the positions of the shards that are included.
+	// Shards are the positions of the shards that are included, and Tried
+	// tells of the others.
 	Shards []int
+	Tried  []Tried
 }
 
 // Refuse ends a query without an answer of an upstream.
@@ -149,6 +161,8 @@
 	// that the request has not run.
 	After  time.Duration
 	Reason string
+	// Tried tells of the shards of a query of another host.
+	Tried []Tried
 }
 
 // Refusal is the kind of answer to a query that was not served.
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -91,16 +91,50 @@
 			q.ran = true
 			continue
 		}
-		if ev.Reached {
-			p.arrivals++
-			q.ran = true
-		} else {
-			e.window(p.service).Request(e.now)
-		}
+		e.takeBack(q, p, ev)
 	}
 	e.advance(q)
 }
 
+// takeBack continues a part that another host had in hand with what is left
+// of its attempts.
+func (e *Engine) takeBack(q *query, p *part, ev Handed) {
+	if ev.Lost {
+		p.arrivals, p.runs = maxArrivals, q.route.Attempts
+		q.ran = true
+		return
+	}
+	for _, t := range ev.Tried {
+		if t.Shard == p.shard {
+			p.arrivals, p.runs = t.Arrivals, t.Runs
+			q.ran = q.ran || t.Runs > 0
+		}
+	}
+	if p.arrivals == 0 {
+		e.window(p.service).Request(e.now)
+	}
+}
+
+// tried tells what was done for the parts of another host's query that the
+// answer lacks.
+func (q *query) tried() []Tried {
+	if !q.sub {
+		return nil
+	}
+	var list []Tried
+	for _, p := range q.parts {
+		if p.has() {
+			continue
+		}
+		list = append(list, Tried{
+			Shard:    p.shard,
+			Arrivals: p.arrivals + p.live(),
+			Runs:     p.runs + p.live(),
+		})
+	}
+	return list
+}
+
 // Local reports whether the upstreams of this host's own domain are enough to
 // answer on every route over shards.
 func (e *Engine) Local() bool {
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -364,6 +364,7 @@
 		Status: NotNow,
 		After:  retryAfter,
 		Reason: "no upstream took the request",
+		Tried:  q.tried(),
 	}
 	switch {
 	case sent && timeout:
@@ -422,6 +423,7 @@
 		Missing:  len(q.parts) - good,
 		Top:      q.route.Top,
 		Shards:   make([]int, 0, good),
+		Tried:    q.tried(),
 	}
 	for _, p := range q.parts {
 		if !p.has() {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -330,3 +330,89 @@
 	is.Equal(w.engine.Version(), rules.Version(7))
 	is.Equal(len(calls(w.arrive(1, "/search/x"))), 1)
 }
+
+// handWorld is a world whose shards have their only upstreams in domain b,
+// where another host gathers.
+func handWorld(t *testing.T) (w *world, h relay.Hand) {
+	w = newWorld(t, 4)
+	var ups []relay.Upstream
+	for i := range 4 {
+		for _, id := range []string{"x", "y", "z"} {
+			ups = append(ups, relay.Upstream{
+				ID:      ident.Upstream(fmt.Sprintf("shard-%d-%s", i, id)),
+				Service: ident.Service(fmt.Sprintf("shard-%d", i)),
+				Domain:  "b",
+				Slots:   2,
+			})
+		}
+	}
+	w.step(relay.Listed{Upstreams: ups})
+	w.step(relay.Gatherers{Domains: []ident.Domain{"b"}})
+	effects := w.arrive(1, "/search/x")
+	if len(calls(effects)) != 0 {
+		t.Fatal("handed shards were called as well")
+	}
+	h, ok := find[relay.Hand](effects)
+	if !ok {
+		t.Fatal("no shards were handed over")
+	}
+	return w, h
+}
+
+// Guards against shards that are handed to another host and called as well,
+// and against an answer that leaves the other host's parts out.
+func TestHandedShardsAreMerged(t *testing.T) {
+	is := is.New(t)
+	w, h := handWorld(t)
+	is.Equal(h.Shards, []int{0, 1, 2, 3})
+	m, ok := find[relay.Merge](w.step(relay.Handed{
+		Query: 1,
+		Group: h.Group,
+		Good:  h.Shards,
+	}))
+	is.True(ok)
+	is.Equal(m.Groups, []int{h.Group})
+	is.Equal(m.Missing, 0)
+}
+
+// Guards against more runs of one request than the route allows: the shards
+// that another host could not answer have used up attempts there.
+func TestShardsComeBackWithTheirAttempts(t *testing.T) {
+	is := is.New(t)
+	w, h := handWorld(t)
+	again := calls(w.step(relay.Handed{
+		Query: 1,
+		Group: h.Group,
+		Good:  []int{0, 1},
+		Tried: []relay.Tried{
+			{
+				Shard:    2,
+				Arrivals: 2,
+				Runs:     2,
+			},
+			{
+				Shard:    3,
+				Arrivals: 1,
+				Runs:     1,
+			},
+		},
+	}))
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Upstream.Service, ident.Service("shard-3"))
+}
+
+// Guards against a second round of calls after the other host was lost: it
+// may have made any.
+func TestShardsOfALostHostAreNotCalledAgain(t *testing.T) {
+	is := is.New(t)
+	w, h := handWorld(t)
+	effects := w.step(relay.Handed{
+		Query: 1,
+		Group: h.Group,
+		Lost:  true,
+	})
+	is.Equal(len(calls(effects)), 0)
+	r, ok := find[relay.Refuse](effects)
+	is.True(ok)
+	is.Equal(r.Status, relay.Failed)
+}
