Skip overloaded shards, and refuse queries that cannot make their target

Change: a shard that is expected to answer past 0.9 of the time to the target is left out if the route allows, else the query is refused before any call.

--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -33,6 +33,14 @@
 	// host together; fewer are called directly.
 	leastHand = 2
 
+	// skipShare is the part of the time to the target that a shard's expected
+	// latency must exceed to be skipped.
+	skipShare = 0.9
+
+	// busyTime is how long a shard counts as overloaded after another host has
+	// skipped it; about two calls end there in that time.
+	busyTime = 60 * time.Millisecond
+
 	// lateGrace is the part of the target that a late answer waits for missing
 	// shards once it has enough of them.
 	lateGrace = 0.5
@@ -95,8 +103,9 @@
 	// forgetTime halves what was learned of an upstream that is not used.
 	forgetTime = 2 * time.Second
 
-	// slowest and fastest bound an upstream's learned factor.
-	slowest = 20
+	// slowest and fastest bound an upstream's learned factor. One pause in the
+	// middle of a short call is no sign of a slow upstream.
+	slowest = 5
 	fastest = 0.5
 )
 
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -47,6 +47,10 @@
 	// gatherers are the other domains in which a host gathers for this one.
 	gatherers map[ident.Domain]bool
 
+	// busy tells until when the shards count as overloaded that another host
+	// has skipped.
+	busy map[ident.Service]ident.Instant
+
 	queries  map[ident.QueryID]*query
 	order    []*query
 	attempts map[ident.AttemptID]*attempt
@@ -65,6 +69,7 @@
 		services:  make(map[ident.Service][]*upstream),
 		extras:    make(map[ident.Service]*spend.Window),
 		routes:    make(map[string]*routeStats),
+		busy:      make(map[ident.Service]ident.Instant),
 		queries:   make(map[ident.QueryID]*query),
 		attempts:  make(map[ident.AttemptID]*attempt),
 	}
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -69,6 +69,8 @@
 	// Arrivals are all calls, Runs those that may have run.
 	Arrivals int
 	Runs     int
+	// Skipped is set if no call was made, since none would end in time.
+	Skipped bool
 }
 
 // Ended is the end of a call to an upstream.
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -10,10 +10,11 @@
 // hand. It alone calls, hedges and retries them until it ends, so that no
 // shard is in an answer twice.
 type group struct {
-	id    int
-	parts []*part
-	good  map[*part]bool
-	ended bool
+	id     int
+	domain ident.Domain
+	parts  []*part
+	good   map[*part]bool
+	ended  bool
 }
 
 // handGroups hands the shards whose best upstream is in another domain to the
@@ -36,7 +37,7 @@
 	slices.Sort(domains)
 	for _, d := range domains {
 		if parts := byDomain[d]; len(parts) >= leastHand {
-			e.hand(q, d, parts)
+			q.addGroup(d, parts)
 		}
 	}
 }
@@ -50,27 +51,36 @@
 	return u.Domain, true
 }
 
-func (e *Engine) hand(q *query, d ident.Domain, parts []*part) {
+func (q *query) addGroup(d ident.Domain, parts []*part) {
 	g := &group{
-		id:    len(q.groups),
-		parts: parts,
-		good:  make(map[*part]bool),
+		id:     len(q.groups),
+		domain: d,
+		parts:  parts,
+		good:   make(map[*part]bool),
 	}
 	q.groups = append(q.groups, g)
-	shards := make([]int, 0, len(parts))
 	for _, p := range parts {
 		p.group = g
-		shards = append(shards, p.shard)
-	}
-	e.emit(Hand{
-		Query:   q.id,
-		Group:   g.id,
-		Domain:  d,
-		Shards:  shards,
-		Version: q.table.Version(),
-		Limit:   q.until.Sub(e.now),
-		Target:  q.target.Sub(e.now),
-	})
+	}
+}
+
+// sendGroups hands the groups of a query over.
+func (e *Engine) sendGroups(q *query) {
+	for _, g := range q.groups {
+		h := Hand{
+			Query:   q.id,
+			Group:   g.id,
+			Domain:  g.domain,
+			Shards:  make([]int, 0, len(g.parts)),
+			Version: q.table.Version(),
+			Limit:   q.until.Sub(e.now),
+			Target:  q.target.Sub(e.now),
+		}
+		for _, p := range g.parts {
+			h.Shards = append(h.Shards, p.shard)
+		}
+		e.emit(h)
+	}
 }
 
 // handed takes the answer of another host. The shards that it lacks are
@@ -89,6 +99,7 @@
 		if slices.Contains(ev.Good, p.shard) {
 			g.good[p] = true
 			q.ran = true
+			delete(e.busy, p.service)
 			continue
 		}
 		e.takeBack(q, p, ev)
@@ -105,6 +116,11 @@
 		return
 	}
 	for _, t := range ev.Tried {
+		if t.Shard == p.shard && t.Skipped {
+			p.skipped = true
+			e.busy[p.service] = e.after(busyTime)
+			return
+		}
 		if t.Shard == p.shard {
 			p.arrivals, p.runs = t.Arrivals, t.Runs
 			q.ran = q.ran || t.Runs > 0
@@ -130,6 +146,7 @@
 			Shard:    p.shard,
 			Arrivals: p.arrivals + p.live(),
 			Runs:     p.runs + p.live(),
+			Skipped:  p.skipped,
 		})
 	}
 	return list
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -103,24 +103,37 @@
 	return best, busy
 }
 
+// expect returns the expected latency of one more call to an upstream of
+// average speed, in nanoseconds, and how many calls wait there before it.
+func (e *Engine) expect(s *routeStats, u *upstream) (latency float64, queue int) {
+	load := len(u.live)
+	if age := e.now.Sub(u.loadSeen); age < loadLife {
+		load += int(math.Round(float64(u.others) * (1 - float64(age)/float64(loadLife))))
+	}
+	if queue = max(0, load+1-u.Slots); queue == 0 {
+		return s.typical, 0
+	}
+	each := s.typical
+	if n := len(u.live); n > 0 {
+		each = 0
+		for _, a := range u.live {
+			each += a.query.stats.typical / float64(n)
+		}
+	}
+	return s.typical + each*float64(queue)/float64(u.Slots), queue
+}
+
 // cost is the expected latency of one more call, in nanoseconds, with
 // surcharges for what the latency does not show.
 func (e *Engine) cost(q *query, u *upstream) float64 {
 	e.forget(u)
-	expect := q.stats.typical * u.slow
+	c, _ := e.expect(q.stats, u)
+	c *= u.slow
 	if e.now < u.coldUntil {
-		expect *= coldFactor
-	}
-	c := expect
-	load := len(u.live)
-	if age := e.now.Sub(u.loadSeen); age < loadLife {
-		load += int(math.Round(float64(u.others) * (1 - float64(age)/float64(loadLife))))
-	}
-	if queue := load + 1 - u.Slots; queue > 0 {
-		c += expect * float64(queue) / float64(u.Slots)
+		c *= coldFactor
 	}
 	for _, a := range u.live {
-		if age := float64(e.now.Sub(a.at)); age > stallFactor*a.query.stats.typical*u.slow+float64(stallLeast) {
+		if age := float64(e.now.Sub(a.at)); age > stallFactor*a.unit*u.slow+float64(stallLeast) {
 			c += age
 			break
 		}
@@ -161,8 +174,10 @@
 	switch ev.Result {
 	case Good:
 		failed = 0
-		u.slow += learnRate * (min(slowest, max(fastest, float64(took)/s.typical)) - u.slow)
-		s.typical += learnRate / 4 * (min(float64(took), 4*s.typical) - s.typical)
+		u.slow += learnRate * (min(slowest, max(fastest, float64(took)/a.unit)) - u.slow)
+		if a.queue == 0 {
+			s.typical += learnRate / 4 * (min(float64(took), 3*s.typical) - s.typical)
+		}
 		s.delay.Observe(took)
 		u.downUntil = 0
 	case Unsent:
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -47,6 +47,8 @@
 	group *group
 	// hopeless is set while there is nothing left to try.
 	hopeless bool
+	// skipped is set on a part that no upstream can deliver in time.
+	skipped bool
 }
 
 // has reports whether the part can be included in an answer.
@@ -60,6 +62,10 @@
 	up    *upstream
 	at    ident.Instant
 	ended bool
+	// unit is the latency that was expected of an upstream of average speed,
+	// in nanoseconds, and queue the calls that waited there before this one.
+	unit  float64
+	queue int
 }
 
 func (p *part) live() int {
@@ -100,11 +106,16 @@
 	q := e.newQuery(ev, table, r)
 	e.queries[q.id] = q
 	e.order = append(e.order, q)
-	if q.route.Gathers() && !q.sub {
-		e.handGroups(q)
+	if q.route.Gathers() {
+		if !q.sub {
+			e.handGroups(q)
+		}
+		if !e.skip(q) {
+			return
+		}
 	}
 	for _, p := range q.parts {
-		if p.group == nil {
+		if p.group == nil && !p.skipped {
 			// The host that has a part in hand counts its request.
 			e.window(p.service).Request(e.now)
 		}
@@ -180,7 +191,9 @@
 func (q *query) wakeAt(t ident.Instant) { q.wake = min(q.wake, t) }
 
 func (e *Engine) advancePart(q *query, p *part) {
-	p.hopeless = false
+	if p.hopeless = p.skipped; p.skipped {
+		return
+	}
 	if p.live() == 0 {
 		if e.now < p.pauseTo {
 			q.wakeAt(p.pauseTo)
@@ -243,6 +256,7 @@
 		up:    u,
 		at:    e.now,
 	}
+	a.unit, a.queue = e.expect(q.stats, u)
 	e.attempts[a.id] = a
 	p.attempts = append(p.attempts, a)
 	u.live = append(u.live, a)
