Count waiting calls, learn medians, and share connections among gatherers

Cause: calls that wait for a connection were not seen by the choice, and slow upstreams raised the typical latency to twice its true value, so overload was noticed late. Change: waiting calls count as load; the typical latency follows the median; gatherers get 0.7 of an upstream's connections, as many as it has slots each.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -75,6 +75,16 @@
 	p.gathers = slices.ContainsFunc(domains[p.domain], func(h watch.Host) bool { return h.ID == p.self })
 }
 
+// count returns the number of gatherers and whether this host is one.
+func (p *peers) count() (gatherers int, gathers bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, hosts := range p.gatherers {
+		gatherers += len(hosts)
+	}
+	return gatherers, p.gathers
+}
+
 // heard notes what the gatherer of this domain says of its contact to others.
 func (p *peers) heard(alone bool) {
 	p.mu.Lock()
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -39,6 +39,7 @@
 	countedAt time.Time
 	most      int
 	mostAt    time.Time
+	told      relay.Hosts
 	lost      bool
 }
 
@@ -200,14 +201,16 @@
 	if n == 0 || now.Sub(w.countedAt) < settleTime {
 		return
 	}
-	if n < w.most && now.Sub(w.mostAt) < hostsKept {
-		return
+	if n >= w.most || now.Sub(w.mostAt) > hostsKept {
+		w.most, w.mostAt = n, now
 	}
-	if n != w.most {
-		w.front.log.Info("entry hosts were counted", "Hosts", n, "Before", w.most)
-		w.front.inputs <- input{event: relay.Hosts{Count: n}}
+	next := relay.Hosts{Count: w.most}
+	next.Gatherers, next.Gathers = w.front.peers.count()
+	if next != w.told {
+		w.front.log.Info("hosts were counted", "Hosts", next.Count, "Gatherers", next.Gatherers, "Gathers", next.Gathers)
+		w.front.inputs <- input{event: next}
+		w.told = next
 	}
-	w.most, w.mostAt = n, now
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -12,6 +12,13 @@
 	// and connections that an upstream has not noticed to be closed.
 	connectionShare = 0.85
 
+	// gathererShare is the part of an upstream's connections that gatherers get.
+	gathererShare = 0.7
+
+	// queueAtUpstream is how many calls more than an upstream has slots a host
+	// sends there. The rest wait here, where a late one is dropped at no cost.
+	queueAtUpstream = 0
+
 	// defaultConnections holds where the document states no limit.
 	defaultConnections = 4
 
@@ -100,6 +107,9 @@
 	// learnRate is the weight of a new sample in moving averages.
 	learnRate = 0.2
 
+	// medianStep is the factor by which one call moves the typical latency.
+	medianStep = 1.02
+
 	// forgetTime halves what was learned of an upstream that is not used.
 	forgetTime = 2 * time.Second
 
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -33,6 +33,8 @@
 	rand  *rand.Rand
 	now   ident.Instant
 	hosts int
+	// gathering is the number of gatherers if this host is one, else 0.
+	gathering int
 
 	table *rules.Table
 	// kept are the last documents, the newest last, for queries that another
@@ -47,6 +49,10 @@
 	// gatherers are the other domains in which a host gathers for this one.
 	gatherers map[ident.Domain]bool
 
+	// waiting counts the parts for which all connections are in use, as of the
+	// last arrival.
+	waiting map[ident.Service]int
+
 	// busy tells until when the shards count as overloaded that another host
 	// has skipped.
 	busy map[ident.Service]ident.Instant
@@ -96,7 +102,10 @@
 		e.advanceAll()
 	case Hosts:
 		e.now = ev.Now
-		e.hosts = max(1, ev.Count)
+		e.hosts, e.gathering = max(1, ev.Count), 0
+		if ev.Gathers {
+			e.gathering = max(1, ev.Gatherers)
+		}
 	case Arrive:
 		e.now = ev.Now
 		e.arrive(ev)
@@ -212,16 +221,20 @@
 	return s
 }
 
-// connections is this host's part of what one upstream accepts.
-func (e *Engine) connections(q *query, s ident.Service) int {
-	limit := 0
-	if svc := q.table.Service(s); svc != nil {
-		limit = svc.Connections
+// connections is this host's part of what one upstream accepts. Gatherers
+// share most of it, as the other hosts rarely call shards.
+func (e *Engine) connections(q *query, u *upstream) int {
+	limit := float64(defaultConnections)
+	if svc := q.table.Service(u.Service); svc != nil && svc.Connections > 0 {
+		limit = float64(svc.Connections) * connectionShare
 	}
-	if limit <= 0 {
-		return defaultConnections
+	switch {
+	case !q.route.Gathers():
+		return max(1, int(limit/float64(e.hosts)))
+	case e.gathering > 0:
+		return max(1, min(int(limit*gathererShare/float64(e.gathering)), u.Slots+queueAtUpstream))
 	}
-	return max(1, int(float64(limit)*connectionShare/float64(e.hosts)))
+	return max(1, int(limit*(1-gathererShare)/float64(e.hosts)))
 }
 
 func (e *Engine) after(d time.Duration) ident.Instant { return e.now.Add(d) }
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -26,6 +26,10 @@
 type Hosts struct {
 	Now   ident.Instant
 	Count int
+	// Gatherers is the number of hosts that gather, and Gathers is set if this
+	// host is one of them.
+	Gatherers int
+	Gathers   bool
 }
 
 // Arrive is a request of a caller, read as a whole.
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// observe moves the typical latency towards the median, which slow upstreams
+// do not shift as long as they are fewer than half.
+func (s *routeStats) observe(took float64) {
+	if took > s.typical {
+		s.typical *= medianStep
+	} else {
+		s.typical /= medianStep
+	}
+}
+
 // hedgeDelay is the time after which a call on the route is late.
 func (s *routeStats) hedgeDelay(target time.Duration) time.Duration {
 	d := s.delay.After()
@@ -80,7 +90,6 @@
 // its connections are in use.
 func (e *Engine) pick(q *query, p *part) (best *upstream, busy bool) {
 	var bestCost float64
-	limit := e.connections(q, p.service)
 	ups := e.services[p.service]
 	if len(ups) == 0 {
 		return nil, false
@@ -91,7 +100,7 @@
 		if p.triedOn(u) || e.now < u.goneUntil || u.Draining && e.now >= u.drainSeen.Add(drainUse) {
 			continue
 		}
-		if len(u.live) >= limit {
+		if len(u.live) >= e.connections(q, u) {
 			busy = true
 			continue
 		}
@@ -110,6 +119,9 @@
 	if age := e.now.Sub(u.loadSeen); age < loadLife {
 		load += int(math.Round(float64(u.others) * (1 - float64(age)/float64(loadLife))))
 	}
+	if n := len(e.services[u.Service]); n > 0 {
+		load += e.waiting[u.Service] / n
+	}
 	if queue = max(0, load+1-u.Slots); queue == 0 {
 		return s.typical, 0
 	}
@@ -176,7 +188,7 @@
 		failed = 0
 		u.slow += learnRate * (min(slowest, max(fastest, float64(took)/a.unit)) - u.slow)
 		if a.queue == 0 {
-			s.typical += learnRate / 4 * (min(float64(took), 3*s.typical) - s.typical)
+			s.observe(float64(took))
 		}
 		s.delay.Observe(took)
 		u.downUntil = 0
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -269,7 +269,7 @@
 		Attempt:     a.id,
 		Upstream:    u.Upstream,
 		Limit:       q.until.Sub(e.now),
-		Connections: e.connections(q, p.service),
+		Connections: e.connections(q, u),
 	})
 }
 
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -1,6 +1,10 @@
 package relay
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
 
 // skip decides about the shards of a query that no upstream is expected to
 // deliver in time. As many as the route allows are left out, which takes load
@@ -12,6 +16,7 @@
 		e.sendGroups(q)
 		return true
 	}
+	e.countWaiting(q)
 	var late []*part
 	for _, p := range q.parts {
 		if e.overloaded(q, p, left) {
@@ -61,3 +66,18 @@
 	}
 	return found
 }
+
+// countWaiting counts the parts of other queries that no connection is free for.
+func (e *Engine) countWaiting(arrived *query) {
+	e.waiting = make(map[ident.Service]int)
+	for _, q := range e.order {
+		if q == arrived {
+			continue
+		}
+		for _, p := range q.parts {
+			if !p.has() && !p.hopeless && p.live() == 0 && (p.group == nil || p.group.ended) {
+				e.waiting[p.service]++
+			}
+		}
+	}
+}
