Give a freed connection to the query that needs it most

Cause: under overload waiting calls went in order of arrival, so calls of queries past their target held up those that could still make it. Change: timely queries first, then by priority, then by the earliest target.

--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -305,16 +305,39 @@
 	e.unblock(a.up.Service)
 }
 
-// unblock lets parts that waited for a connection of a service go on.
+// unblock lets the part that waits for a connection of a service go on whose
+// query needs it most: one that can still make its target, of the highest
+// priority, with the earliest target.
 func (e *Engine) unblock(s ident.Service) {
+	var best *query
 	for _, q := range e.order {
-		for _, p := range q.parts {
-			if !q.done && p.service == s && !p.has() && p.live() == 0 && !p.hopeless && (p.group == nil || p.group.ended) {
-				e.advance(q)
-				return
-			}
+		if q.waitsFor(s) && (best == nil || e.before(q, best)) {
+			best = q
 		}
 	}
+	if best != nil {
+		e.advance(best)
+	}
+}
+
+func (q *query) waitsFor(s ident.Service) bool {
+	return !q.done && slices.ContainsFunc(q.parts, func(p *part) bool { return p.service == s && p.waits() })
+}
+
+// waits reports whether the part has no call in progress but may send one.
+func (p *part) waits() bool {
+	return !p.has() && p.live() == 0 && !p.hopeless && (p.group == nil || p.group.ended)
+}
+
+func (e *Engine) before(q, o *query) bool {
+	late, otherLate := e.now >= q.target, e.now >= o.target
+	switch {
+	case late != otherLate:
+		return otherLate
+	case q.route.Priority != o.route.Priority:
+		return q.route.Priority < o.route.Priority
+	}
+	return q.target < o.target
 }
 
 func (e *Engine) left(id ident.QueryID) {
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		for _, p := range q.parts {
-			if !p.has() && !p.hopeless && p.live() == 0 && (p.group == nil || p.group.ended) {
+			if p.waits() {
 				e.waiting[p.service]++
 			}
 		}
