Log decisions, serve metrics, and keep 8 ms of the target for the way back

Cause: an engineer could not tell why a part was missing. Ruled out: the report loop of the metrics (100 s instead of 1 s changed nothing).

--- a/cmd/tier/main.go
+++ b/cmd/tier/main.go
@@ -8,4 +8,4 @@
 	"github.com/jujubethread/jujubethread/internal/tier"
 )
 
-func main() { os.Exit(tier.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(tier.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,9 +7,12 @@
 import (
 	"context"
 	"log/slog"
+	"net"
+	"net/http"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jujubethread/jujubethread/internal/ctrl"
@@ -66,7 +69,9 @@
 	Lost int
 	// ListAddress is where the platform's list is read.
 	ListAddress string
-	Log         *slog.Logger
+	// Metrics is the address where metrics are served; empty means none.
+	Metrics string
+	Log     *slog.Logger
 }
 
 // Core is a control host.
@@ -121,7 +126,7 @@
 		API:     c.api,
 
 		ElectionTimeout: electionTimeout,
-		Log:     cfg.Log,
+		Log:             cfg.Log,
 	}
 	if cfg.First && slices.Contains(cfg.Seeds, cfg.Link) {
 		own.ID = founder(cfg.Link)
@@ -153,6 +158,7 @@
 	g.Go(func() error { return c.keep(ctx) })
 	g.Go(func() error { return c.readList(ctx) })
 	g.Go(func() error { return c.follow(ctx) })
+	g.Go(func() error { return c.serveMetrics(ctx) })
 	err := g.Wait()
 	c.log.Info("control host stops")
 	_ = c.client.Close()
@@ -288,7 +294,7 @@
 			ups, skipped, err := c.lister.Read(ctx)
 			switch {
 			case err != nil && !lost:
-				c.log.Warn("list of upstreams is lost", "Error", err.Error())
+				c.log.Info("list of upstreams is lost", "Error", err.Error())
 				lost = true
 			case err == nil:
 				if lost {
@@ -404,3 +410,26 @@
 	case <-t.C:
 	}
 }
+
+// serveMetrics serves the metrics of the replicated log until ctx ends. A
+// port that is taken costs the metrics, not the service.
+func (c *Core) serveMetrics(ctx context.Context) error {
+	if c.cfg.Metrics == "" {
+		return nil
+	}
+	lis, err := net.Listen("tcp", c.cfg.Metrics)
+	if err != nil {
+		c.log.Error("metrics are not served; free the port or set another", "Address", c.cfg.Metrics, "Error", err.Error())
+		return nil
+	}
+	srv := &http.Server{
+		Handler:           c.host.Metrics(),
+		ReadHeaderTimeout: changeWait,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		c.log.Error("metrics are not served any more", "Error", err.Error())
+	}
+	return nil
+}
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -251,6 +251,9 @@
 // not outlive a suspension.
 func (h *Host) now() ident.Instant { return ident.Instant(clock.Now().Sub(h.start)) }
 
+// Metrics serves the metrics of this member.
+func (h *Host) Metrics() http.Handler { return h.meters.handler }
+
 // Now returns the time on the clock of Status.
 func (h *Host) Now() ident.Instant { return h.now() }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/jujubethread/jujubethread/internal/gauge"
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/pipe"
 	"github.com/jujubethread/jujubethread/internal/watch"
@@ -56,7 +57,11 @@
 	Extra spend.Config
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
-	Log   *slog.Logger
+	// Metrics is the address where metrics are served; empty means none.
+	Metrics string
+	Log     *slog.Logger
+	// Dropped returns the number of log lines dropped so far.
+	Dropped func() int64
 }
 
 // Front is an entry host.
@@ -67,6 +72,7 @@
 	self   watch.Host
 	client *link.Client
 	pool   *pipe.Pool
+	gauge  *gauge.Gauge
 	peers  *peers
 	engine *relay.Engine
 
@@ -81,6 +87,10 @@
 	listed   atomic.Bool
 	draining atomic.Bool
 	closing  atomic.Bool
+	// running, upstreams, hosts and listAt are for the gauges.
+	running, upstreams, hosts, listAt atomic.Int64
+	// reason is why readiness checks were refused last.
+	reason atomic.Pointer[string]
 	// alone is set while no other domain is reached, and local while this
 	// domain's upstreams are enough for every route.
 	alone atomic.Bool
@@ -111,6 +121,7 @@
 			Link:   cfg.Link,
 		},
 		pool:  pipe.NewPool(),
+		gauge: gauge.New(relay.ResultNames()...),
 		peers: newPeers(cfg.Name, cfg.Domain),
 		engine: relay.New(relay.Config{
 			Domain: cfg.Domain,
@@ -159,6 +170,7 @@
 	g.Go(func() error { return f.watch(tctx) })
 	g.Go(func() error { return f.serveLink(tctx) })
 	g.Go(func() error { return f.pingPeers(tctx) })
+	g.Go(func() error { return f.serveMetrics(tctx) })
 	g.Go(func() error { return served(srv.Serve(lis), "callers") })
 	g.Go(func() error { return served(checks.Serve(ready), "readiness checks") })
 	g.Go(func() error {
@@ -174,6 +186,7 @@
 	err = g.Wait()
 	f.log.Info("entry host stops")
 	_ = f.client.Close()
+	_ = f.gauge.Close()
 	return err
 }
 
@@ -204,11 +217,30 @@
 }
 
 func (f *Front) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if f.draining.Load() || f.table.Load() == nil || !f.listed.Load() || f.cutOff() {
+	reason := f.unready()
+	if last := f.reason.Swap(&reason); last == nil || *last != reason {
+		f.log.Info("readiness changed", "Ready", reason == "", "Reason", reason)
+	}
+	if reason != "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// unready returns why this host should get no new callers, or nothing.
+func (f *Front) unready() string {
+	switch {
+	case f.draining.Load():
+		return "it stops"
+	case f.table.Load() == nil:
+		return "it has no configuration yet"
+	case !f.listed.Load():
+		return "it has no list of upstreams yet"
+	case f.cutOff():
+		return "it is cut off from the other domains"
+	}
+	return ""
+}
+
 // cutOff reports whether this host cannot answer over enough shards, since it
 // reaches no other domain. The balancer then sends callers elsewhere.
 func (f *Front) cutOff() bool { return f.alone.Load() && !f.local.Load() }
--- a/internal/front/hand.go
+++ b/internal/front/hand.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/gauge"
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/watch"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -145,6 +146,9 @@
 		return nil
 	}
 	out, err := f.hand(ctx, to, q.handIn(v, limit))
+	if err != nil || out.Declined || sampled(q.id) {
+		f.log.Info("query was handed over", "Request", string(q.id), "Version", v, "Gatherer", string(to.ID), "Declined", out.Declined, "Error", text(err))
+	}
 	switch {
 	case link.NotRun(err) || err == nil && out.Declined:
 		return nil
@@ -166,13 +170,25 @@
 	defer end()
 	var out handOut
 	err := f.client.Call(hctx, to.Link, methodHand, &in, &out)
+	f.countHanded(&out, err)
 	if err != nil && ctx.Err() == nil && f.peers.mark(to.ID, false) {
-		f.log.Warn("gatherer is lost", "Gatherer", string(to.ID), "Request", string(in.ID), "Error", err.Error())
+		f.log.Info("gatherer is lost", "Gatherer", string(to.ID), "Request", string(in.ID), "Error", err.Error())
 		f.tellGatherers()
 	}
 	return &out, err
 }
 
+func (f *Front) countHanded(out *handOut, err error) {
+	result := gauge.Answered
+	switch {
+	case link.NotRun(err) || err == nil && out.Declined:
+		result = gauge.Declined
+	case err != nil:
+		result = gauge.Lost
+	}
+	f.gauge.Handed(result)
+}
+
 // handIn describes a request for a gatherer.
 func (q *request) handIn(v rules.Version, limit time.Duration) handIn {
 	return handIn{
@@ -272,7 +288,7 @@
 			AfterMicros: e.After.Microseconds(),
 			Reason:      e.Reason,
 		}, nil
-	case relay.Pass, relay.Call, relay.Stop, relay.Hand:
+	case relay.Pass, relay.Call, relay.Stop, relay.Hand, relay.Shun:
 	}
 	return &handOut{Declined: true}, nil
 }
@@ -289,3 +305,11 @@
 	}
 	f.writeMerged(w, q, out.Stamps, out.Missing, out.Body)
 }
+
+// text returns the message of an error for a log; it is empty for none.
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -26,6 +26,7 @@
 // callState is a call to an upstream, in progress or kept for its answer.
 type callState struct {
 	query   ident.QueryID
+	begin   ident.Instant
 	stop    func()
 	outcome pipe.Outcome
 }
@@ -111,6 +112,7 @@
 	}
 	c.outcome = *in.outcome
 	o := in.outcome
+	f.gauge.Call(o.Result.String(), o.Answer.Status != 0, f.now().Sub(c.begin))
 	f.step(relay.Ended{
 		Now:     f.now(),
 		Attempt: in.attempt,
@@ -138,6 +140,9 @@
 			f.end(e.Query, e, e.Attempt)
 		case relay.Hand:
 			f.startHand(e)
+		case relay.Shun:
+			f.gauge.Shunned.Inc(1)
+			f.log.Info("upstream is shunned", "Upstream", string(e.Upstream), "Service", string(e.Service), "ForMillis", e.For.Milliseconds(), "Reason", e.Reason)
 		case relay.Merge:
 			f.end(e.Query, e, e.Attempts...)
 		case relay.Refuse:
@@ -152,7 +157,10 @@
 		return
 	}
 	q.calls = append(q.calls, e.Attempt)
-	c := &callState{query: e.Query}
+	c := &callState{
+		query: e.Query,
+		begin: f.now(),
+	}
 	f.calls[e.Attempt] = c
 	c.stop = f.pool.Start(pipe.Call{
 		Address:  e.Upstream.Address,
@@ -189,6 +197,8 @@
 		}
 	}
 	q.reply <- rep
+	// The log line is made beside the loop, after the answer is on its way.
+	go f.observe(q, effect, len(q.calls), len(q.groups))
 	delete(f.queries, id)
 	for _, a := range q.calls {
 		if c := f.calls[a]; c != nil && c.outcome.Result != 0 {
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -8,9 +8,11 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/gauge"
 	"github.com/jujubethread/jujubethread/internal/pipe"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
+	"github.com/jujubethread/jujubethread/pkg/rules"
 	"github.com/jujubethread/jujubethread/platform"
 )
 
@@ -40,6 +42,10 @@
 	body  []byte
 	reply chan reply
 	calls []ident.AttemptID
+	// begin is when the request came here; sub is set for some shards of a
+	// query of another host.
+	begin ident.Instant
+	sub   bool
 	// groups are the answers of gatherers in other domains.
 	groups map[int]*handOut
 	// ctx ends the calls to them; it is set with the first.
@@ -104,7 +110,7 @@
 		if errors.As(err, &tooLarge) {
 			status = http.StatusRequestEntityTooLarge
 		}
-		f.log.Warn("request could not be read", "Request", string(id), "Status", status, "Error", err.Error())
+		f.log.Info("request could not be read", "Request", string(id), "Status", status, "Error", err.Error())
 		w.WriteHeader(status)
 		return
 	}
@@ -149,6 +155,9 @@
 // caller has left.
 func (f *Front) query(ctx context.Context, q *request, ev relay.Arrive) (reply, bool) {
 	ev.Query = ident.QueryID(f.lastID.Add(1))
+	q.begin, q.sub = ev.Now, ev.Shards != nil
+	f.running.Add(1)
+	defer f.running.Add(-1)
 	f.inputs <- input{
 		event:   ev,
 		request: q,
@@ -158,6 +167,7 @@
 		return rep, true
 	case <-ctx.Done():
 		f.inputs <- input{event: relay.Left{Query: ev.Query}}
+		f.gauge.Request(gauge.Left, f.now().Sub(ev.Now))
 		return reply{}, false
 	}
 }
@@ -175,7 +185,7 @@
 		f.writeMerged(w, q, rep.stamps(), e.Missing, merge(rep, e.Top))
 	case relay.Refuse:
 		f.refuse(w, q, e)
-	case relay.Call, relay.Stop, relay.Hand:
+	case relay.Call, relay.Stop, relay.Hand, relay.Shun:
 	}
 }
 
@@ -205,6 +215,14 @@
 	}
 }
 
+// version returns the version in force, or 0.
+func (f *Front) version() rules.Version {
+	if t := f.table.Load(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
 func (f *Front) refuse(w http.ResponseWriter, q *request, e relay.Refuse) {
 	status := http.StatusServiceUnavailable
 	switch e.Status {
@@ -217,7 +235,7 @@
 	case relay.TimedOut:
 		status = http.StatusGatewayTimeout
 	}
-	f.log.Info("request is not served", "Request", string(q.id), "Status", status, "Reason", e.Reason)
+	f.log.Info("request is not served", "Request", string(q.id), "Status", status, "Reason", e.Reason, "Version", f.version())
 	w.Header()["Content-Length"] = []string{"0"}
 	w.WriteHeader(status)
 }
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -64,7 +64,7 @@
 		}
 		if err := w.ask(ctx); err != nil {
 			if !w.lost {
-				f.log.Warn("control host is lost", "Source", w.source, "Version", w.version, "Error", err.Error())
+				f.log.Info("control host is lost", "Source", w.source, "Version", w.version, "ListAgeMillis", time.Since(w.readAt).Milliseconds(), "Error", err.Error())
 				w.lost = true
 			}
 			w.source = ""
@@ -173,6 +173,7 @@
 		return
 	}
 	at := time.Now().Add(-time.Duration(r.ListAge) * time.Millisecond)
+	w.front.listAt.Store(at.UnixNano())
 	if r.List == nil {
 		w.readAt = at
 		return
@@ -183,6 +184,8 @@
 	w.readAt, w.digest = at, r.List.Digest
 	w.front.inputs <- input{event: relay.Listed{Upstreams: r.List.Upstreams}}
 	w.front.listed.Store(true)
+	w.front.upstreams.Store(int64(len(r.List.Upstreams)))
+	w.front.log.Info("list of upstreams is in use", "Upstreams", len(r.List.Upstreams), "AgeMillis", r.ListAge, "Source", w.source)
 }
 
 // count tells the engine how many entry hosts share the budgets. While hosts
@@ -209,6 +212,7 @@
 	if next != w.told {
 		w.front.log.Info("hosts were counted", "Hosts", next.Count, "Gatherers", next.Gatherers, "Gathers", next.Gathers)
 		w.front.inputs <- input{event: next}
+		w.front.hosts.Store(int64(next.Count))
 		w.told = next
 	}
 }
--- /dev/null
+++ b/internal/pipe/pipe_test.go
@@ -0,0 +1,169 @@
+package pipe_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/internal/pipe"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/relay"
+	"github.com/jujubethread/jujubethread/platform"
+)
+
+// serve accepts connections and answers each request with what answer returns.
+func serve(t *testing.T, answer func(conn, request int, r *http.Request) string) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				in := bufio.NewReader(c)
+				for i := 0; ; i++ {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					text := answer(n, i, r)
+					if _, err := c.Write([]byte(strings.ReplaceAll(text, "\n", "\r\n"))); err != nil {
+						return
+					}
+					if strings.Contains(text, "Connection: close") {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func ok(r *http.Request, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\nRequest-Id: %s\nServer-Stamp: s-%s\nContent-Length: %d\n\n%s",
+		r.Header.Get("Request-Id"), r.Header.Get("Request-Id"), len(body), body)
+}
+
+// call makes one call and waits for its outcome.
+func call(t *testing.T, p *pipe.Pool, address, instance, id string) pipe.Outcome {
+	t.Helper()
+	done := make(chan pipe.Outcome, 1)
+	p.Start(pipe.Call{
+		Address:  address,
+		Instance: instance,
+		ID:       ident.RequestID(id),
+		Method:   http.MethodGet,
+		Limit:    2 * time.Second,
+		Head: func(verify bool) []byte {
+			head := []byte("GET /x HTTP/1.1\r\nHost: a.example\r\n")
+			named := ident.Upstream("")
+			if verify {
+				named = ident.Upstream(instance)
+			}
+			return append(platform.AppendCall(head, ident.RequestID(id), time.Second, named), "\r\n"...)
+		},
+		Parse: platform.AnswerOf,
+		Done:  func(o pipe.Outcome) { done <- o },
+	})
+	select {
+	case o := <-done:
+		return o
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call did not end")
+	}
+	return pipe.Outcome{}
+}
+
+// Guards against a connection to one upstream that serves calls to another
+// after the address has changed hands.
+func TestConnectionsAreKeptByInstance(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(conn, _ int, r *http.Request) string { return ok(r, fmt.Sprint(conn)) })
+	p := pipe.NewPool()
+	is.Equal(string(call(t, p, address, "i-1", "r1").Body), "0")
+	is.Equal(string(call(t, p, address, "i-1", "r2").Body), "0")
+	is.Equal(string(call(t, p, address, "i-2", "r3").Body), "1")
+	is.Equal(p.Dials(), int64(2))
+}
+
+// Guards against a connection that counts as checked after a rejection, which
+// may come before the upstream has compared its name.
+func TestRejectionDoesNotVerify(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(_, request int, r *http.Request) string {
+		if request == 0 {
+			return fmt.Sprintf("HTTP/1.1 503 Full\nRequest-Id: %s\nNot-Executed: shed\nContent-Length: 0\n\n", r.Header.Get("Request-Id"))
+		}
+		return ok(r, r.Header.Get("Expected-Instance"))
+	})
+	p := pipe.NewPool()
+	is.Equal(call(t, p, address, "i-1", "r1").Result, relay.Rejected)
+	is.Equal(string(call(t, p, address, "i-1", "r2").Body), "i-1")
+	is.Equal(string(call(t, p, address, "i-1", "r3").Body), "")
+	is.Equal(p.Dials(), int64(1))
+}
+
+// Guards against an answer to an earlier request that is taken for the one
+// that is waited for.
+func TestLateExtraAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(_, request int, r *http.Request) string {
+		text := ok(r, "right")
+		if request == 1 {
+			return "HTTP/1.1 200 OK\nRequest-Id: r1\nServer-Stamp: s\nContent-Length: 5\n\nwrong" + text
+		}
+		return text
+	})
+	p := pipe.NewPool()
+	call(t, p, address, "i-1", "r1")
+	is.Equal(string(call(t, p, address, "i-1", "r2").Body), "right")
+}
+
+// Guards against bytes after an answer that are taken for the next one.
+func TestBytesThatNobodyAskedForEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(conn, _ int, r *http.Request) string { return ok(r, fmt.Sprint(conn)) + "rubbish" })
+	p := pipe.NewPool()
+	call(t, p, address, "i-1", "r1")
+	is.Equal(string(call(t, p, address, "i-1", "r2").Body), "1")
+}
+
+// Guards against a cut, encoded or unsigned answer that counts as whole.
+func TestBrokenAnswersAreLost(t *testing.T) {
+	for name, text := range map[string]string{
+		"cut":      "HTTP/1.1 200 OK\nServer-Stamp: s\nContent-Length: 50\nConnection: close\n\nhalf",
+		"garbage":  "no protocol\nConnection: close\n\n",
+		"unsigned": "HTTP/1.1 200 OK\nContent-Length: 4\n\nbody",
+		"encoded":  "HTTP/1.1 200 OK\nServer-Stamp: s\nContent-Encoding: gzip\nContent-Length: 4\n\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, func(int, int, *http.Request) string { return text })
+			is.Equal(call(t, pipe.NewPool(), address, "i-1", "r1").Result, relay.Lost)
+		})
+	}
+}
+
+// Guards against a refused connection that counts as a request that may have run.
+func TestRefusedConnectionIsUnsent(t *testing.T) {
+	is := is.New(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := lis.Addr().String()
+	is.NoErr(lis.Close())
+	is.Equal(call(t, pipe.NewPool(), address, "i-1", "r1").Result, relay.Unsent)
+}
--- a/internal/tier/option.go
+++ b/internal/tier/option.go
@@ -20,8 +20,11 @@
 
   tier entry     serves callers and forwards their requests to upstreams
   tier control   keeps the configuration and reads the list of upstreams
+  tier story ID  prints from log lines on standard input what happened to a
+                 request on all hosts; "tier story FROM TO" prints what the
+                 hosts believed between two times (RFC 3339)
 
-Each flag may also be a line of the file that -config or JUJUBETHREAD_CONFIG
+Each flag of a daemon may also be a line of the file that -config or JUJUBETHREAD_CONFIG
 names ("name value"), or a variable JUJUBETHREAD_NAME.
 
 `
@@ -49,6 +52,8 @@
 	Extra    spend.Config
 	Grace    time.Duration
 	LogLevel string
+	// Metrics is the address where metrics are served.
+	Metrics string
 
 	// File is the settings file, empty if there is none.
 	File string
@@ -78,6 +83,7 @@
 	fs.Float64Var(&o.Extra.Slack, "extra-slack", 0, "extra calls to a service besides, over all hosts (entry)")
 	fs.DurationVar(&o.Extra.Window, "extra-window", 10*time.Second, "window in which extra calls count (entry)")
 	fs.DurationVar(&o.Grace, "grace", 6*time.Second, "time from SIGTERM to SIGKILL (entry)")
+	fs.StringVar(&o.Metrics, "metrics", "", "address where metrics are served")
 	fs.StringVar(&o.LogLevel, "log-level", "info", "debug, info, warn or error")
 	err := ff.Parse(fs, args,
 		ff.WithEnvVarPrefix("JUJUBETHREAD"),
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -18,12 +18,14 @@
 	"github.com/jujubethread/jujubethread/internal/core"
 	"github.com/jujubethread/jujubethread/internal/front"
 	"github.com/jujubethread/jujubethread/internal/logs"
+	"github.com/jujubethread/jujubethread/internal/story"
 )
 
 // The commands.
 const (
 	entry   = "entry"
 	control = "control"
+	tell    = "story"
 )
 
 // Exit statuses.
@@ -37,6 +39,9 @@
 // change without a signal.
 const settingsEvery = time.Second
 
+// flushTime bounds writing the last log lines.
+const flushTime = 200 * time.Millisecond
+
 // daemon is a running host.
 type daemon interface {
 	Run(ctx context.Context) error
@@ -44,8 +49,12 @@
 	SetSeeds(seeds []string)
 }
 
-// Main runs one daemon until SIGTERM and returns the exit status.
-func Main(args []string, out, errOut io.Writer) int {
+// Main runs one daemon until SIGTERM, or the reader of logs, and returns the
+// exit status.
+func Main(args []string, in io.Reader, out, errOut io.Writer) int {
+	if len(args) > 1 && args[0] == tell {
+		return printStory(args[1:], in, out, errOut)
+	}
 	if len(args) == 0 || args[0] != entry && args[0] != control {
 		fmt.Fprint(errOut, usage)
 		return exitUsage
@@ -67,8 +76,37 @@
 	return exitOK
 }
 
+// printStory prints what logs tell of a request or of a time.
+func printStory(args []string, in io.Reader, out, errOut io.Writer) int {
+	log, err := story.Read(in)
+	if err == nil && len(args) == 1 {
+		err = log.Request(out, args[0])
+	} else if err == nil {
+		err = window(log, out, args[0], args[1])
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "tier:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func window(log *story.Log, out io.Writer, from, to string) error {
+	begin, err := time.Parse(time.RFC3339, from)
+	if err != nil {
+		return errors.Wrap(err, "the first time cannot be read: write it as 2006-01-02T15:04:05Z")
+	}
+	end, err := time.Parse(time.RFC3339, to)
+	if err != nil {
+		return errors.Wrap(err, "the second time cannot be read: write it as 2006-01-02T15:04:05Z")
+	}
+	return log.Window(out, begin, end)
+}
+
 func run(ctx context.Context, args []string, o *Options, out io.Writer) error {
-	log, err := logs.New(out, logs.Config{
+	queue := logs.NewQueue(out)
+	defer queue.Close(flushTime)
+	log, err := logs.New(queue, logs.Config{
 		Host:   o.Name,
 		Domain: o.Domain,
 		Level:  o.LogLevel,
@@ -76,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := newDaemon(args[0], o, log)
+	d, err := newDaemon(args[0], o, log, queue)
 	if err != nil {
 		return err
 	}
@@ -84,7 +122,7 @@
 	return d.Run(ctx)
 }
 
-func newDaemon(command string, o *Options, log *slog.Logger) (daemon, error) {
+func newDaemon(command string, o *Options, log *slog.Logger, queue *logs.Queue) (daemon, error) {
 	if command == entry {
 		return front.New(front.Config{
 			Name:   o.Name,
@@ -96,6 +134,9 @@
 			Extra:  o.Extra,
 			Grace:  o.Grace,
 			Log:    log,
+
+			Metrics: o.Metrics,
+			Dropped: queue.Dropped,
 		})
 	}
 	return core.New(core.Config{
@@ -108,6 +149,7 @@
 		First:       o.First,
 		Lost:        o.Lost,
 		ListAddress: o.List,
+		Metrics:     o.Metrics,
 		Log:         log,
 	})
 }
--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -31,7 +31,7 @@
 	// targetMargin and leastTargetMargin are kept of a target latency for the
 	// ways to and from the caller, which this host does not see.
 	targetMargin      = 0.06
-	leastTargetMargin = 5 * time.Millisecond
+	leastTargetMargin = 8 * time.Millisecond
 
 	// handMargin is kept of the target for the way back between two hosts.
 	handMargin = 4 * time.Millisecond
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -139,6 +139,14 @@
 	Target time.Duration
 }
 
+// Shun tells that an upstream is left out or put last for a while.
+type Shun struct {
+	Upstream ident.Upstream
+	Service  ident.Service
+	For      time.Duration
+	Reason   string
+}
+
 // Pass ends a query with the answer of one attempt, unchanged.
 type Pass struct {
 	Query   ident.QueryID
@@ -157,6 +165,8 @@
 	// tells of the others.
 	Shards []int
 	Tried  []Tried
+	// Detail is set if parts are missing or the answer is late.
+	Detail *Detail
 }
 
 // Refuse ends a query without an answer of an upstream.
@@ -169,6 +179,8 @@
 	Reason string
 	// Tried tells of the shards of a query of another host.
 	Tried []Tried
+	// Detail is set if a route was found.
+	Detail *Detail
 }
 
 // Refusal is the kind of answer to a query that was not served.
@@ -192,6 +204,7 @@
 func (Call) isEffect()   {}
 func (Stop) isEffect()   {}
 func (Hand) isEffect()   {}
+func (Shun) isEffect()   {}
 func (Pass) isEffect()   {}
 func (Merge) isEffect()  {}
 func (Refuse) isEffect() {}
@@ -218,6 +231,9 @@
 // String returns the name of the result.
 func (r Result) String() string { return resultNames[r] }
 
+// ResultNames lists the names of all results.
+func ResultNames() []string { return resultNames[1:] }
+
 // Upstream is one entry of the list of upstreams.
 type Upstream struct {
 	ID      ident.Upstream
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -193,10 +193,14 @@
 		s.delay.Observe(took)
 		u.downUntil = 0
 	case Unsent:
+		if e.now >= u.downUntil {
+			e.shun(u, downTime, "no connection could be made")
+		}
 		u.downUntil = e.after(downTime)
 	case Rejected:
 		if ev.Moved {
 			u.goneUntil = e.after(goneTime)
+			e.shun(u, goneTime, "another upstream answers at its address")
 		}
 	case Bad, Lost:
 	}
@@ -206,3 +210,12 @@
 		u.loadSeen = e.now
 	}
 }
+
+func (e *Engine) shun(u *upstream, d time.Duration, reason string) {
+	e.emit(Shun{
+		Upstream: u.ID,
+		Service:  u.Service,
+		For:      d,
+		Reason:   reason,
+	})
+}
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -17,10 +17,11 @@
 	parts []*part
 	// target is when an answer should be sent to count as timely, until when
 	// one must be sent.
-	target ident.Instant
-	until  ident.Instant
-	wake   ident.Instant
-	groups []*group
+	target  ident.Instant
+	until   ident.Instant
+	wake    ident.Instant
+	arrived ident.Instant
+	groups  []*group
 	// sub is set for a query of another host: any part is better than none.
 	sub bool
 	// ran is set once a call may have run.
@@ -64,8 +65,9 @@
 	ended bool
 	// unit is the latency that was expected of an upstream of average speed,
 	// in nanoseconds, and queue the calls that waited there before this one.
-	unit  float64
-	queue int
+	unit   float64
+	queue  int
+	result Result
 }
 
 func (p *part) live() int {
@@ -141,6 +143,8 @@
 		stats:  s,
 		target: e.after(r.Target - margin - spent),
 		until:  e.after(min(limit-deadlineMargin, r.Timeout)),
+
+		arrived: e.now,
 	}
 	if r.Gathers() {
 		e.addParts(q, ev)
@@ -279,7 +283,7 @@
 		return
 	}
 	delete(e.attempts, a.id)
-	a.ended = true
+	a.ended, a.result = true, ev.Result
 	a.up.live = slices.DeleteFunc(a.up.live, func(o *attempt) bool { return o == a })
 	e.learn(a, ev)
 	p, q := a.part, a.query
@@ -402,6 +406,7 @@
 		After:  retryAfter,
 		Reason: "no upstream took the request",
 		Tried:  q.tried(),
+		Detail: e.detail(q),
 	}
 	switch {
 	case sent && timeout:
@@ -462,6 +467,9 @@
 		Shards:   make([]int, 0, good),
 		Tried:    q.tried(),
 	}
+	if m.Missing > 0 || e.now >= q.target {
+		m.Detail = e.detail(q)
+	}
 	for _, p := range q.parts {
 		if !p.has() {
 			continue
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -29,6 +29,7 @@
 			Status: NotNow,
 			After:  retryAfter,
 			Reason: "too many shards are overloaded",
+			Detail: e.detail(q),
 		})
 		e.end(q)
 		return false
