Never wait for news from this host itself

Cause: a control host that came back with an empty disk was told by another one that the leader was at its own address, where it had led before. Ruled out: a lost long poll; the entry hosts got replies without news. Change: the choice of the source is a type of its own that never names this host.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -324,36 +324,34 @@
 // has been removed from the group, asks for the document as well and is known
 // to the leader as one that may join.
 func (c *Core) follow(ctx context.Context) error {
-	seeds := c.cfg.Seeds
-	next, known := 0, ""
+	source := Source{
+		Own:   c.cfg.Link,
+		Seeds: c.cfg.Seeds,
+	}
+	lost := false
 	for ctx.Err() == nil {
 		select {
-		case seeds = <-c.seeds:
+		case source.Seeds = <-c.seeds:
 		default:
 		}
 		s, ok := c.status(ctx)
 		if ok && s.Role == quorum.Leader {
-			known = ""
+			source.Heard("")
 			sleep(ctx, retryEvery)
 			continue
 		}
 		hears := s.Leader != ""
-		target := known
-		if hears {
-			target = leaderAddress(s)
-		}
-		// An ask to a seed only finds out who leads.
-		finding := target == ""
-		if finding && len(seeds) > 0 {
-			target = seeds[next%len(seeds)]
-			next++
-		}
-		if target == "" || target == c.cfg.Link {
+		target, finding := source.Target(leaderAddress(s))
+		if target == "" {
 			sleep(ctx, retryEvery)
 			continue
 		}
 		leader, err := c.ask(ctx, target, hears, finding)
-		known = leader
+		if lost != (err != nil) || finding {
+			lost = err != nil
+			c.log.Info("source of news changed", "Source", target, "Lost", lost, "Leader", leader, "Hears", hears, "Version", c.board.Document().Version, "Error", text(err))
+		}
+		source.Heard(leader)
 		if err != nil || finding && leader == "" {
 			sleep(ctx, retryEvery)
 		}
@@ -402,6 +400,14 @@
 	return r.Leader, nil
 }
 
+// text returns the message of an error for a log; it is empty for none.
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
