Let a gatherer that drains finish its queries; document the platform

Change: queries are taken back only from a gatherer that does not answer. A refusal for overload names the overloaded shards. docs/OPERATIONS.md replaces docs/operators.md.

--- a/internal/front/hand.go
+++ b/internal/front/hand.go
@@ -130,7 +130,13 @@
 	if h.Domain == f.cfg.Domain && err == nil {
 		f.peers.heard(out.Alone)
 	}
-	if f.peers.mark(h.ID, good) {
+	changed := false
+	if err != nil {
+		changed = f.peers.lose(h.ID)
+	} else {
+		changed = f.peers.mark(h.ID, good)
+	}
+	if changed {
 		f.tellGatherers()
 		f.log.Info("gatherer changed", "Gatherer", string(h.ID), "Good", good, "RoundTripMicros", took.Microseconds())
 	}
@@ -171,7 +177,7 @@
 	var out handOut
 	err := f.client.Call(hctx, to.Link, methodHand, &in, &out)
 	f.countHanded(&out, err)
-	if err != nil && ctx.Err() == nil && f.peers.mark(to.ID, false) {
+	if err != nil && ctx.Err() == nil && f.peers.lose(to.ID) {
 		f.log.Info("gatherer is lost", "Gatherer", string(to.ID), "Request", string(in.ID), "Error", err.Error())
 		f.tellGatherers()
 	}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -181,17 +181,24 @@
 	}
 }
 
-// mark notes whether a gatherer answers. The queries at one that does not are
-// taken back.
+// mark notes whether a gatherer takes queries.
 func (p *peers) mark(id ident.HostID, good bool) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	changed = p.good[id] != good
 	p.good[id] = good
-	if !good {
-		for h := range p.handed[id] {
-			h.cancel()
-		}
+	return changed
+}
+
+// lose notes that a gatherer does not answer, and takes back the queries
+// there. One that stops still finishes those that it has.
+func (p *peers) lose(id ident.HostID) (changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed = p.good[id]
+	p.good[id] = false
+	for h := range p.handed[id] {
+		h.cancel()
 	}
 	return changed
 }
--- a/internal/launch/operate.go
+++ b/internal/launch/operate.go
@@ -106,7 +106,7 @@
 	dec := json.NewDecoder(f)
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&u); err != nil {
-		return u, errors.Wrapf(err, "upstream document %s cannot be decoded: see docs/operators.md for its fields", file)
+		return u, errors.Wrapf(err, "upstream document %s cannot be decoded: see docs/OPERATIONS.md for its fields", file)
 	}
 	return u, nil
 }
--- a/pkg/relay/detail.go
+++ b/pkg/relay/detail.go
@@ -48,7 +48,7 @@
 }
 
 // detail explains a query. Parts that were answered by their first call are
-// left out.
+// left out, and those that were not begun when a query was refused.
 func (e *Engine) detail(q *query) *Detail {
 	d := &Detail{
 		Route:      q.route.Name,
@@ -57,7 +57,8 @@
 		LateMicros: e.now.Sub(q.target).Microseconds(),
 	}
 	for _, p := range q.parts {
-		if p.good != nil && len(p.attempts) == 1 || p.good == nil && p.has() {
+		began := len(p.attempts) > 0 || p.skipped || q.ran
+		if p.good != nil && len(p.attempts) == 1 || p.good == nil && p.has() || !began {
 			continue
 		}
 		pd := PartDetail{
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -23,6 +23,9 @@
 			late = append(late, p)
 		}
 	}
+	for _, p := range late {
+		p.skipped = true
+	}
 	if !q.sub && len(late) > len(q.parts)-q.route.LeastParts() {
 		e.emit(Refuse{
 			Query:  q.id,
@@ -35,7 +38,6 @@
 		return false
 	}
 	for _, p := range late {
-		p.skipped = true
 		if g := p.group; g != nil {
 			g.parts = slices.DeleteFunc(g.parts, func(o *part) bool { return o == p })
 			p.group = nil
