--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -53,9 +53,9 @@
 	// ID is the identity of a data folder that has none yet; empty makes one up.
 	ID ident.HostID
 	// Extend registers further methods on the link to other hosts.
-	Extend func(*link.Server)
+	Extend func(*link.Server) `json:"-"`
 	// API replaces the operator API, if set.
-	API func(*Host) http.Handler
+	API func(*Host) http.Handler `json:"-"`
 
 	ElectionTimeout time.Duration
 	Heartbeat       time.Duration
--- /dev/null
+++ b/internal/story/table_test.go
@@ -0,0 +1,52 @@
+package story_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var message = regexp.MustCompile(`log\.(?:Debug|Info|Warn|Error)\("([^"]+)"`)
+
+// Guards against a log line that docs/OPERATIONS.md does not explain, and
+// against one that is explained but not written.
+func TestOperationsPageListsEachMessage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	written := make(map[string]bool)
+	for _, folder := range []string{"front", "core", "tier"} {
+		files, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
+		is.NoErr(err)
+		for _, file := range files {
+			source, err := os.ReadFile(file)
+			is.NoErr(err)
+			for _, m := range message.FindAllStringSubmatch(string(source), -1) {
+				written[m[1]] = true
+			}
+		}
+	}
+	listed := make(map[string]bool)
+	_, table, _ := strings.Cut(string(page), "| message | fields")
+	table, _, _ = strings.Cut(table, "In `Detail`")
+	for line := range strings.Lines(table) {
+		if rest, ok := strings.CutPrefix(line, "| `"); ok {
+			name, _, _ := strings.Cut(rest, "`")
+			listed[name] = true
+		}
+	}
+	for name := range written {
+		if !listed[name] {
+			t.Errorf("message %q is not in the table of docs/OPERATIONS.md", name)
+		}
+	}
+	for name := range listed {
+		if !written[name] {
+			t.Errorf("message %q of docs/OPERATIONS.md is not written", name)
+		}
+	}
+}
--- a/pkg/rules/table.go
+++ b/pkg/rules/table.go
@@ -1,7 +1,6 @@
 package rules
 
 import (
-	"net"
 	"strings"
 
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -46,11 +45,11 @@
 func (t *Table) Find(host, path string) *Route {
 	prefixes, ok := t.hosts[strings.ToLower(host)]
 	if !ok {
-		name, _, err := net.SplitHostPort(host)
-		if err != nil {
+		colon := strings.LastIndexByte(host, ':')
+		if colon < 0 {
 			return nil
 		}
-		if prefixes, ok = t.hosts[strings.ToLower(name)]; !ok {
+		if prefixes, ok = t.hosts[strings.ToLower(host[:colon])]; !ok {
 			return nil
 		}
 	}
