Hold out slow gatherers, and give gatherers most of the slack for extra calls

The 4 gatherers of 12 entry hosts had a third of the slack although they make nearly all calls. Ruled out: a threshold for single round trips. Change: round trips are smoothed, over 10 ms holds a gatherer out for 3 s; gatherers share 0.7 of the slack.

--- a/internal/front/hand.go
+++ b/internal/front/hand.go
@@ -26,10 +26,6 @@
 	// pingEvery and pingTimeout find a gatherer that is frozen or gone.
 	pingEvery   = 250 * time.Millisecond
 	pingTimeout = 200 * time.Millisecond
-
-	// pingSlow is the round trip above which a gatherer is overloaded; within
-	// a domain a round trip takes under a millisecond.
-	pingSlow = 25 * time.Millisecond
 )
 
 // handIn is a query that another host of the domain hands over.
@@ -126,7 +122,10 @@
 	var out pingOut
 	err := f.client.Call(ctx, h.Link, methodPing, &pingIn{}, &out)
 	took := time.Since(begin)
-	good := err == nil && out.Open && took < pingSlow
+	if err != nil {
+		took = pingTimeout
+	}
+	good := f.peers.quick(h.ID, took) && err == nil && out.Open
 	if h.Domain == f.cfg.Domain && err == nil {
 		f.peers.heard(out.Alone)
 	}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -25,6 +25,7 @@
 	mu        sync.Mutex
 	gatherers map[ident.Domain][]watch.Host
 	good      map[ident.HostID]bool
+	pace      map[ident.HostID]*pace
 	// handed are the queries in progress at each gatherer.
 	handed map[ident.HostID]map[*handed]bool
 	// others is set once there are other domains, and aloneFrom since when
@@ -38,6 +39,27 @@
 // counts as cut off: two pings and their timeouts.
 const aloneTime = 500 * time.Millisecond
 
+// pace tells how quickly a gatherer answers pings.
+type pace struct {
+	smooth time.Duration
+	// slowTo is until when it gets no queries since it was too slow. Without
+	// queries it answers quickly again, however slow its processor is.
+	slowTo time.Time
+}
+
+const (
+	// paceSlow is the smoothed round trip above which a gatherer is overloaded.
+	// Round trips within a domain take 1 to 2 ms, on a slowed host with its
+	// queries 60 ms.
+	paceSlow = 10 * time.Millisecond
+
+	// paceHold is how long an overloaded gatherer gets no queries.
+	paceHold = 3 * time.Second
+
+	// paceRate is the weight of a new round trip.
+	paceRate = 0.4
+)
+
 // handed is a query in progress at a gatherer.
 type handed struct{ cancel context.CancelFunc }
 
@@ -46,6 +68,7 @@
 		self:   self,
 		domain: domain,
 		good:   make(map[ident.HostID]bool),
+		pace:   make(map[ident.HostID]*pace),
 		handed: make(map[ident.HostID]map[*handed]bool),
 	}
 }
@@ -181,6 +204,28 @@
 	}
 }
 
+// quick takes the round trip of a ping and reports whether the gatherer keeps up.
+func (p *peers) quick(id ident.HostID, took time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.pace[id]
+	if c == nil {
+		c = &pace{smooth: took}
+		p.pace[id] = c
+	}
+	c.smooth += time.Duration(paceRate * float64(took-c.smooth))
+	now := time.Now()
+	if now.Before(c.slowTo) {
+		return false
+	}
+	if c.smooth > paceSlow {
+		c.slowTo = now.Add(paceHold)
+		c.smooth = paceSlow / 2
+		return false
+	}
+	return true
+}
+
 // mark notes whether a gatherer takes queries.
 func (p *peers) mark(id ident.HostID, good bool) (changed bool) {
 	p.mu.Lock()
--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -12,7 +12,8 @@
 	// and connections that an upstream has not noticed to be closed.
 	connectionShare = 0.85
 
-	// gathererShare is the part of an upstream's connections that gatherers get.
+	// gathererShare is the part of an upstream's connections, and of the slack
+	// for extra calls, that gatherers get.
 	gathererShare = 0.7
 
 	// queueAtUpstream is how many calls more than an upstream has slots a host
--- a/pkg/relay/detail.go
+++ b/pkg/relay/detail.go
@@ -67,7 +67,7 @@
 			Skipped:    p.skipped,
 			Waiting:    p.waits(),
 			Arrivals:   p.arrivals,
-			BudgetLeft: e.window(p.service).Left(e.now, e.hosts),
+			BudgetLeft: e.window(p.service).Left(e.now, e.share()),
 		}
 		if p.group != nil {
 			pd.HandedTo = p.group.domain
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -237,4 +237,14 @@
 	return max(1, int(limit*(1-gathererShare)/float64(e.hosts)))
 }
 
+// share is this host's part of the slack for extra calls. Gatherers get most
+// of it, as they make most of the calls.
+func (e *Engine) share() float64 {
+	share := (1 - gathererShare) / float64(e.hosts)
+	if e.gathering > 0 {
+		share += gathererShare / float64(e.gathering)
+	}
+	return share
+}
+
 func (e *Engine) after(d time.Duration) ident.Instant { return e.now.Add(d) }
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -217,7 +217,7 @@
 	if u == nil {
 		return
 	}
-	if !e.window(p.service).Take(e.now, e.hosts) {
+	if !e.window(p.service).Take(e.now, e.share()) {
 		p.lateAt = e.after(budgetPause)
 		q.wakeAt(p.lateAt)
 		return
@@ -244,7 +244,7 @@
 		p.hopeless = !busy
 		return
 	}
-	if p.arrivals > 0 && !e.window(p.service).Take(e.now, e.hosts) {
+	if p.arrivals > 0 && !e.window(p.service).Take(e.now, e.share()) {
 		p.hopeless = true
 		return
 	}
--- a/pkg/spend/spend.go
+++ b/pkg/spend/spend.go
@@ -1,7 +1,7 @@
 // Package spend bounds the calls that are sent beyond the first of each
 // request. The bound holds for any window of the given length, summed over
 // all hosts, while no host asks another: each keeps to the ratio of its own
-// requests and to an equal part of the slack.
+// requests and to its part of the slack.
 package spend
 
 import (
@@ -67,9 +67,9 @@
 	w.requests[w.at%cells]++
 }
 
-// Left returns how many extra calls may be sent now while hosts hosts share
-// the slack.
-func (w *Window) Left(now ident.Instant, hosts int) float64 {
+// Left returns how many extra calls may be sent now by a host with a share of
+// the slack; the shares of all hosts add up to 1.
+func (w *Window) Left(now ident.Instant, share float64) float64 {
 	w.slide(now)
 	requests, extras := 0.0, 0.0
 	for _, n := range w.requests {
@@ -78,12 +78,12 @@
 	for _, n := range w.extras {
 		extras += n
 	}
-	return requests*w.cfg.Ratio*ratioShare + w.cfg.Slack*slackShare/float64(max(1, hosts)) - extras
+	return requests*w.cfg.Ratio*ratioShare + w.cfg.Slack*slackShare*share - extras
 }
 
 // Take counts one extra call if it fits, and reports whether it does.
-func (w *Window) Take(now ident.Instant, hosts int) bool {
-	if w.Left(now, hosts) < 1 {
+func (w *Window) Take(now ident.Instant, share float64) bool {
+	if w.Left(now, share) < 1 {
 		return false
 	}
 	w.extras[w.at%(cells+1)]++
--- a/pkg/spend/spend_test.go
+++ b/pkg/spend/spend_test.go
@@ -21,7 +21,7 @@
 func ExampleWindow() {
 	w := spend.NewWindow(bound)
 	sent := 0
-	for w.Take(0, 10) {
+	for w.Take(0, 0.1) {
 		sent++
 	}
 	fmt.Println(sent)
@@ -48,7 +48,7 @@
 				requests = append(requests, now)
 			}
 			for range rapid.IntRange(0, 9).Draw(t, "wanted") {
-				if w.Take(at, hosts) {
+				if w.Take(at, 1/float64(hosts)) {
 					extras = append(extras, now)
 				}
 			}
