Move the choice of gatherers into pkg/crew; a slow gatherer is not a cut

Change: a host is cut off only if no gatherer elsewhere answers at all. The decisions are a reducer with tests.

--- a/internal/front/hand.go
+++ b/internal/front/hand.go
@@ -10,7 +10,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/gauge"
 	"github.com/jujubethread/jujubethread/internal/link"
-	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/crew"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 	"github.com/jujubethread/jujubethread/pkg/rules"
@@ -85,7 +85,7 @@
 	link.Handle(s, methodPing, func(context.Context, *pingIn) (*pingOut, error) {
 		return &pingOut{
 			Open:  !f.draining.Load() && f.table.Load() != nil,
-			Alone: f.peers.isAlone(),
+			Alone: f.peers.alone(f.now()),
 		}, nil
 	})
 	lis, err := net.Listen("tcp", f.cfg.Link)
@@ -103,7 +103,7 @@
 		for _, h := range f.peers.watched() {
 			go f.ping(ctx, h)
 		}
-		if alone := f.peers.isAlone(); alone != f.alone.Load() {
+		if alone := f.peers.alone(f.now()); alone != f.alone.Load() {
 			f.alone.Store(alone)
 			f.log.Info("contact with other domains changed", "Alone", alone)
 		}
@@ -115,7 +115,7 @@
 	}
 }
 
-func (f *Front) ping(ctx context.Context, h watch.Host) {
+func (f *Front) ping(ctx context.Context, h crew.Host) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	begin := time.Now()
@@ -125,16 +125,13 @@
 	if err != nil {
 		took = pingTimeout
 	}
-	good := f.peers.quick(h.ID, took) && err == nil && out.Open
-	if h.Domain == f.cfg.Domain && err == nil {
-		f.peers.heard(out.Alone)
-	}
-	changed := false
-	if err != nil {
-		changed = f.peers.lose(h.ID)
-	} else {
-		changed = f.peers.mark(h.ID, good)
-	}
+	good, changed := f.peers.pinged(h, crew.Ping{
+		Now:      f.now(),
+		Answered: err == nil,
+		Took:     took,
+		Open:     out.Open,
+		Alone:    out.Alone,
+	})
 	if changed {
 		f.tellGatherers()
 		f.log.Info("gatherer changed", "Gatherer", string(h.ID), "Good", good, "RoundTripMicros", took.Microseconds())
@@ -167,7 +164,7 @@
 }
 
 // hand calls a gatherer and notes one that does not answer.
-func (f *Front) hand(ctx context.Context, to watch.Host, in handIn) (*handOut, error) {
+func (f *Front) hand(ctx context.Context, to crew.Host, in handIn) (*handOut, error) {
 	limit := time.Duration(in.LimitMicros) * time.Microsecond
 	hctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -207,8 +207,7 @@
 	if n >= w.most || now.Sub(w.mostAt) > hostsKept {
 		w.most, w.mostAt = n, now
 	}
-	next := relay.Hosts{Count: w.most}
-	next.Gatherers, next.Gathers = w.front.peers.count()
+	next := w.front.peers.counts(w.most)
 	if next != w.told {
 		w.front.log.Info("hosts were counted", "Hosts", next.Count, "Gatherers", next.Gatherers, "Gathers", next.Gathers)
 		w.front.inputs <- input{event: next}
--- /dev/null
+++ b/pkg/crew/crew_test.go
@@ -0,0 +1,142 @@
+package crew_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/pkg/crew"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+func at(ms int) ident.Instant { return ident.Instant(time.Duration(ms) * time.Millisecond) }
+
+func hosts(perDomain int, domains ...ident.Domain) []crew.Host {
+	var list []crew.Host
+	for _, d := range domains {
+		for i := range perDomain {
+			list = append(list, crew.Host{
+				ID:     ident.HostID(fmt.Sprintf("%s-%d", d, i)),
+				Domain: d,
+			})
+		}
+	}
+	return list
+}
+
+func ping(ms int, took time.Duration) crew.Ping {
+	return crew.Ping{
+		Now:      at(ms),
+		Answered: true,
+		Took:     took,
+		Open:     true,
+	}
+}
+
+// gatherer returns the only gatherer of a domain.
+func gatherer(all []crew.Host, d ident.Domain) crew.Host {
+	c := crew.New("nobody", d)
+	c.Set(all)
+	return c.Watched()[0]
+}
+
+func ExampleCrew_Choose() {
+	c := crew.New("a-0", "a")
+	c.Set(hosts(3, "a", "b"))
+	for _, h := range c.Watched() {
+		c.Pinged(h, ping(0, time.Millisecond))
+	}
+	n, _ := c.Count()
+	_, elsewhere := c.Choose("b", "r1")
+	fmt.Println(n, elsewhere || len(c.Elsewhere()) == 0)
+	// Output: 2 true
+}
+
+// Guards against hosts that disagree about who gathers.
+func TestAllHostsChooseTheSame(t *testing.T) {
+	is := is.New(t)
+	all := hosts(20, "a", "b")
+	first := crew.New("a-1", "a")
+	first.Set(all)
+	second := crew.New("a-2", "a")
+	second.Set(append(all[7:], all[:7]...))
+	n, _ := first.Count()
+	is.Equal(n, 6) // one for each 8 hosts
+	m, _ := second.Count()
+	is.Equal(n, m)
+}
+
+// Guards against queries for a gatherer on a slowed machine, which answers
+// quickly as soon as it has none.
+func TestSlowGathererIsHeldOut(t *testing.T) {
+	is := is.New(t)
+	all := hosts(3, "a")
+	g := gatherer(all, "a")
+	c := crew.New("nobody", "a")
+	c.Set(all)
+	good, _ := c.Pinged(g, ping(0, time.Millisecond))
+	is.True(good)
+	for ms := 250; ms <= 500; ms += 250 {
+		good, _ = c.Pinged(g, ping(ms, 60*time.Millisecond))
+	}
+	is.True(!good)
+	held := 0
+	for ms := 750; ms <= 5000; ms += 250 {
+		if good, _ = c.Pinged(g, ping(ms, time.Millisecond)); !good {
+			held = ms
+		}
+	}
+	is.True(held >= 250+int(crew.HoldTime.Milliseconds())-250)
+	is.True(good)
+}
+
+// Guards against a domain that refuses its callers because the gatherers of
+// the others are slow, or one is gone.
+func TestSlowIsNotCutOff(t *testing.T) {
+	is := is.New(t)
+	all := hosts(1, "a", "b", "c")
+	c := crew.New("a-0", "a")
+	c.Set(all)
+	for ms := 0; ms < 5000; ms += 250 {
+		c.Pinged(all[1], ping(ms, 150*time.Millisecond))
+		c.Pinged(all[2], crew.Ping{Now: at(ms)})
+		is.True(!c.Alone(at(ms)))
+	}
+	is.Equal(len(c.Elsewhere()), 0) // too slow to be handed queries
+}
+
+// Guards against a domain that keeps callers while it reaches no other.
+func TestCutOffDomainKnowsIt(t *testing.T) {
+	is := is.New(t)
+	all := hosts(1, "a", "b")
+	c := crew.New("a-0", "a")
+	c.Set(all)
+	c.Pinged(all[1], ping(0, time.Millisecond))
+	is.True(!c.Alone(at(100)))
+	c.Pinged(all[1], crew.Ping{Now: at(250)})
+	is.True(!c.Alone(at(250)))
+	is.True(c.Alone(at(250 + int(crew.AloneTime.Milliseconds()) + 1)))
+	c.Pinged(all[1], ping(1000, time.Millisecond))
+	is.True(!c.Alone(at(1000)))
+}
+
+// Guards against queries for a gatherer that stops or was lost.
+func TestLostOrClosedGathererIsNotChosen(t *testing.T) {
+	is := is.New(t)
+	all := hosts(2, "a")
+	g := gatherer(all, "a")
+	c := crew.New("nobody", "a")
+	c.Set(all)
+	c.Pinged(g, ping(0, time.Millisecond))
+	_, ok := c.Choose("a", "r1")
+	is.True(ok)
+	is.True(c.Lost(g.ID))
+	_, ok = c.Choose("a", "r1")
+	is.True(!ok)
+	closed := ping(250, time.Millisecond)
+	closed.Open = false
+	good, _ := c.Pinged(g, closed)
+	is.True(!good)
+}
