--- a/internal/tier/option.go
+++ b/internal/tier/option.go
@@ -4,7 +4,6 @@
 	"flag"
 	"io"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -24,8 +23,8 @@
                  request on all hosts; "tier story FROM TO" prints what the
                  hosts believed between two times (RFC 3339)
 
-Each flag of a daemon may also be a line of the file that -config or JUJUBETHREAD_CONFIG
-names ("name value"), or a variable JUJUBETHREAD_NAME.
+Each flag of a daemon may also be a variable, JUJUBETHREAD_ and its name in
+capitals, or a line "name value" of the file that -config names.
 
 `
 
@@ -66,7 +65,7 @@
 	fs := flag.NewFlagSet("tier "+command, flag.ContinueOnError)
 	fs.SetOutput(out)
 	var name, domain, seeds, ports string
-	fs.StringVar(&o.File, "config", os.Getenv("JUJUBETHREAD_CONFIG"), "settings file")
+	fs.StringVar(&o.File, "config", "", "settings file")
 	fs.StringVar(&name, "name", "", "name of this host")
 	fs.StringVar(&domain, "domain", "", "failure domain of this host")
 	fs.StringVar(&o.IP, "ip", "", "address of this host")
