--- a/pkg/crew/crew.go
+++ b/pkg/crew/crew.go
@@ -14,8 +14,8 @@
 
 const (
 	// hostsPerGatherer is the number of entry hosts of a domain for which one
-	// gathers. Fewer gatherers know more of each upstream's state; one spends
-	// about a quarter of its processor on the queries of 8 hosts.
+	// gathers. Fewer gatherers know more of each upstream's state; the
+	// busiest used 0.06 of its 0.27 cores on hanbit-jt scale-2.
 	hostsPerGatherer = 8
 
 	// SlowPing is the smoothed round trip above which a gatherer is overloaded.
