Let a removed member campaign under any list that may be committed

A leader that had removed itself looked up its vote in that old list, found itself in neither that list nor the newest one, and never campaigned, while no shorter log could be elected: the group had no leader for good. Found by TestRandomHistories (the kept history under testdata); ruled out: the check (all hosts were up and connected for 30 s), the vote rules (the shorter log is refused rightly).

mayCampaign now looks at every list from the commit on.

--- a/pkg/quorum/elect.go
+++ b/pkg/quorum/elect.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "github.com/jujubethread/jujubethread/pkg/ident"
+import (
+	"slices"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
 
 // campaignPre asks whether an election could be won, without raising the
 // term, so that a member that was cut off does not disturb a working leader.
@@ -12,11 +16,14 @@
 }
 
 // mayCampaign also holds for a voter whose removal is not known to be
-// committed: it may be the only one that can complete the removal.
+// committed: it may be the only one that can complete the removal. After a
+// restart the commit is known up to the snapshot only, so any later list may
+// be the committed one.
 func (n *Node) mayCampaign() bool {
-	committed, _ := n.log.members(n.commit)
-	m, ok := findMember(committed, n.cfg.ID)
-	return n.isVoter(n.cfg.ID) || ok && m.Voter
+	return slices.ContainsFunc(n.log.listsFrom(n.commit), func(list []Member) bool {
+		m, ok := findMember(list, n.cfg.ID)
+		return ok && m.Voter
+	})
 }
 
 // campaign starts a real election in the next term.
--- a/pkg/quorum/entries.go
+++ b/pkg/quorum/entries.go
@@ -102,3 +102,16 @@
 	}
 	return l.baseMembers, l.base
 }
+
+// listsFrom returns the member list in effect at index i, which is not before
+// base, and all later ones.
+func (l *entries) listsFrom(i Index) [][]Member {
+	first, _ := l.members(i)
+	lists := [][]Member{first}
+	for _, j := range l.changes {
+		if j > i {
+			lists = append(lists, l.at(j).Members)
+		}
+	}
+	return lists
+}
--- a/pkg/quorum/quorum_test.go
+++ b/pkg/quorum/quorum_test.go
@@ -399,3 +399,39 @@
 		is.Equal(confirmed, quorum.Index(2))
 	}
 }
+
+// Guards against a group without a leader after a leader that removed itself
+// restarts: it alone holds the removal, does not know which lists are
+// committed, and no shorter log can be elected.
+func TestRestartedMemberCompletesItsOwnRemoval(t *testing.T) {
+	is := is.New(t)
+	voter := func(id ident.HostID) quorum.Member {
+		return quorum.Member{ID: id, Address: "sim", Voter: true}
+	}
+	lists := [][]quorum.Member{
+		{voter("a"), voter("b")},
+		{voter("b")},
+		{voter("b"), voter("c")},
+		{voter("c")},
+	}
+	stored := quorum.Stored{
+		Hard:     quorum.HardState{Term: 2, Vote: "b"},
+		Snapshot: quorum.Bootstrap([]quorum.Member{{ID: "a", Address: "sim"}}, nil),
+	}
+	for i, members := range lists {
+		stored.Entries = append(stored.Entries, quorum.Entry{
+			Index:   quorum.Index(2 + i),
+			Term:    2,
+			Kind:    quorum.Membership,
+			Members: members,
+		})
+	}
+	n, err := quorum.New(quorum.Config{ID: "b"}, stored, 0)
+	is.NoErr(err)
+	asked := false
+	for _, e := range n.Step(quorum.Tick{Now: ident.Instant(5 * time.Second)}) {
+		send, ok := e.(quorum.Send)
+		asked = asked || ok && send.Message.To == "c"
+	}
+	is.True(asked) // asks for the vote of the only remaining voter
+}
