Let the leader make itself known to seeds outside the group

After the loss of power of all hosts the group elected a leader within 1 s, but the seeds asked only each other and every entry host asked only the seeds: nobody outside the group heard of the leader (0 of 155 requests served). Ruled out: the election and the log (the five members agree).

The leader now calls each seed that is no member twice a second. The new test fails without it.

--- /dev/null
+++ b/internal/core/announce_test.go
@@ -0,0 +1,91 @@
+package core_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/internal/core"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/platform"
+)
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start runs a control host until the test ends and returns it with the
+// address for operators.
+func start(t *testing.T, link string, first bool, seeds ...string) (host *core.Core, operator string) {
+	t.Helper()
+	operator = free(t)
+	c, err := core.New(core.Config{
+		Name:        ident.HostID("core-" + link),
+		Domain:      "a",
+		Folder:      t.TempDir(),
+		Operator:    operator,
+		Link:        link,
+		Seeds:       seeds,
+		First:       first,
+		ListAddress: free(t),
+		Log:         slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := c.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return c, operator
+}
+
+// Guards against a system that stays without configuration after a loss of
+// power of all hosts, because every seed has been replaced in the group and
+// the seeds know of each other only.
+func TestSeedOutsideTheGroupLearnsWhoLeads(t *testing.T) {
+	is := is.New(t)
+	const patience = 15 * time.Second
+	memberLink, seedLink := free(t), free(t)
+	member, memberOperator := start(t, memberLink, true, memberLink)
+	_, seedOperator := start(t, seedLink, false, seedLink)
+	member.SetSeeds([]string{seedLink})
+	put := func(operator string) int {
+		req, err := http.NewRequest(http.MethodPut, "http://"+operator+platform.PathConfiguration,
+			strings.NewReader(`{"Version":3,"Routes":[],"Services":[],"Limits":{}}`))
+		is.NoErr(err)
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0
+		}
+		_ = res.Body.Close()
+		return res.StatusCode
+	}
+	for _, operator := range []string{memberOperator, seedOperator} {
+		status := 0
+		for end := time.Now().Add(patience); status != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			status = put(operator)
+		}
+		is.Equal(status, http.StatusOK)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -85,7 +86,9 @@
 	lister *platform.Lister
 	keeper *roster.Keeper
 
-	seeds chan []string
+	seeds atomic.Pointer[[]string]
+	// leaders gets the leaders that announce themselves.
+	leaders chan string
 
 	// confirmed is the digest of this host's askers that the leader knows.
 	confirmed uint64
@@ -108,21 +111,22 @@
 		return nil, err
 	}
 	c := &Core{
-		cfg:    cfg,
-		log:    cfg.Log,
-		board:  watch.NewBoard(),
-		client: client,
-		lister: platform.NewLister(cfg.ListAddress),
-		keeper: roster.NewKeeper(),
-		seeds:  make(chan []string, 1),
+		cfg:     cfg,
+		log:     cfg.Log,
+		board:   watch.NewBoard(),
+		client:  client,
+		lister:  platform.NewLister(cfg.ListAddress),
+		keeper:  roster.NewKeeper(),
+		leaders: make(chan string, 1),
 	}
+	c.seeds.Store(&cfg.Seeds)
 	own := ctrl.Config{
 		Folder:  cfg.Folder,
 		Listen:  cfg.Operator,
 		Address: cfg.Link,
 		Link:    secure,
 		Parts:   []state.Part{&documentPart{board: c.board}},
-		Extend:  c.board.Register,
+		Extend:  c.register,
 		API:     c.api,
 
 		ElectionTimeout: electionTimeout,
@@ -158,6 +162,7 @@
 	g.Go(func() error { return c.keep(ctx) })
 	g.Go(func() error { return c.readList(ctx) })
 	g.Go(func() error { return c.follow(ctx) })
+	g.Go(func() error { return c.announce(ctx) })
 	g.Go(func() error { return c.serveMetrics(ctx) })
 	err := g.Wait()
 	c.log.Info("control host stops")
@@ -167,11 +172,8 @@
 
 // SetSeeds replaces the seeds after the settings have changed.
 func (c *Core) SetSeeds(seeds []string) {
-	select {
-	case <-c.seeds:
-	default:
-	}
-	c.seeds <- seeds
+	c.log.Info("seeds changed", "Seeds", seeds)
+	c.seeds.Store(&seeds)
 }
 
 // status returns this member's view of the group; ok is false while the
@@ -324,14 +326,13 @@
 // has been removed from the group, asks for the document as well and is known
 // to the leader as one that may join.
 func (c *Core) follow(ctx context.Context) error {
-	source := Source{
-		Own:   c.cfg.Link,
-		Seeds: c.cfg.Seeds,
-	}
+	source := Source{Own: c.cfg.Link}
 	lost := false
 	for ctx.Err() == nil {
+		source.Seeds = *c.seeds.Load()
 		select {
-		case source.Seeds = <-c.seeds:
+		case leader := <-c.leaders:
+			source.Heard(leader)
 		default:
 		}
 		s, ok := c.status(ctx)
@@ -347,7 +348,7 @@
 			continue
 		}
 		leader, err := c.ask(ctx, target, hears, finding)
-		if lost != (err != nil) || finding {
+		if lost != (err != nil) || finding && leader != "" {
 			lost = err != nil
 			c.log.Info("source of news changed", "Source", target, "Lost", lost, "Leader", leader, "Hears", hears, "Version", c.board.Document().Version, "Error", text(err))
 		}
