Remember other domains while cut off from them

Ruled out: the pings (all others unanswered throughout).

A domain now counts as one of the system's for 30 s after the last list with a host of it. The new test fails without it.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -30,7 +30,7 @@
 }
 
 // set takes a new roster.
-func (p *peers) set(roster []watch.Host) {
+func (p *peers) set(now ident.Instant, roster []watch.Host) {
 	hosts := make([]crew.Host, 0, len(roster))
 	for _, h := range roster {
 		if h.Kind == watch.Entry {
@@ -44,7 +44,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.crew.Set(hosts)
+	p.crew.Set(now, hosts)
 }
 
 func (p *peers) choose(d ident.Domain, id ident.RequestID) (crew.Host, bool) {
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -136,7 +136,7 @@
 	w.list(r)
 	if r.Roster != w.roster {
 		w.hosts, w.roster = r.Hosts, r.Roster
-		f.peers.set(w.hosts)
+		f.peers.set(f.now(), w.hosts)
 		f.tellGatherers()
 		if closer := w.closer(); closer != "" {
 			w.source, w.next = closer, 0
--- a/pkg/crew/crew.go
+++ b/pkg/crew/crew.go
@@ -31,6 +31,11 @@
 	// as cut off: two pings and their timeouts.
 	AloneTime = 500 * time.Millisecond
 
+	// domainMemory is how long a domain counts as one of the system's after the
+	// last list with a host of it. The list of a host that is cut off together
+	// with the control leader soon holds its own domain only.
+	domainMemory = 30 * time.Second
+
 	// pingWeight is the weight of a new round trip.
 	pingWeight = 0.4
 )
@@ -72,6 +77,8 @@
 	gatherers map[ident.Domain][]Host
 	paces     map[ident.HostID]*pace
 	gathers   bool
+	// listed is when each domain was last in the list of hosts.
+	listed map[ident.Domain]ident.Instant
 	// alone is set since aloneFrom if no other domain is reached, as this host
 	// sees it or its gatherer does.
 	alone     bool
@@ -84,21 +91,27 @@
 		self:   self,
 		domain: domain,
 		paces:  make(map[ident.HostID]*pace),
+		listed: make(map[ident.Domain]ident.Instant),
 	}
 }
 
 // Set takes the hosts that are alive and chooses the gatherers of each domain:
 // those whose ids hash lowest, so that all hosts agree and few change with the
 // list. An empty list is ignored.
-func (c *Crew) Set(hosts []Host) {
+func (c *Crew) Set(now ident.Instant, hosts []Host) {
 	if len(hosts) == 0 {
 		return
 	}
+	// Domains that were known until now are remembered from now on.
+	for d := range c.gatherers {
+		c.listed[d] = now
+	}
 	domains := make(map[ident.Domain][]Host)
 	for _, h := range hosts {
 		domains[h.Domain] = append(domains[h.Domain], h)
 	}
 	for d, list := range domains {
+		c.listed[d] = now
 		wanted := (len(list) + hostsPerGatherer - 1) / hostsPerGatherer
 		list = slices.DeleteFunc(list, func(h Host) bool { return h.Draining })
 		slices.SortFunc(list, func(x, y Host) int { return cmp.Compare(Hash(string(x.ID)), Hash(string(y.ID))) })
@@ -220,11 +233,21 @@
 // gatherer that answers slowly is reached all the same.
 func (c *Crew) Alone(now ident.Instant) bool {
 	if c.gathers {
-		c.setAlone(now, len(c.gatherers) > 1 && !c.reaches())
+		c.setAlone(now, c.othersKnown(now) && !c.reaches())
 	}
 	return c.alone && now.Sub(c.aloneFrom) > AloneTime
 }
 
+// othersKnown reports whether the system has other domains.
+func (c *Crew) othersKnown(now ident.Instant) bool {
+	for d, at := range c.listed {
+		if d != c.domain && (len(c.gatherers[d]) > 0 || now.Sub(at) < domainMemory) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Crew) reaches() bool {
 	for d, hosts := range c.gatherers {
 		if d != c.domain && slices.ContainsFunc(hosts, func(h Host) bool { return c.pace(h.ID).answers }) {
--- a/pkg/crew/crew_test.go
+++ b/pkg/crew/crew_test.go
@@ -38,13 +38,13 @@
 // gatherer returns the only gatherer of a domain.
 func gatherer(all []crew.Host, d ident.Domain) crew.Host {
 	c := crew.New("nobody", d)
-	c.Set(all)
+	c.Set(0, all)
 	return c.Watched()[0]
 }
 
 func ExampleCrew_Choose() {
 	c := crew.New("a-0", "a")
-	c.Set(hosts(3, "a", "b"))
+	c.Set(0, hosts(3, "a", "b"))
 	for _, h := range c.Watched() {
 		c.Pinged(h, ping(0, time.Millisecond))
 	}
@@ -59,9 +59,9 @@
 	is := is.New(t)
 	all := hosts(20, "a", "b")
 	first := crew.New("a-1", "a")
-	first.Set(all)
+	first.Set(0, all)
 	second := crew.New("a-2", "a")
-	second.Set(append(all[7:], all[:7]...))
+	second.Set(0, append(all[7:], all[:7]...))
 	n, _ := first.Count()
 	is.Equal(n, 6) // one for each 8 hosts
 	m, _ := second.Count()
@@ -75,7 +75,7 @@
 	all := hosts(3, "a")
 	g := gatherer(all, "a")
 	c := crew.New("nobody", "a")
-	c.Set(all)
+	c.Set(0, all)
 	good, _ := c.Pinged(g, ping(0, time.Millisecond))
 	is.True(good)
 	for ms := 250; ms <= 500; ms += 250 {
@@ -98,7 +98,7 @@
 	is := is.New(t)
 	all := hosts(1, "a", "b", "c")
 	c := crew.New("a-0", "a")
-	c.Set(all)
+	c.Set(0, all)
 	for ms := 0; ms < 5000; ms += 250 {
 		c.Pinged(all[1], ping(ms, 150*time.Millisecond))
 		c.Pinged(all[2], crew.Ping{Now: at(ms)})
@@ -112,7 +112,7 @@
 	is := is.New(t)
 	all := hosts(1, "a", "b")
 	c := crew.New("a-0", "a")
-	c.Set(all)
+	c.Set(0, all)
 	c.Pinged(all[1], ping(0, time.Millisecond))
 	is.True(!c.Alone(at(100)))
 	c.Pinged(all[1], crew.Ping{Now: at(250)})
@@ -128,7 +128,7 @@
 	all := hosts(2, "a")
 	g := gatherer(all, "a")
 	c := crew.New("nobody", "a")
-	c.Set(all)
+	c.Set(0, all)
 	c.Pinged(g, ping(0, time.Millisecond))
 	_, ok := c.Choose("a", "r1")
 	is.True(ok)
@@ -140,3 +140,19 @@
 	good, _ := c.Pinged(g, closed)
 	is.True(!good)
 }
+
+// Guards against a domain that is cut off together with the control leader and
+// takes callers again once its list of hosts holds no other domain.
+func TestCutOffDomainRemembersTheOthers(t *testing.T) {
+	is := is.New(t)
+	c := crew.New("a-0", "a")
+	all := hosts(1, "a", "b")
+	c.Set(0, all)
+	c.Pinged(all[1], ping(0, time.Millisecond))
+	c.Pinged(all[1], crew.Ping{Now: at(250)})
+	is.True(!c.Alone(at(250)))
+	is.True(c.Alone(at(1000)))
+	c.Set(at(4000), hosts(1, "a"))
+	is.True(c.Alone(at(5000)))
+	is.True(!c.Alone(at(40000))) // the other domain has been taken out of service
+}
