--- a/internal/front/hand.go
+++ b/internal/front/hand.go
@@ -16,17 +16,8 @@
 	"github.com/jujubethread/jujubethread/pkg/rules"
 )
 
-// The calls between entry hosts.
-const (
-	methodHand = "/front/hand" // handIn, handOut
-	methodPing = "/front/ping" // pingIn, pingOut
-)
-
-const (
-	// pingEvery and pingTimeout find a gatherer that is frozen or gone.
-	pingEvery   = 250 * time.Millisecond
-	pingTimeout = 200 * time.Millisecond
-)
+// methodHand is the call between entry hosts; handIn, handOut.
+const methodHand = "/front/hand"
 
 // handIn is a query that another host of the domain hands over.
 type handIn struct {
@@ -44,6 +35,8 @@
 	// TargetMicros the time in which their answer is useful.
 	Shards       []int `cbor:",omitempty"`
 	TargetMicros int64 `cbor:",omitempty"`
+	// Direct is set if the receiver has to call the upstreams itself.
+	Direct bool `cbor:",omitempty"`
 }
 
 // handOut is the end of a handed query.
@@ -64,14 +57,6 @@
 	Reason      string        `cbor:",omitempty"`
 }
 
-type pingIn struct{}
-
-type pingOut struct {
-	Open bool
-	// Alone is set while the gatherer reaches no other domain.
-	Alone bool `cbor:",omitempty"`
-}
-
 // serveLink serves other entry hosts until ctx ends.
 func (f *Front) serveLink(ctx context.Context) error {
 	s, err := link.NewServer(link.Config{
@@ -82,12 +67,6 @@
 		return err
 	}
 	link.Handle(s, methodHand, f.takeHanded)
-	link.Handle(s, methodPing, func(context.Context, *pingIn) (*pingOut, error) {
-		return &pingOut{
-			Open:  !f.draining.Load() && f.table.Load() != nil,
-			Alone: f.peers.alone(f.now()),
-		}, nil
-	})
 	lis, err := net.Listen("tcp", f.cfg.Link)
 	if err != nil {
 		return errors.Wrapf(err, "cannot listen for other hosts on %s", f.cfg.Link)
@@ -95,49 +74,6 @@
 	return s.Serve(ctx, lis)
 }
 
-// pingPeers keeps track of the gatherers until ctx ends.
-func (f *Front) pingPeers(ctx context.Context) error {
-	tick := time.NewTicker(pingEvery)
-	defer tick.Stop()
-	for {
-		for _, h := range f.peers.watched() {
-			go f.ping(ctx, h)
-		}
-		if alone := f.peers.alone(f.now()); alone != f.alone.Load() {
-			f.alone.Store(alone)
-			f.log.Info("contact with other domains changed", "Alone", alone)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-	}
-}
-
-func (f *Front) ping(ctx context.Context, h crew.Host) {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	begin := time.Now()
-	var out pingOut
-	err := f.client.Call(ctx, h.Link, methodPing, &pingIn{}, &out)
-	took := time.Since(begin)
-	if err != nil {
-		took = pingTimeout
-	}
-	good, changed := f.peers.pinged(h, crew.Ping{
-		Now:      f.now(),
-		Answered: err == nil,
-		Took:     took,
-		Open:     out.Open,
-		Alone:    out.Alone,
-	})
-	if changed {
-		f.tellGatherers()
-		f.log.Info("gatherer changed", "Gatherer", string(h.ID), "Good", good, "RoundTripMicros", took.Microseconds())
-	}
-}
-
 // handOver lets a gatherer of the domain serve a query. It returns nil if this
 // host has to serve it. A query that was lost at the gatherer is not started
 // again here: its calls may have run, and the caller's own next try has all
@@ -206,7 +142,8 @@
 	}
 }
 
-// startHand lets the gatherer of another domain answer for some shards.
+// startHand lets the gatherer of another domain or a helper answer for some
+// shards.
 func (f *Front) startHand(e relay.Hand) {
 	q := f.queries[e.Query]
 	if q == nil {
@@ -214,7 +151,10 @@
 	}
 	in := q.handIn(e.Version, e.Limit)
 	in.Shards, in.TargetMicros = e.Shards, e.Target.Microseconds()
-	to, ok := f.peers.choose(e.Domain, q.id)
+	to, ok := f.peers.helper(e.Helper)
+	if in.Direct = e.Helper != ""; !in.Direct {
+		to, ok = f.peers.choose(e.Domain, q.id)
+	}
 	if q.ctx == nil {
 		q.ctx, q.cancel = context.WithCancel(context.Background())
 	}
@@ -237,10 +177,8 @@
 	}(q.ctx)
 }
 
-// tellGatherers tells the engine in which other domains a host gathers.
-func (f *Front) tellGatherers() {
-	f.inputs <- input{event: relay.Gatherers{Domains: f.peers.elsewhere()}}
-}
+// tellGatherers tells the engine where shards of a query can be handed.
+func (f *Front) tellGatherers() { f.inputs <- input{event: f.peers.gatherers()} }
 
 // takeHanded serves a query that another host hands over.
 func (f *Front) takeHanded(ctx context.Context, in *handIn) (*handOut, error) {
@@ -267,6 +205,7 @@
 		Version: in.Version,
 		Shards:  in.Shards,
 		Target:  time.Duration(in.TargetMicros) * time.Microsecond,
+		Direct:  in.Direct,
 	})
 	if !ok {
 		return nil, ctx.Err()
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -74,10 +74,20 @@
 	return h
 }
 
-func (p *peers) elsewhere() []ident.Domain {
+// gatherers returns where shards of a query can be handed.
+func (p *peers) gatherers() relay.Gatherers {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.crew.Elsewhere()
+	return relay.Gatherers{
+		Domains: p.crew.Elsewhere(),
+		Helpers: p.crew.Helpers(),
+	}
+}
+
+func (p *peers) helper(id ident.HostID) (crew.Host, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crew.Helper(id)
 }
 
 // pinged takes the result of a ping. The queries at a gatherer that does not
--- a/pkg/crew/crew.go
+++ b/pkg/crew/crew.go
@@ -19,9 +19,9 @@
 	hostsPerGatherer = 8
 
 	// SlowPing is the smoothed round trip above which a gatherer is overloaded.
-	// Round trips within a domain take 1 to 2 ms, on a slowed host with its
+	// Round trips within a domain take 1 to 8 ms, on a slowed host with its
 	// queries 60 ms.
-	SlowPing = 10 * time.Millisecond
+	SlowPing = 25 * time.Millisecond
 
 	// HoldTime is how long an overloaded gatherer gets no queries. Without
 	// queries it answers quickly again, however slow its processor is.
@@ -75,8 +75,10 @@
 	domain ident.Domain
 
 	gatherers map[ident.Domain][]Host
-	paces     map[ident.HostID]*pace
-	gathers   bool
+	// helpers take shares of the queries of this host while it gathers.
+	helpers []Host
+	paces   map[ident.HostID]*pace
+	gathers bool
 	// listed is when each domain was last in the list of hosts.
 	listed map[ident.Domain]ident.Instant
 	// alone is set since aloneFrom if no other domain is reached, as this host
@@ -97,7 +99,8 @@
 
 // Set takes the hosts that are alive and chooses the gatherers of each domain:
 // those whose ids hash lowest, so that all hosts agree and few change with the
-// list. An empty list is ignored.
+// list. The other hosts of a domain help one of its gatherers each. An empty
+// list is ignored.
 func (c *Crew) Set(now ident.Instant, hosts []Host) {
 	if len(hosts) == 0 {
 		return
@@ -110,12 +113,22 @@
 	for _, h := range hosts {
 		domains[h.Domain] = append(domains[h.Domain], h)
 	}
+	c.helpers = nil
 	for d, list := range domains {
 		c.listed[d] = now
 		wanted := (len(list) + hostsPerGatherer - 1) / hostsPerGatherer
 		list = slices.DeleteFunc(list, func(h Host) bool { return h.Draining })
 		slices.SortFunc(list, func(x, y Host) int { return cmp.Compare(Hash(string(x.ID)), Hash(string(y.ID))) })
-		domains[d] = list[:min(wanted, len(list))]
+		wanted = min(wanted, len(list))
+		domains[d] = list[:wanted]
+		if d != c.domain {
+			continue
+		}
+		if own := slices.IndexFunc(domains[d], c.isSelf); own >= 0 {
+			for i := wanted + own; i < len(list); i += wanted {
+				c.helpers = append(c.helpers, list[i])
+			}
+		}
 	}
 	c.gatherers = domains
 	c.gathers = slices.ContainsFunc(domains[c.domain], c.isSelf)
@@ -173,6 +186,26 @@
 	return list
 }
 
+// Helpers lists the hosts that help this one and can be used.
+func (c *Crew) Helpers() []ident.HostID {
+	var list []ident.HostID
+	for _, h := range c.helpers {
+		if c.good(h) {
+			list = append(list, h.ID)
+		}
+	}
+	return list
+}
+
+// Helper returns one of the hosts that help this one.
+func (c *Crew) Helper(id ident.HostID) (Host, bool) {
+	i := slices.IndexFunc(c.helpers, func(h Host) bool { return h.ID == id })
+	if i < 0 {
+		return Host{}, false
+	}
+	return c.helpers[i], true
+}
+
 // Count returns the number of gatherers and whether this host is one.
 func (c *Crew) Count() (gatherers int, gathers bool) {
 	for _, hosts := range c.gatherers {
@@ -182,12 +215,12 @@
 }
 
 // Watched lists the hosts to ping: the gatherers of this domain and, on one of
-// them, those of the others.
+// them, those of the others and its helpers.
 func (c *Crew) Watched() []Host {
 	if !c.gathers {
 		return slices.Clone(c.gatherers[c.domain])
 	}
-	var list []Host
+	list := slices.Clone(c.helpers)
 	for _, hosts := range c.gatherers {
 		list = append(list, hosts...)
 	}
--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -41,6 +41,11 @@
 	// host together; fewer are called directly.
 	leastHand = 2
 
+	// leastSlice is the smallest number of a route's shards for which a helper
+	// is used. A message to a helper costs about as much processor time as two
+	// calls, so finer slices would make the gatherer the slowest part.
+	leastSlice = 16
+
 	// skipShare is the part of the time to the target that a shard's expected
 	// latency must exceed to be skipped.
 	skipShare = 0.9
--- a/pkg/relay/detail.go
+++ b/pkg/relay/detail.go
@@ -24,8 +24,10 @@
 	// no connection was free.
 	Skipped bool `json:"Skipped,omitempty"`
 	Waiting bool `json:"Waiting,omitempty"`
-	// HandedTo is the domain whose gatherer had the part in hand.
+	// HandedTo is the domain whose gatherer had the part in hand, or Helper the
+	// host of this domain.
 	HandedTo ident.Domain `json:"HandedTo,omitempty"`
+	Helper   ident.HostID `json:"Helper,omitempty"`
 	Arrivals int          `json:"Arrivals,omitempty"`
 	Calls    []CallDetail `json:"Calls,omitempty"`
 	// BudgetLeft is what was left for extra calls to the service.
@@ -67,10 +69,10 @@
 			Skipped:    p.skipped,
 			Waiting:    p.waits(),
 			Arrivals:   p.arrivals,
-			BudgetLeft: e.window(p.service).Left(e.now, e.share()),
+			BudgetLeft: e.window(p.service).Left(e.now, e.share(q)),
 		}
 		if p.group != nil {
-			pd.HandedTo = p.group.domain
+			pd.HandedTo, pd.Helper = p.group.domain, p.group.helper
 		}
 		for _, a := range p.attempts {
 			pd.Calls = append(pd.Calls, CallDetail{
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -33,8 +33,10 @@
 	rand  *rand.Rand
 	now   ident.Instant
 	hosts int
-	// gathering is the number of gatherers if this host is one, else 0.
-	gathering int
+	// teams is the number of gatherers, each with its helpers; gathers is set
+	// if this host is one of them.
+	teams   int
+	gathers bool
 
 	table *rules.Table
 	// kept are the last documents, the newest last, for queries that another
@@ -48,6 +50,8 @@
 
 	// gatherers are the other domains in which a host gathers for this one.
 	gatherers map[ident.Domain]bool
+	// helpers take shares of the queries over many shards.
+	helpers []ident.HostID
 
 	// waiting counts the parts for which all connections are in use, as of the
 	// last arrival.
@@ -71,6 +75,7 @@
 		cfg:       cfg,
 		rand:      rand.New(rand.NewPCG(cfg.Seed, 1)),
 		hosts:     max(1, cfg.Hosts),
+		teams:     1,
 		upstreams: make(map[ident.Upstream]*upstream),
 		services:  make(map[ident.Service][]*upstream),
 		extras:    make(map[ident.Service]*spend.Window),
@@ -102,10 +107,7 @@
 		e.advanceAll()
 	case Hosts:
 		e.now = ev.Now
-		e.hosts, e.gathering = max(1, ev.Count), 0
-		if ev.Gathers {
-			e.gathering = max(1, ev.Gatherers)
-		}
+		e.hosts, e.teams, e.gathers = max(1, ev.Count), max(1, ev.Gatherers), ev.Gathers
 	case Arrive:
 		e.now = ev.Now
 		e.arrive(ev)
@@ -115,6 +117,7 @@
 		for _, d := range ev.Domains {
 			e.gatherers[d] = true
 		}
+		e.helpers = ev.Helpers
 	case Handed:
 		e.now = ev.Now
 		e.handed(ev)
@@ -231,18 +234,22 @@
 	switch {
 	case !q.route.Gathers():
 		return max(1, int(limit/float64(e.hosts)))
-	case e.gathering > 0:
-		return max(1, min(int(limit*gathererShare/float64(e.gathering)), u.Slots+queueAtUpstream))
+	case e.gathersFor(q):
+		return max(1, min(int(limit*gathererShare/float64(e.teams)), u.Slots+queueAtUpstream))
 	}
 	return max(1, int(limit*(1-gathererShare)/float64(e.hosts)))
 }
 
-// share is this host's part of the slack for extra calls. Gatherers get most
-// of it, as they make most of the calls.
-func (e *Engine) share() float64 {
+// gathersFor reports whether this host gathers the shards of a query, as a
+// gatherer or one of its helpers. A shard is called by one of them in each team.
+func (e *Engine) gathersFor(q *query) bool { return e.gathers || q.direct }
+
+// share is this host's part of the slack for extra calls of a query. Gatherers
+// get most of it, as they make most of the calls.
+func (e *Engine) share(q *query) float64 {
 	share := (1 - gathererShare) / float64(e.hosts)
-	if e.gathering > 0 {
-		share += gathererShare / float64(e.gathering)
+	if e.gathersFor(q) {
+		share += gathererShare / float64(e.teams)
 	}
 	return share
 }
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -26,8 +26,8 @@
 type Hosts struct {
 	Now   ident.Instant
 	Count int
-	// Gatherers is the number of hosts that gather, and Gathers is set if this
-	// host is one of them.
+	// Gatherers is the number of hosts that gather, each with its helpers, and
+	// Gathers is set if this host is one of them.
 	Gatherers int
 	Gathers   bool
 }
@@ -46,12 +46,17 @@
 	// for. The answer then holds what there is by Target.
 	Shards []int
 	Target time.Duration
+	// Direct is set if the upstreams are to be called from here, as a helper
+	// of the host that asks.
+	Direct bool
 }
 
-// Gatherers tells in which other domains a host gathers for this one.
+// Gatherers tells in which other domains a host gathers for this one, and
+// which hosts of its own domain help it.
 type Gatherers struct {
 	Now     ident.Instant
 	Domains []ident.Domain
+	Helpers []ident.HostID
 }
 
 // Handed is the answer of another host to a Hand.
@@ -125,12 +130,14 @@
 // Stop asks for a call to be broken off, since its caller has left.
 type Stop struct{ Attempt ident.AttemptID }
 
-// Hand asks the gatherer of another domain for some shards of a query. They
-// are its own to hedge and retry until Handed.
+// Hand asks the gatherer of another domain, or a helper, for some shards of a
+// query. They are its own to hedge and retry until Handed.
 type Hand struct {
 	Query  ident.QueryID
 	Group  int
 	Domain ident.Domain
+	// Helper, if set, is the host of this domain that is asked.
+	Helper ident.HostID
 	Shards []int
 	// Version is the document of the query.
 	Version rules.Version
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -6,21 +6,34 @@
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
-// group is the shards of a query that the gatherer of another domain has in
-// hand. It alone calls, hedges and retries them until it ends, so that no
-// shard is in an answer twice.
+// group is the shards of a query that the gatherer of another domain or a
+// helper has in hand. It alone calls, hedges and retries them until it ends, so
+// that no shard is in an answer twice.
 type group struct {
 	id     int
 	domain ident.Domain
+	// helper, if set, is the host of this domain that has them.
+	helper ident.HostID
 	parts  []*part
 	good   map[*part]bool
 	ended  bool
 }
 
-// handGroups hands the shards whose best upstream is in another domain to the
+// handGroups hands shards of a query to the hosts that call them for less.
+func (e *Engine) handGroups(q *query) {
+	if q.direct {
+		return
+	}
+	if !q.sub {
+		e.handDomains(q)
+	}
+	e.handHelpers(q)
+}
+
+// handDomains hands the shards whose best upstream is in another domain to the
 // gatherer there. One answer for all of them takes about a tenth of the bytes
 // between domains that their own answers take.
-func (e *Engine) handGroups(q *query) {
+func (e *Engine) handDomains(q *query) {
 	if len(e.gatherers) == 0 {
 		return
 	}
@@ -37,7 +50,32 @@
 	slices.Sort(domains)
 	for _, d := range domains {
 		if parts := byDomain[d]; len(parts) >= leastHand {
-			q.addGroup(d, parts)
+			q.addGroup(group{domain: d}, parts)
+		}
+	}
+}
+
+// handHelpers hands the shards that are left to the helpers, each of which
+// always gets the same range. One small host needs longer to send and read all
+// calls of a query over many shards than the upstreams need to answer.
+func (e *Engine) handHelpers(q *query) {
+	n := min(len(e.helpers), len(q.route.Shards)/leastSlice)
+	if n < 2 {
+		return
+	}
+	ranges := make([][]*part, n)
+	for _, p := range q.parts {
+		if p.group == nil {
+			i := p.shard * n / len(q.route.Shards)
+			ranges[i] = append(ranges[i], p)
+		}
+	}
+	for i, parts := range ranges {
+		if len(parts) >= leastHand {
+			q.addGroup(group{
+				domain: e.cfg.Domain,
+				helper: e.helpers[i],
+			}, parts)
 		}
 	}
 }
@@ -51,16 +89,11 @@
 	return u.Domain, true
 }
 
-func (q *query) addGroup(d ident.Domain, parts []*part) {
-	g := &group{
-		id:     len(q.groups),
-		domain: d,
-		parts:  parts,
-		good:   make(map[*part]bool),
-	}
-	q.groups = append(q.groups, g)
+func (q *query) addGroup(g group, parts []*part) {
+	g.id, g.parts, g.good = len(q.groups), parts, make(map[*part]bool)
+	q.groups = append(q.groups, &g)
 	for _, p := range parts {
-		p.group = g
+		p.group = &g
 	}
 }
 
@@ -71,6 +104,7 @@
 			Query:   q.id,
 			Group:   g.id,
 			Domain:  g.domain,
+			Helper:  g.helper,
 			Shards:  make([]int, 0, len(g.parts)),
 			Version: q.table.Version(),
 			Limit:   q.until.Sub(e.now),
@@ -142,12 +176,17 @@
 		if p.has() {
 			continue
 		}
-		list = append(list, Tried{
+		t := Tried{
 			Shard:    p.shard,
 			Arrivals: p.arrivals + p.live(),
 			Runs:     p.runs + p.live(),
 			Skipped:  p.skipped,
-		})
+		}
+		if p.inHand() {
+			// What the other host has called is not known here.
+			t.Arrivals, t.Runs = maxArrivals, q.route.Attempts
+		}
+		list = append(list, t)
 	}
 	return list
 }
--- /dev/null
+++ b/pkg/relay/helper_test.go
@@ -0,0 +1,113 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/relay"
+)
+
+const helped = 40 // shards, enough for two helpers
+
+func helperWorld(t *testing.T) *world {
+	w := newWorld(t, helped)
+	w.step(relay.Gatherers{Helpers: []ident.HostID{"h1", "h2"}})
+	return w
+}
+
+func hands(effects []relay.Effect) []relay.Hand {
+	var list []relay.Hand
+	for _, e := range effects {
+		if h, ok := e.(relay.Hand); ok {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+func shards(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+// Guards against a small host that sends all calls of a query over many shards
+// itself, and against shards that no helper or two helpers get.
+func TestHelpersShareTheShards(t *testing.T) {
+	is := is.New(t)
+	w := helperWorld(t)
+	effects := w.arrive(1, "/search/x")
+	is.Equal(len(calls(effects)), 0)
+	list := hands(effects)
+	is.Equal(len(list), 2)
+	seen := map[int]bool{}
+	for i, h := range list {
+		is.Equal(h.Helper, []ident.HostID{"h1", "h2"}[i])
+		for _, s := range h.Shards {
+			is.True(!seen[s])
+			seen[s] = true
+		}
+		w.step(relay.Handed{Query: 1, Group: h.Group, Good: h.Shards})
+	}
+	is.Equal(len(seen), helped)
+	m, ok := find[relay.Merge](w.seen)
+	is.True(ok)
+	is.Equal(m.Missing, 0)
+}
+
+// Guards against queries that are handed from helper to helper.
+func TestHelperCallsTheUpstreams(t *testing.T) {
+	is := is.New(t)
+	w := helperWorld(t)
+	effects := w.step(relay.Arrive{
+		Query:  1,
+		Host:   "a.example",
+		Path:   "/search/x",
+		Limit:  time.Second,
+		Shards: shards(helped),
+		Target: 90 * time.Millisecond,
+		Direct: true,
+	})
+	is.Equal(len(hands(effects)), 0)
+	is.Equal(len(calls(effects)), helped)
+}
+
+// Guards against more runs of one request than the route allows: a gatherer
+// that answers another domain while a helper still has shards does not know
+// what the helper has called, so the other domain must not call them again.
+func TestShardsInHandCountAsTried(t *testing.T) {
+	is := is.New(t)
+	w := helperWorld(t)
+	list := hands(w.step(relay.Arrive{
+		Query:  1,
+		Host:   "a.example",
+		Path:   "/search/x",
+		Limit:  time.Second,
+		Shards: shards(helped),
+		Target: 60 * time.Millisecond,
+	}))
+	is.Equal(len(list), 2)
+	w.step(relay.Handed{Query: 1, Group: list[0].Group, Good: list[0].Shards})
+	m, ok := find[relay.Merge](w.advance(80 * time.Millisecond))
+	is.True(ok)
+	is.Equal(len(m.Tried), len(list[1].Shards))
+	for _, tried := range m.Tried {
+		is.Equal(tried.Runs, 2) // as many as the route allows
+	}
+	w.step(relay.Arrive{
+		Query:  2,
+		Host:   "a.example",
+		Path:   "/search/x",
+		Limit:  time.Second,
+		Shards: shards(helped),
+		Target: 60 * time.Millisecond,
+	})
+	r, ok := find[relay.Refuse](w.advance(80 * time.Millisecond))
+	is.True(ok)
+	is.True(r.Status != relay.NotNow) // helpers may have called
+}
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -23,7 +23,9 @@
 	arrived ident.Instant
 	groups  []*group
 	// sub is set for a query of another host: any part is better than none.
-	sub bool
+	// direct is set if no shard of it may be handed on.
+	sub    bool
+	direct bool
 	// ran is set once a call may have run.
 	ran  bool
 	done bool
@@ -55,6 +57,9 @@
 // has reports whether the part can be included in an answer.
 func (p *part) has() bool { return p.good != nil || p.group != nil && p.group.good[p] }
 
+// inHand reports whether another host has the part, which it may have called.
+func (p *part) inHand() bool { return p.group != nil && !p.group.ended }
+
 // attempt is one call.
 type attempt struct {
 	id    ident.AttemptID
@@ -109,9 +114,7 @@
 	e.queries[q.id] = q
 	e.order = append(e.order, q)
 	if q.route.Gathers() {
-		if !q.sub {
-			e.handGroups(q)
-		}
+		e.handGroups(q)
 		if !e.skip(q) {
 			return
 		}
@@ -145,6 +148,7 @@
 		until:  e.after(min(limit-deadlineMargin, r.Timeout)),
 
 		arrived: e.now,
+		direct:  ev.Direct,
 	}
 	if r.Gathers() {
 		e.addParts(q, ev)
@@ -185,7 +189,7 @@
 	}
 	q.wake = q.until
 	for _, p := range q.parts {
-		if !p.has() && (p.group == nil || p.group.ended) {
+		if !p.has() && !p.inHand() {
 			e.advancePart(q, p)
 		}
 	}
@@ -217,7 +221,7 @@
 	if u == nil {
 		return
 	}
-	if !e.window(p.service).Take(e.now, e.share()) {
+	if !e.window(p.service).Take(e.now, e.share(q)) {
 		p.lateAt = e.after(budgetPause)
 		q.wakeAt(p.lateAt)
 		return
@@ -244,7 +248,7 @@
 		p.hopeless = !busy
 		return
 	}
-	if p.arrivals > 0 && !e.window(p.service).Take(e.now, e.share()) {
+	if p.arrivals > 0 && !e.window(p.service).Take(e.now, e.share(q)) {
 		p.hopeless = true
 		return
 	}
@@ -330,7 +334,7 @@
 
 // waits reports whether the part has no call in progress but may send one.
 func (p *part) waits() bool {
-	return !p.has() && p.live() == 0 && !p.hopeless && (p.group == nil || p.group.ended)
+	return !p.has() && p.live() == 0 && !p.hopeless && !p.inHand()
 }
 
 func (e *Engine) before(q, o *query) bool {
@@ -398,7 +402,7 @@
 func (e *Engine) refuse(q *query, timeout bool) {
 	sent := q.ran
 	for _, p := range q.parts {
-		sent = sent || p.live() > 0
+		sent = sent || p.live() > 0 || p.inHand()
 	}
 	r := Refuse{
 		Query:  q.id,
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -116,6 +116,12 @@
 	case relay.Ended:
 		e.Now = w.now
 		ev = e
+	case relay.Gatherers:
+		e.Now = w.now
+		ev = e
+	case relay.Handed:
+		e.Now = w.now
+		ev = e
 	case relay.Left:
 		e.Now = w.now
 		ev = e
