--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -42,7 +42,7 @@
 	leastHand = 2
 
 	// leastSlice is the smallest number of a route's shards for which a helper
-	// is used. A message to a helper costs about as much processor time as two
+	// is used, and of a query's shards that are shared among helpers. A message to a helper costs about as much processor time as two
 	// calls, so finer slices would make the gatherer the slowest part.
 	leastSlice = 16
 
@@ -58,6 +58,10 @@
 	// shards once it has enough of them.
 	lateGrace = 0.5
 
+	// leastLeft is the part of the target that must be left for an answer of
+	// other hosts to be expected in time.
+	leastLeft = 0.25
+
 	// maxArrivals bounds the calls for one part, rejected ones included.
 	maxArrivals = 4
 
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
@@ -60,7 +61,13 @@
 // calls of a query over many shards than the upstreams need to answer.
 func (e *Engine) handHelpers(q *query) {
 	n := min(len(e.helpers), len(q.route.Shards)/leastSlice)
-	if n < 2 {
+	open := 0
+	for _, p := range q.parts {
+		if p.group == nil {
+			open++
+		}
+	}
+	if n < 2 || open < leastSlice {
 		return
 	}
 	ranges := make([][]*part, n)
@@ -108,7 +115,7 @@
 			Shards:  make([]int, 0, len(g.parts)),
 			Version: q.table.Version(),
 			Limit:   q.until.Sub(e.now),
-			Target:  q.target.Sub(e.now),
+			Target:  e.handTarget(q),
 		}
 		for _, p := range g.parts {
 			h.Shards = append(h.Shards, p.shard)
@@ -117,6 +124,16 @@
 	}
 }
 
+// handTarget returns the time in which the answer of another host is useful. A
+// query that cannot make its target any more gets the time of a late answer.
+func (e *Engine) handTarget(q *query) time.Duration {
+	whole := float64(q.route.Target)
+	if left := q.target.Sub(e.now); left > time.Duration(leastLeft*whole) {
+		return left
+	}
+	return time.Duration(lateGrace * whole)
+}
+
 // handed takes the answer of another host. The shards that it lacks are
 // called from here.
 func (e *Engine) handed(ev Handed) {
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -111,3 +111,19 @@
 	is.True(ok)
 	is.True(r.Status != relay.NotNow) // helpers may have called
 }
+
+// Guards against shards of a late query, such as a caller's second try, that
+// other hosts give up at once because the target has passed.
+func TestLateQueryLeavesHelpersTime(t *testing.T) {
+	is := is.New(t)
+	w := helperWorld(t)
+	w.arrive(1, "/search/x") // the route's callers wait for a second
+	late := hands(w.step(relay.Arrive{
+		Query: 2,
+		Host:  "a.example",
+		Path:  "/search/x",
+		Limit: 700 * time.Millisecond,
+	}))
+	is.Equal(len(late), 2)
+	is.Equal(late[0].Target, 50*time.Millisecond) // half of the route's target
+}
