--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,6 +62,8 @@
 	// Operator is the address for operators, Link that for other hosts.
 	Operator string
 	Link     string
+	// Bind is where this host listens for other hosts; empty means at Link.
+	Bind string
 	// Seeds are link addresses of control hosts.
 	Seeds []string
 	// First is set when the whole system starts for the first time.
@@ -124,6 +126,7 @@
 		Folder:  cfg.Folder,
 		Listen:  cfg.Operator,
 		Address: cfg.Link,
+		Bind:    cfg.Bind,
 		Link:    secure,
 		Parts:   []state.Part{&documentPart{board: c.board}},
 		Extend:  c.register,
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -4,6 +4,7 @@
 package ctrl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -35,6 +36,8 @@
 	// Address is where other hosts reach this one; required. Port 0 takes a
 	// free port, which only suits a group of one.
 	Address string
+	// Bind is where this host listens for other hosts; empty means at Address.
+	Bind string
 	// Link has the certificates for the traffic with other hosts.
 	Link link.Config
 	// NewGroup lets an empty folder start a group with this host as the only
@@ -146,11 +149,14 @@
 		h.cfg.Link.Log = h.log
 	}
 	if h.cfg.Transport == nil {
-		l, err := peer.Listen(h.cfg.Link, h.cfg.Address)
+		l, err := peer.Listen(h.cfg.Link, cmp.Or(h.cfg.Bind, h.cfg.Address))
 		if err != nil {
 			return err
 		}
-		h.link, h.cfg.Transport, h.cfg.Address = l, l, l.Address()
+		h.link, h.cfg.Transport = l, l
+		if h.cfg.Bind == "" {
+			h.cfg.Address = l.Address()
+		}
 		h.feed.Register(l.Server())
 		h.serveFilings(l.Server())
 		h.serveSeats(l.Server())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -51,6 +52,8 @@
 	Ready string
 	// Link is where other hosts reach this one.
 	Link string
+	// Bind is where this host listens for other hosts; empty means at Link.
+	Bind string
 	// Seeds are link addresses of control hosts.
 	Seeds []string
 	// Extra bounds retries and hedges for each service over all hosts.
@@ -109,6 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cfg.Bind = cmp.Or(cfg.Bind, cfg.Link)
 	return &Front{
 		cfg:    cfg,
 		log:    cfg.Log,
--- a/internal/front/hand.go
+++ b/internal/front/hand.go
@@ -67,9 +67,9 @@
 		return err
 	}
 	link.Handle(s, methodHand, f.takeHanded)
-	lis, err := net.Listen("tcp", f.cfg.Link)
+	lis, err := net.Listen("tcp", f.cfg.Bind)
 	if err != nil {
-		return errors.Wrapf(err, "cannot listen for other hosts on %s", f.cfg.Link)
+		return errors.Wrapf(err, "cannot listen for other hosts on %s", f.cfg.Bind)
 	}
 	return s.Serve(ctx, lis)
 }
--- a/internal/front/ping.go
+++ b/internal/front/ping.go
@@ -55,13 +55,13 @@
 
 // pingPeers keeps track of the hosts that queries are handed to until ctx ends.
 func (f *Front) pingPeers(ctx context.Context) error {
-	address, err := net.ResolveUDPAddr("udp4", f.cfg.Link)
+	address, err := net.ResolveUDPAddr("udp4", f.cfg.Bind)
 	if err != nil {
-		return errors.Wrapf(err, "the address for other hosts %s is not IP:port", f.cfg.Link)
+		return errors.Wrapf(err, "the address for other hosts %s is not IP:port", f.cfg.Bind)
 	}
 	conn, err := net.ListenUDP("udp4", address)
 	if err != nil {
-		return errors.Wrapf(err, "cannot listen for pings on %s", f.cfg.Link)
+		return errors.Wrapf(err, "cannot listen for pings on %s", f.cfg.Bind)
 	}
 	p := &pinger{
 		front: f,
--- a/internal/tier/option.go
+++ b/internal/tier/option.go
@@ -35,6 +35,8 @@
 	// IP is this host's address, LinkPort the port between hosts.
 	IP       string
 	LinkPort int
+	// Bind is the address to listen on for other hosts, if it is not IP.
+	Bind string
 
 	Front    string
 	Ready    string
@@ -69,6 +71,7 @@
 	fs.StringVar(&name, "name", "", "name of this host")
 	fs.StringVar(&domain, "domain", "", "failure domain of this host")
 	fs.StringVar(&o.IP, "ip", "", "address of this host")
+	fs.StringVar(&o.Bind, "bind", "", "address to listen on for other hosts, if they reach this one through another")
 	fs.StringVar(&ports, "ports", "7380,7395", "first and last port between hosts")
 	fs.StringVar(&o.Front, "front", "", "address for callers (entry)")
 	fs.StringVar(&o.Ready, "ready", "", "address for readiness checks (entry)")
@@ -136,6 +139,14 @@
 // link returns the address of this host for other hosts.
 func (o *Options) link() string { return net.JoinHostPort(o.IP, strconv.Itoa(o.LinkPort)) }
 
+// bind is where this host listens for other hosts; empty means at link.
+func (o *Options) bind() string {
+	if o.Bind == "" {
+		return ""
+	}
+	return net.JoinHostPort(o.Bind, strconv.Itoa(o.LinkPort))
+}
+
 // links returns the link addresses of the seeds, which differ from those for
 // operators in the port only.
 func (o *Options) links() []string {
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -127,3 +127,26 @@
 	is.Equal(len(late), 2)
 	is.Equal(late[0].Target, 50*time.Millisecond) // half of the route's target
 }
+
+// Guards against the parts of a helper that are thrown away, and then called
+// again, because its processor got to the query a little after the target.
+func TestLateHelperStillAnswersWithItsParts(t *testing.T) {
+	is := is.New(t)
+	w := helperWorld(t)
+	list := calls(w.step(relay.Arrive{
+		Query:  1,
+		Host:   "a.example",
+		Path:   "/search/x",
+		Limit:  time.Second,
+		Shards: shards(4),
+		Target: 60 * time.Millisecond,
+		Direct: true,
+	}))
+	is.Equal(len(list), 4)
+	w.step(relay.Ended{Attempt: list[0].Attempt, Result: relay.Good})
+	w.now += 76 * ms
+	m, ok := find[relay.Merge](w.step(relay.Tick{}))
+	is.True(ok)
+	is.Equal(m.Shards, []int{0})
+	is.Equal(len(m.Tried), 3)
+}
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -437,7 +437,7 @@
 	}
 	enough := good >= least && good > 0
 	switch {
-	case enough && (open == 0 || timeout || e.timely(q)):
+	case enough && (open == 0 || timeout || q.sub && e.now >= q.target || e.timely(q)):
 		e.merge(q, good)
 	case timeout || good+open < least || open == 0 || q.sub && e.now >= q.target:
 		e.refuse(q, timeout)
