--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -77,6 +77,9 @@
 	pool   *pipe.Pool
 	gauge  *gauge.Gauge
 	peers  *peers
+	// back is what answers of gatherers need beyond their time until they go
+	// to the caller.
+	back   lag
 	engine *relay.Engine
 
 	inputs  chan input
@@ -127,6 +130,7 @@
 		pool:  pipe.NewPool(),
 		gauge: gauge.New(relay.ResultNames()...),
 		peers: newPeers(cfg.Name, cfg.Domain),
+		back:  lag{lag: relay.NewLag()},
 		engine: relay.New(relay.Config{
 			Domain: cfg.Domain,
 			Extra:  cfg.Extra,
--- a/internal/front/hand.go
+++ b/internal/front/hand.go
@@ -31,7 +31,8 @@
 	Body    []byte `cbor:",omitempty"`
 	// LimitMicros is how long the caller still waits.
 	LimitMicros int64
-	// SpentMicros is how long the sender has had the query of its caller.
+	// SpentMicros is how long the sender has had the query of its caller, and
+	// what it keeps for the way back.
 	SpentMicros int64 `cbor:",omitempty"`
 	// Shards, if set, are the positions of the shards that are asked for, and
 	// TargetMicros the time in which their answer is useful.
@@ -80,14 +81,17 @@
 // host has to serve it. A query that was lost at the gatherer is not started
 // again here: its calls may have run, and the caller's own next try has all
 // its attempts.
-func (f *Front) handOver(ctx context.Context, q *request, v rules.Version, limit time.Duration) *handOut {
+func (f *Front) handOver(ctx context.Context, q *request, v rules.Version, route *rules.Route, limit time.Duration) *handOut {
 	to, ok := f.peers.choose(f.cfg.Domain, q.id)
 	if !ok {
 		return nil
 	}
 	in := q.handIn(v, limit)
-	in.SpentMicros = max(1, f.now().Sub(q.begin).Microseconds())
+	in.SpentMicros = (f.now().Sub(q.begin) + f.back.margin()).Microseconds()
 	out, err := f.hand(ctx, to, in)
+	if err == nil && out.Missing > 0 {
+		f.back.learn(f.now().Sub(q.begin) - (route.Target - relay.CallerMargin(route.Target)) + f.back.margin())
+	}
 	if err != nil || out.Declined || sampled(q.id) {
 		f.log.Info("query was handed over", "Request", string(q.id), "Version", v, "Gatherer", string(to.ID), "Declined", out.Declined, "Error", text(err))
 	}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/jujubethread/jujubethread/internal/watch"
 	"github.com/jujubethread/jujubethread/pkg/crew"
@@ -130,3 +131,21 @@
 		delete(p.handed[to], h)
 	}
 }
+
+// lag shares a relay.Lag between goroutines.
+type lag struct {
+	mu  sync.Mutex
+	lag *relay.Lag
+}
+
+func (l *lag) margin() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lag.Margin()
+}
+
+func (l *lag) learn(late time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag.Learn(late)
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -136,7 +136,7 @@
 				})
 				return
 			}
-			if out := f.handOver(r.Context(), q, t.Version(), limit); out != nil {
+			if out := f.handOver(r.Context(), q, t.Version(), route, limit); out != nil {
 				f.writeHanded(w, q, out)
 				return
 			}
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -21,17 +21,17 @@
 
 // The promises that the soak checks, named as the pages for its operators do.
 const (
-	mixed   = "MIXED"
-	unasked = "UNASKED"
-	twice   = "TWICE"
-	refused = "REFUSED"
-	budget  = "BUDGET"
-	route   = "ROUTE"
-	drain   = "DRAIN"
-	lost    = "LOST"
-	config  = "CONFIG"
+	mixed    = "MIXED"
+	unasked  = "UNASKED"
+	twice    = "TWICE"
+	refused  = "REFUSED"
+	budget   = "BUDGET"
+	route    = "ROUTE"
+	drain    = "DRAIN"
+	lost     = "LOST"
+	config   = "CONFIG"
 	recovery = "RECOVER"
-	exit    = "EXIT"
+	exit     = "EXIT"
 )
 
 const (
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -58,7 +58,7 @@
 	waiting map[ident.Service]int
 
 	// handLag is how long after its time the answer of another host comes.
-	handLag time.Duration
+	handLag *Lag
 
 	// busy tells until when the shards count as overloaded that another host
 	// has skipped.
@@ -79,7 +79,7 @@
 		rand:      rand.New(rand.NewPCG(cfg.Seed, 1)),
 		hosts:     max(1, cfg.Hosts),
 		teams:     1,
-		handLag:   handMargin,
+		handLag:   NewLag(),
 		upstreams: make(map[ident.Upstream]*upstream),
 		services:  make(map[ident.Service][]*upstream),
 		extras:    make(map[ident.Service]*spend.Window),
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -46,8 +46,8 @@
 	// for. The answer then holds what there is by Target.
 	Shards []int
 	Target time.Duration
-	// Spent is how long the host that hands the request over has had it; 0 if
-	// it comes from its caller.
+	// Spent is how long the host that hands the request over has had it and
+	// will need for the way back; 0 if it comes from its caller.
 	Spent time.Duration
 	// Direct is set if the upstreams are to be called from here, as a helper
 	// of the host that asks.
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -131,7 +131,7 @@
 // query that cannot make its target any more gets the time of a late answer.
 func (e *Engine) handTarget(q *query) time.Duration {
 	whole := float64(q.route.Target)
-	if left := q.target.Sub(e.now) - e.handLag; left > time.Duration(leastLeft*whole) {
+	if left := q.target.Sub(e.now) - e.handLag.Margin(); left > time.Duration(leastLeft*whole) {
 		return left
 	}
 	return time.Duration(lateGrace * whole)
@@ -150,7 +150,7 @@
 	}
 	g.ended = true
 	if !ev.Lost && len(ev.Tried) > 0 {
-		e.learnLag(e.now.Sub(g.due))
+		e.handLag.Learn(e.now.Sub(g.due))
 	}
 	for _, p := range g.parts {
 		if slices.Contains(ev.Good, p.shard) {
@@ -164,20 +164,6 @@
 	e.advance(q)
 }
 
-// learnLag moves the margin towards the quantile of the lags of answers that
-// were sent at their time, since some parts lacked. Those that had no more to
-// wait for come early and tell nothing.
-func (e *Engine) learnLag(lag time.Duration) {
-	const up, down = handQuantile * float64(handStep), (1 - handQuantile) * float64(handStep)
-	switch {
-	case lag < 0:
-	case lag > e.handLag:
-		e.handLag = min(mostHandLag, e.handLag+time.Duration(up))
-	default:
-		e.handLag = max(leastHandLag, e.handLag-time.Duration(down))
-	}
-}
-
 // takeBack continues a part that another host had in hand with what is left
 // of its attempts.
 func (e *Engine) takeBack(q *query, p *part, ev Handed) {
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -162,7 +162,7 @@
 		Host:  "a.example",
 		Path:  "/search/x",
 		Limit: time.Second,
-		Spent: 5 * time.Millisecond,
+		Spent: 9 * time.Millisecond,
 	}))
 	for _, c := range list[1:] {
 		w.step(relay.Ended{Attempt: c.Attempt, Result: relay.Good})
@@ -172,7 +172,7 @@
 			break
 		}
 	}
-	// 8 ms for the caller's way, 4 ms for that between hosts and 5 ms spent.
+	// 8 ms for the caller's way and 9 ms at the other host.
 	is.Equal(w.now.Sub(from), 83*time.Millisecond)
 }
 
@@ -204,3 +204,19 @@
 	is.True(learned <= 84*time.Millisecond)
 	is.True(learned >= 82*time.Millisecond)
 }
+
+// Guards against a margin that follows one late answer, or that never shrinks.
+func TestLagIsAHighQuantile(t *testing.T) {
+	is := is.New(t)
+	l := relay.NewLag()
+	for i := range 400 {
+		late := 5 * time.Millisecond
+		if i%20 == 0 {
+			late = 100 * time.Millisecond
+		}
+		l.Learn(late)
+		l.Learn(-time.Millisecond) // early: no sample
+	}
+	is.True(l.Margin() >= 4*time.Millisecond)
+	is.True(l.Margin() < 7*time.Millisecond)
+}
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -138,16 +138,12 @@
 	// which the target counts.
 	s.firstLimit = max(s.firstLimit, limit)
 	spent := s.firstLimit - limit
-	margin := max(leastTargetMargin, time.Duration(targetMargin*float64(r.Target)))
-	if ev.Spent > 0 {
-		margin += handMargin + ev.Spent
-	}
 	q := &query{
 		id:     ev.Query,
 		route:  r,
 		table:  table,
 		stats:  s,
-		target: e.after(r.Target - margin - spent),
+		target: e.after(r.Target - CallerMargin(r.Target) - ev.Spent - spent),
 		until:  e.after(min(limit-deadlineMargin, r.Timeout)),
 
 		arrived: e.now,
