--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,8 +28,13 @@
 )
 
 const (
-	// routineEvery is how often the group is looked at.
-	routineEvery = 250 * time.Millisecond
+	// routineEvery is how often the group is looked at. Other hosts hear of a
+	// new leader that much later.
+	routineEvery = 100 * time.Millisecond
+
+	// statusWait bounds asking the goroutine that owns the log, which waits for
+	// a slow disk.
+	statusWait = 250 * time.Millisecond
 
 	// electionTimeout is five heartbeats. After a loss of power of all hosts
 	// the configuration is back only with a new leader.
@@ -47,8 +52,8 @@
 	// changeWait bounds one change of the group.
 	changeWait = 2 * time.Second
 
-	// retryEvery is the pause after an ask that failed.
-	retryEvery = 250 * time.Millisecond
+	// retryEvery is the pause after an ask that failed or found no leader.
+	retryEvery = 100 * time.Millisecond
 
 	maxDocument = 8 << 20 // bytes
 )
@@ -182,7 +187,7 @@
 // status returns this member's view of the group; ok is false while the
 // goroutine that owns it is busy or gone.
 func (c *Core) status(ctx context.Context) (s quorum.Status, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, routineEvery)
+	ctx, cancel := context.WithTimeout(ctx, statusWait)
 	defer cancel()
 	s, err := c.host.Quorum(ctx)
 	return s, err == nil
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/crew"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 	"github.com/jujubethread/jujubethread/pkg/rules"
 	"github.com/jujubethread/jujubethread/platform"
@@ -14,12 +15,16 @@
 	// retryEvery is the pause after an ask that failed.
 	retryEvery = 150 * time.Millisecond
 
+	// firstTurns is the number of turns among the seeds that a host may start at.
+	firstTurns = 60
+
 	// hostsKept is how long the largest number of hosts seen is used, so that
 	// a domain that is cut off does not take the shares of the hosts beyond.
 	hostsKept = 30 * time.Second
 
 	// settleTime is how long the number of hosts must stay the same to count.
-	settleTime = 3 * time.Second
+	// Hosts that restart together are all in the roster within 1 s.
+	settleTime = 1500 * time.Millisecond
 )
 
 // watcher asks one control host for news, one in its own domain if possible.
@@ -48,6 +53,8 @@
 	w := &watcher{
 		front: f,
 		seeds: f.cfg.Seeds,
+		// Hosts that start together ask different seeds first.
+		next: int(crew.Hash(string(f.cfg.Name)) % firstTurns),
 	}
 	for ctx.Err() == nil {
 		select {
