Never skip an upstream that has no queue

They had seen a slow time, expected every call to miss the target, skipped all shards, and so never learned better. Ruled out: budgets (7 or more left), queues (none).

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -422,3 +422,19 @@
 	is.True(ok)
 	is.Equal(r.Status, relay.Failed)
 }
+
+// Guards against a host that has seen a slow time, expects no upstream to
+// answer by the target, and so never calls one again to learn better.
+func TestSlowTimeDoesNotStopAllCalls(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4)
+	for id := ident.QueryID(1); id < 100; id++ {
+		sent := calls(w.arrive(id, "/search/x"))
+		w.now += 98 * ms
+		for _, c := range sent {
+			w.step(relay.Ended{Attempt: c.Attempt, Result: relay.Good})
+		}
+		w.now += 2000 * ms
+	}
+	is.Equal(len(calls(w.arrive(100, "/search/x"))), 4)
+}
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -52,7 +52,8 @@
 }
 
 // overloaded reports whether no upstream of a part is expected to answer
-// within left nanoseconds.
+// within left nanoseconds. One without a queue is called in any case: it is not
+// overloaded, and only a call can tell that it has become faster.
 func (e *Engine) overloaded(q *query, p *part, left float64) bool {
 	if p.group != nil {
 		return e.now < e.busy[p.service]
@@ -63,7 +64,7 @@
 			continue
 		}
 		found = true
-		if c, _ := e.expect(q.stats, u); c*u.slow <= left {
+		if c, queue := e.expect(q.stats, u); queue == 0 || c*u.slow <= left {
 			return false
 		}
 	}
