--- a/internal/core/announce_test.go
+++ b/internal/core/announce_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,18 +11,18 @@
 	"github.com/matryer/is"
 
 	"github.com/jujubethread/jujubethread/internal/core"
+	"github.com/jujubethread/jujubethread/internal/ports"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/platform"
 )
 
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // start runs a control host until the test ends and returns it with the
--- a/internal/soak/leaf_test.go
+++ b/internal/soak/leaf_test.go
@@ -136,10 +136,10 @@
 	stamp := fmt.Sprintf("%s.%s.%d", done.leaf, done.id, l.world.serial.Add(1))
 	l.world.ledger.run(stamp, done)
 	work := leafWork
-	switch {
-	case m == slow:
+	switch m {
+	case slow:
 		work *= 40
-	case m == hanging:
+	case hanging:
 		work = time.Hour
 	}
 	select {
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -18,15 +18,7 @@
 	return w
 }
 
-func hands(effects []relay.Effect) []relay.Hand {
-	var list []relay.Hand
-	for _, e := range effects {
-		if h, ok := e.(relay.Hand); ok {
-			list = append(list, h)
-		}
-	}
-	return list
-}
+func hands(effects []relay.Effect) []relay.Hand { return all[relay.Hand](effects) }
 
 func shards(n int) []int {
 	list := make([]int, n)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -153,16 +153,19 @@
 	return all
 }
 
-func calls(effects []relay.Effect) []relay.Call {
-	var list []relay.Call
+// all returns the effects of one kind.
+func all[T relay.Effect](effects []relay.Effect) []T {
+	var list []T
 	for _, e := range effects {
-		if c, ok := e.(relay.Call); ok {
-			list = append(list, c)
+		if t, ok := e.(T); ok {
+			list = append(list, t)
 		}
 	}
 	return list
 }
 
+func calls(effects []relay.Effect) []relay.Call { return all[relay.Call](effects) }
+
 func find[T relay.Effect](effects []relay.Effect) (found T, ok bool) {
 	for _, e := range effects {
 		if f, is := e.(T); is {
