Send rosters and lists of upstreams as changes

Boards now keep 32 earlier versions and tell what has changed since the asking host's; a change that does not fit is refused by its digest and the whole asked for.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,6 +99,8 @@
 
 	// confirmed is the digest of this host's askers that the leader knows.
 	confirmed uint64
+	// resync is set to ask for the whole list and roster.
+	resync bool
 }
 
 // founder is the identity of a first member, which all others can work out
@@ -311,10 +313,7 @@
 					c.log.Info("list of upstreams is back")
 					lost = false
 				}
-				l := watch.List{
-					Digest:    watch.ListDigest(ups),
-					Upstreams: ups,
-				}
+				l := watch.NewList(ups)
 				if old, _ := c.board.List(); old.Digest != l.Digest {
 					c.log.Info("list of upstreams changed", "Upstreams", len(ups), "Skipped", skipped)
 				}
@@ -374,7 +373,10 @@
 // ask asks one control host for news and returns who leads.
 func (c *Core) ask(ctx context.Context, address string, hears, atOnce bool) (leader string, err error) {
 	list, _ := c.board.List()
-	_, digest := c.board.Roster()
+	hosts, digest := c.board.Roster()
+	if c.resync {
+		list.Digest, digest = 0, 0
+	}
 	ask := watch.Ask{
 		From:    c.self,
 		Version: c.board.Document().Version,
@@ -397,14 +399,23 @@
 		c.board.SetDocument(*r.Document)
 	}
 	age := time.Duration(r.ListAge) * time.Millisecond
+	next, ok := r.NewList(list)
+	c.resync = !ok && r.ListDelta != nil
 	switch {
-	case r.List != nil:
-		c.board.SetList(*r.List, age)
-	case r.ListAge >= 0:
+	case ok:
+		c.board.SetList(next, age)
+	case r.ListAge >= 0 && !c.resync:
 		c.board.Confirm(list.Digest, age)
 	}
 	if r.Roster != digest {
-		c.board.SetRoster(r.Hosts)
+		if hosts, ok = r.NewHosts(hosts); ok {
+			c.board.SetRoster(hosts)
+		} else {
+			c.resync = true
+		}
+	}
+	if c.resync {
+		c.log.Info("news do not fit what is held; the whole is asked for", "Source", address)
 	}
 	return r.Leader, nil
 }
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -36,7 +36,7 @@
 	hosts  []watch.Host
 
 	version rules.Version
-	digest  uint64
+	list    watch.List
 	roster  uint64
 	readAt  time.Time
 
@@ -130,7 +130,7 @@
 	err := f.client.Call(ctx, w.source, watch.MethodAsk, &watch.Ask{
 		From:    self,
 		Version: w.version,
-		Digest:  w.digest,
+		Digest:  w.list.Digest,
 		Roster:  w.roster,
 		AtOnce:  w.lost,
 	}, &r)
@@ -140,9 +140,15 @@
 	if r.Document != nil {
 		w.install(*r.Document)
 	}
-	w.list(r)
+	w.takeList(&r)
 	if r.Roster != w.roster {
-		w.hosts, w.roster = r.Hosts, r.Roster
+		hosts, ok := r.NewHosts(w.hosts)
+		if !ok {
+			f.log.Info("news do not fit what is held; the whole is asked for", "Source", w.source)
+			w.roster = 0
+			return nil
+		}
+		w.hosts, w.roster = hosts, r.Roster
 		f.peers.set(f.now(), w.hosts)
 		f.tellGatherers()
 		if closer := w.closer(); closer != "" {
@@ -174,25 +180,31 @@
 	}
 }
 
-// list takes a list that was read later than the one in use.
-func (w *watcher) list(r watch.Reply) {
+// takeList takes a list that was read later than the one in use.
+func (w *watcher) takeList(r *watch.Reply) {
 	if r.ListAge < 0 {
 		return
 	}
 	at := time.Now().Add(-time.Duration(r.ListAge) * time.Millisecond)
 	w.front.listAt.Store(at.UnixNano())
-	if r.List == nil {
+	if r.List == nil && r.ListDelta == nil {
 		w.readAt = at
 		return
 	}
 	if at.Before(w.readAt) {
 		return
 	}
-	w.readAt, w.digest = at, r.List.Digest
-	w.front.inputs <- input{event: relay.Listed{Upstreams: r.List.Upstreams}}
+	next, ok := r.NewList(w.list)
+	if !ok {
+		w.front.log.Info("news do not fit what is held; the whole is asked for", "Source", w.source)
+		w.list.Digest = 0
+		return
+	}
+	w.readAt, w.list = at, next
+	w.front.inputs <- input{event: relay.Listed{Upstreams: next.Upstreams}}
 	w.front.listed.Store(true)
-	w.front.upstreams.Store(int64(len(r.List.Upstreams)))
-	w.front.log.Info("list of upstreams is in use", "Upstreams", len(r.List.Upstreams), "AgeMillis", r.ListAge, "Source", w.source)
+	w.front.upstreams.Store(int64(len(next.Upstreams)))
+	w.front.log.Info("list of upstreams is in use", "Upstreams", len(next.Upstreams), "AgeMillis", r.ListAge, "Source", w.source)
 }
 
 // count tells the engine how many entry hosts share the budgets. While hosts
--- /dev/null
+++ b/internal/watch/delta_test.go
@@ -0,0 +1,124 @@
+package watch_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/relay"
+)
+
+// serve serves a board on loopback and returns a function that asks it.
+func serve(t *testing.T, b *watch.Board) func(watch.Ask) watch.Reply {
+	t.Helper()
+	is := is.New(t)
+	s, err := link.NewServer(link.Config{})
+	is.NoErr(err)
+	b.Register(s)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, lis) }()
+	c, err := link.NewClient(link.Config{})
+	is.NoErr(err)
+	t.Cleanup(func() {
+		_ = c.Close()
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return func(a watch.Ask) (r watch.Reply) {
+		a.From.ID, a.AtOnce = "asker", true
+		is.NoErr(c.Call(t.Context(), lis.Addr().String(), watch.MethodAsk, &a, &r))
+		return r
+	}
+}
+
+func roster(n int) []watch.Host {
+	var list []watch.Host
+	for i := range n {
+		list = append(list, watch.Host{
+			ID:   ident.HostID(fmt.Sprintf("h%03d", i)),
+			Kind: watch.Entry,
+			Link: fmt.Sprint("10.0.0.", i),
+		})
+	}
+	return list
+}
+
+// Guards against whole rosters for each change, and against a host that ends up
+// with another roster than the board's.
+func TestRosterComesAsChanges(t *testing.T) {
+	is := is.New(t)
+	b := watch.NewBoard()
+	ask := serve(t, b)
+	rng := rand.New(rand.NewPCG(1, 1))
+	var held []watch.Host
+	digest := uint64(0)
+	for n := range 60 {
+		all := roster(100)
+		for range n % 7 {
+			i := rng.IntN(len(all))
+			all[i].Draining = !all[i].Draining
+			j := rng.IntN(len(all))
+			all = append(all[:j:j], all[j+1:]...)
+		}
+		b.SetRoster(all)
+		r := ask(watch.Ask{Roster: digest})
+		if digest != 0 {
+			is.Equal(len(r.Hosts), 0) // only what has changed
+		}
+		if r.Roster != digest {
+			next, ok := r.NewHosts(held)
+			is.True(ok)
+			held, digest = next, r.Roster
+		}
+		is.Equal(held, all)
+	}
+	r := ask(watch.Ask{Roster: 12345}) // unknown: the whole
+	is.Equal(r.Hosts, held)
+	_, ok := (&watch.Reply{
+		Roster:    digest + 1,
+		HostDelta: &watch.HostDelta{},
+	}).NewHosts(held)
+	is.True(!ok) // a change that does not fit is refused
+}
+
+// Guards against a list of upstreams that differs from the board's after
+// changes, and against one that comes whole because upstreams warm up.
+func TestListComesAsChanges(t *testing.T) {
+	is := is.New(t)
+	b := watch.NewBoard()
+	ask := serve(t, b)
+	held := watch.List{}
+	for n := range 20 {
+		var ups []relay.Upstream
+		for i := n; i < n+50; i++ {
+			ups = append(ups, relay.Upstream{
+				ID:       ident.Upstream(fmt.Sprintf("u%03d", (i*37)%90)),
+				Service:  "s",
+				Draining: i == n,
+				Cold:     time.Duration(n) * time.Second,
+			})
+		}
+		list := watch.NewList(ups)
+		b.SetList(list, 0)
+		r := ask(watch.Ask{Digest: held.Digest})
+		is.Equal(r.List != nil, n == 0)
+		next, ok := r.NewList(held)
+		is.True(ok)
+		is.Equal(next.Digest, list.Digest)
+		is.Equal(len(next.Upstreams), 50)
+		held = next
+	}
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -93,11 +93,18 @@
 // Reply has what is newer than the asking host's.
 type Reply struct {
 	Document *Document `cbor:",omitempty"`
-	List     *List     `cbor:",omitempty"`
+	// List is the whole list; ListDelta is what differs from the asking host's,
+	// and ListDigest the digest of the result.
+	List       *List          `cbor:",omitempty"`
+	ListDelta  *UpstreamDelta `cbor:",omitempty"`
+	ListDigest uint64         `cbor:",omitempty"`
 	// ListAge is the age of the list held here, in milliseconds; -1 if none.
 	ListAge int64
-	Hosts   []Host `cbor:",omitempty"`
-	Roster  uint64
+	// Hosts is the whole roster; HostDelta is what differs from the asking
+	// host's, and Roster the digest of the result.
+	Hosts     []Host     `cbor:",omitempty"`
+	HostDelta *HostDelta `cbor:",omitempty"`
+	Roster    uint64
 	// Here is the digest of the asking host's own askers as known here.
 	Here uint64 `cbor:",omitempty"`
 	// Leader is the link address of the leader as far as known.
@@ -119,6 +126,9 @@
 	digest     uint64
 	leader     string
 	leading    bool
+
+	pastHosts past[Host]
+	pastLists past[relay.Upstream]
 }
 
 type seen struct {
@@ -179,6 +189,7 @@
 	b.readAt = at
 	if b.list.Digest != l.Digest {
 		b.list = l
+		b.pastLists.add(l.Digest, l.Upstreams)
 		b.notify()
 	}
 }
@@ -311,6 +322,7 @@
 	d := rosterDigest(hosts)
 	if d != b.digest {
 		b.roster, b.digest = hosts, d
+		b.pastHosts.add(d, hosts)
 		b.notify()
 	}
 }
@@ -392,11 +404,21 @@
 		}
 	}
 	if !b.readAt.IsZero() && b.list.Digest != in.Digest {
-		l := b.list
-		r.List, news = &l, true
+		news = true
+		if old, ok := b.pastLists.find(in.Digest); ok {
+			r.ListDelta, r.ListDigest = diff(old, b.list.Upstreams, upstreamKey, sameUpstream), b.list.Digest
+		} else {
+			l := b.list
+			r.List = &l
+		}
 	}
 	if b.digest != in.Roster {
-		r.Hosts, news = b.roster, true
+		news = true
+		if old, ok := b.pastHosts.find(in.Roster); ok {
+			r.HostDelta = diff(old, b.roster, hostKey, sameHost)
+		} else {
+			r.Hosts = b.roster
+		}
 	}
 	return r, news, b.changed
 }
