--- a/internal/front/hand.go
+++ b/internal/front/hand.go
@@ -34,6 +34,8 @@
 	// SpentMicros is how long the sender has had the query of its caller, and
 	// what it keeps for the way back.
 	SpentMicros int64 `cbor:",omitempty"`
+	// TripMicros is the round trip to the caller.
+	TripMicros int64 `cbor:",omitempty"`
 	// Shards, if set, are the positions of the shards that are asked for, and
 	// TargetMicros the time in which their answer is useful.
 	Shards       []int `cbor:",omitempty"`
@@ -87,10 +89,11 @@
 		return nil
 	}
 	in := q.handIn(v, limit)
+	in.TripMicros = q.trip.Microseconds()
 	in.SpentMicros = (f.now().Sub(q.begin) + f.back.margin()).Microseconds()
 	out, err := f.hand(ctx, to, in)
 	if err == nil && out.Missing > 0 {
-		f.back.learn(f.now().Sub(q.begin) - (route.Target - relay.CallerMargin(route.Target)) + f.back.margin())
+		f.back.learn(f.now().Sub(q.begin) - (route.Target - relay.CallerMargin(route.Target, q.trip)) + f.back.margin())
 	}
 	if err != nil || out.Declined || sampled(q.id) {
 		f.log.Info("query was handed over", "Request", string(q.id), "Version", v, "Gatherer", string(to.ID), "Declined", out.Declined, "Error", text(err))
@@ -213,6 +216,7 @@
 		Version: in.Version,
 		Shards:  in.Shards,
 		Target:  time.Duration(in.TargetMicros) * time.Microsecond,
+		Trip:    time.Duration(in.TripMicros) * time.Microsecond,
 		Spent:   time.Duration(in.SpentMicros) * time.Microsecond,
 		Direct:  in.Direct,
 	})
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -46,6 +47,8 @@
 	// query of another host.
 	begin ident.Instant
 	sub   bool
+	// trip is the round trip to the caller, 0 if unknown.
+	trip time.Duration
 	// groups are the answers of gatherers in other domains.
 	groups map[int]*handOut
 	// ctx ends the calls to them; it is set with the first.
@@ -84,9 +87,24 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// tripOf returns the round trip to the caller of a request.
+func tripOf(r *http.Request) time.Duration {
+	c, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok {
+		return 0
+	}
+	return roundTrip(c)
+}
+
 func (f *Front) serve(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h["Date"] = nil
@@ -124,6 +142,7 @@
 		body:   body,
 		reply:  make(chan reply, 1),
 		begin:  begin,
+		trip:   tripOf(r),
 	}
 	if t := f.table.Load(); t != nil && limit > 0 {
 		if route := t.Find(q.host, q.path); route != nil && route.Gathers() {
@@ -147,6 +166,7 @@
 		Host:  r.Host,
 		Path:  q.path,
 		Limit: limit,
+		Trip:  q.trip,
 	}); ok {
 		f.write(w, q, rep)
 	}
--- /dev/null
+++ b/internal/front/trip_linux.go
@@ -0,0 +1,31 @@
+package front
+
+import (
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// roundTrip returns the round trip to a caller as the kernel has measured it,
+// or 0 if it does not tell.
+func roundTrip(c net.Conn) time.Duration {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var trip time.Duration
+	err = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			trip = time.Duration(info.Rtt) * time.Microsecond
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return trip
+}
--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -34,6 +34,10 @@
 	targetMargin      = 0.06
 	leastTargetMargin = 8 * time.Millisecond
 
+	// serveTime is kept besides the round trip to the caller for reading the
+	// request and writing the answer.
+	serveTime = 6 * time.Millisecond
+
 	// handMargin is kept of the target for the way back between two hosts until
 	// it has been observed; leastHandLag and mostHandLag bound what is learned.
 	// Hosts of 0.134 cores take 2 to 8 ms to send and read an answer.
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -46,6 +46,8 @@
 	// for. The answer then holds what there is by Target.
 	Shards []int
 	Target time.Duration
+	// Trip is the round trip to the caller, 0 if unknown.
+	Trip time.Duration
 	// Spent is how long the host that hands the request over has had it and
 	// will need for the way back; 0 if it comes from its caller.
 	Spent time.Duration
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -212,3 +212,13 @@
 	is.True(l.Margin() >= 4*time.Millisecond)
 	is.True(l.Margin() < 7*time.Millisecond)
 }
+
+// Guards against answers that are cut in time here and come late at a caller
+// who is far away.
+func TestFarCallerIsAnsweredSooner(t *testing.T) {
+	is := is.New(t)
+	const target = 100 * time.Millisecond
+	is.Equal(relay.CallerMargin(target, 0), 8*time.Millisecond)
+	is.Equal(relay.CallerMargin(target, 2*time.Millisecond), 8*time.Millisecond)
+	is.Equal(relay.CallerMargin(target, 10*time.Millisecond), 16*time.Millisecond)
+}
--- a/pkg/relay/lag.go
+++ b/pkg/relay/lag.go
@@ -27,7 +27,7 @@
 }
 
 // CallerMargin is what is kept of a target latency for the ways to and from
-// the caller.
-func CallerMargin(target time.Duration) time.Duration {
-	return max(leastTargetMargin, time.Duration(targetMargin*float64(target)))
+// the caller, with the round trip between them or 0.
+func CallerMargin(target, trip time.Duration) time.Duration {
+	return max(leastTargetMargin, time.Duration(targetMargin*float64(target)), trip+serveTime)
 }
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -142,7 +142,7 @@
 		route:  r,
 		table:  table,
 		stats:  s,
-		target: e.after(r.Target - CallerMargin(r.Target) - ev.Spent - spent),
+		target: e.after(r.Target - CallerMargin(r.Target, ev.Trip) - ev.Spent - spent),
 		until:  e.after(min(limit-deadlineMargin, r.Timeout)),
 
 		arrived: e.now,
