--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -155,7 +155,12 @@
 				})
 				return
 			}
-			if out := f.handOver(r.Context(), q, t.Version(), route, limit); out != nil {
+			out := f.handOver(r.Context(), q, t.Version(), route, limit)
+			switch {
+			case r.Context().Err() != nil:
+				f.gauge.Request(gauge.Left, f.now().Sub(begin))
+				return
+			case out != nil:
 				f.writeHanded(w, q, out)
 				return
 			}
