--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -16,6 +16,11 @@
 	// for extra calls, that gatherers get.
 	gathererShare = 0.7
 
+	// helperShare is the part of a team's slack for extra calls that each helper
+	// gets; the gatherer, which calls shards that helpers give back, has the
+	// rest.
+	helperShare = 0.6
+
 	// queueAtUpstream is how many calls more than an upstream has slots a host
 	// sends there. The rest wait here, where a late one is dropped at no cost.
 	queueAtUpstream = 0
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -251,9 +251,14 @@
 // share is this host's part of the slack for extra calls of a query. Gatherers
 // get most of it, as they make most of the calls.
 func (e *Engine) share(q *query) float64 {
-	share := (1 - gathererShare) / float64(e.hosts)
-	if e.gathersFor(q) {
-		share += gathererShare / float64(e.teams)
+	share, team := (1-gathererShare)/float64(e.hosts), gathererShare/float64(e.teams)
+	switch {
+	case q.direct:
+		share += team * helperShare
+	case e.gathers && q.shared():
+		share += team * (1 - helperShare)
+	case e.gathers:
+		share += team
 	}
 	return share
 }
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -22,6 +22,11 @@
 	due ident.Instant
 }
 
+// shared reports whether helpers have shards of a query.
+func (q *query) shared() bool {
+	return slices.ContainsFunc(q.groups, func(g *group) bool { return g.helper != "" })
+}
+
 // handGroups hands shards of a query to the hosts that call them for less.
 func (e *Engine) handGroups(q *query) {
 	if q.direct {
@@ -179,13 +184,13 @@
 			return
 		}
 		if t.Shard == p.shard {
+			// The other host has counted the request.
 			p.arrivals, p.runs = t.Arrivals, t.Runs
 			q.ran = q.ran || t.Runs > 0
+			return
 		}
 	}
-	if p.arrivals == 0 {
-		e.window(p.service).Request(e.now)
-	}
+	e.window(p.service).Request(e.now)
 }
 
 // tried tells what was done for the parts of another host's query that the
--- a/pkg/relay/helper_test.go
+++ b/pkg/relay/helper_test.go
@@ -222,3 +222,56 @@
 	is.Equal(relay.CallerMargin(target, 2*time.Millisecond), 8*time.Millisecond)
 	is.Equal(relay.CallerMargin(target, 10*time.Millisecond), 16*time.Millisecond)
 }
+
+// Guards against more extra calls than the budget allows over all hosts: a
+// gatherer and its helpers, in turn in charge of a shard, must keep to little
+// more than the team's part together.
+func TestTeamKeepsToItsSlack(t *testing.T) {
+	is := is.New(t)
+	const queries, slack, others, team = 200, 100 * 0.5, 0.3 / 6, 0.7 / 2
+	helper := helperWorld(t)
+	helper.step(relay.Hosts{Count: 6, Gatherers: 2})
+	extra := 0
+	for id := ident.QueryID(1); id <= queries; id++ {
+		helper.now += 10 * ms
+		list := calls(helper.step(relay.Arrive{
+			Query:  id,
+			Host:   "a.example",
+			Path:   "/search/x",
+			Limit:  time.Second,
+			Shards: []int{0},
+			Target: 90 * time.Millisecond,
+			Direct: true,
+		}))
+		is.Equal(len(list), 1)
+		for _, c := range calls(helper.step(relay.Ended{Attempt: list[0].Attempt, Result: relay.Lost})) {
+			extra++
+			helper.step(relay.Ended{Attempt: c.Attempt, Result: relay.Lost})
+		}
+	}
+	is.True(extra > 0)
+	is.True(float64(extra) <= queries*0.2*0.85+slack*(others+team*0.6)+1)
+
+	gatherer := helperWorld(t)
+	gatherer.step(relay.Hosts{Count: 6, Gatherers: 2, Gathers: true})
+	extra = 0
+	for id := ident.QueryID(1); id <= queries; id++ {
+		gatherer.now += 10 * ms
+		for _, h := range hands(gatherer.arrive(id, "/search/x")) {
+			back := calls(gatherer.step(relay.Handed{
+				Query: id,
+				Group: h.Group,
+				Good:  h.Shards[1:],
+				Tried: []relay.Tried{{Shard: h.Shards[0], Arrivals: 1, Runs: 1}},
+			}))
+			for _, c := range back {
+				if c.Upstream.Service == "shard-0" {
+					extra++
+				}
+				gatherer.step(relay.Ended{Attempt: c.Attempt, Result: relay.Lost})
+			}
+		}
+	}
+	is.True(extra > 0)
+	is.True(float64(extra) <= slack*(others+team*0.4)+1) // the helper has counted the requests
+}
