--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -19,14 +20,29 @@
 	tries = 200
 )
 
-// Free returns a loopback address whose port is free now.
+// given holds the ports that were returned before. They may not be used yet, so
+// that a second process would get the same one.
+var (
+	mu    sync.Mutex
+	given = make(map[int]bool)
+)
+
+// Free returns a loopback address whose port is free now and that it has not
+// returned before.
 func Free() (string, error) {
+	mu.Lock()
+	defer mu.Unlock()
 	for range tries {
-		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(highest-lowest))
+		port := lowest + rand.IntN(highest-lowest)
+		if given[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
+		given[port] = true
 		return address, l.Close()
 	}
 	return "", errors.Errorf("no free port between %d and %d on loopback: end processes that listen there", lowest, highest)
