Log which document a control host holds and where it came from

Change: control hosts log each newer document with its source, and serve control_member and control_leader_known.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -139,9 +139,12 @@
 		Address: cfg.Link,
 		Bind:    cfg.Bind,
 		Link:    linkConfig,
-		Parts:   []state.Part{&documentPart{watchState: c.watchState}},
-		Extend:  c.register,
-		API:     c.api,
+		Parts: []state.Part{&documentPart{
+			watchState: c.watchState,
+			log:        cfg.Log,
+		}},
+		Extend: c.register,
+		API:    c.api,
 
 		ElectionTimeout: electionTimeout,
 		Log:             cfg.Log,
@@ -403,8 +406,8 @@
 	if err != nil {
 		return "", err
 	}
-	if r.Document != nil {
-		c.watchState.SetDocument(*r.Document)
+	if r.Document != nil && c.watchState.SetDocument(*r.Document) {
+		c.log.Info("configuration was received", "Version", r.Document.Version, "Source", address)
 	}
 	age := time.Duration(r.ListAge) * time.Millisecond
 	newList, ok := r.NewList(list)
--- a/internal/core/document.go
+++ b/internal/core/document.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"log/slog"
+
 	"github.com/pkg/errors"
 
 	"github.com/jujubethread/jujubethread/internal/proto"
@@ -23,6 +25,7 @@
 type documentPart struct {
 	active     watch.Document
 	watchState *watch.State
+	log        *slog.Logger
 }
 
 var _ state.Part = (*documentPart)(nil)
@@ -38,7 +41,7 @@
 	}
 	if c.Store != nil && c.Store.Version > p.active.Version {
 		p.active = *c.Store
-		p.watchState.SetDocument(p.active)
+		p.distribute()
 	}
 	if !c.Read {
 		return nil, nil
@@ -59,6 +62,13 @@
 		return err
 	}
 	p.active = d
-	p.watchState.SetDocument(d)
+	p.distribute()
 	return nil
 }
+
+// distribute passes the active document to the hosts that poll this one.
+func (p *documentPart) distribute() {
+	if p.watchState.SetDocument(p.active) {
+		p.log.Info("configuration was received", "Version", p.active.Version, "Source", documentPartName)
+	}
+}
--- a/internal/ctrl/meter.go
+++ b/internal/ctrl/meter.go
@@ -24,6 +24,8 @@
 //	| write_seconds     | histogram |               | time of one write and sync of the disk         |
 //	| leader            | gauge     |               | 1 while this member leads                      |
 //	| lease             | gauge     |               | 1 while local reads are current                |
+//	| member            | gauge     |               | 1 while this host is in its own member list    |
+//	| leader_known      | gauge     |               | 1 while this member knows a leader             |
 //	| term              | gauge     |               | term of the replicated log                     |
 //	| commit, applied   | gauge     |               | last committed and applied index               |
 //	| members_silent    | gauge     |               | members that do not reply; leader only         |
@@ -38,8 +40,9 @@
 	requests  map[requestKey]tally.Counter
 	writeTime tally.Histogram
 
-	leader, lease, term, commit, applied, unreachable tally.Gauge
-	logBytes, snapBytes, waiting, diskFailed, live    tally.Gauge
+	leader, lease, member, leaderKnown             tally.Gauge
+	term, commit, applied, unreachable             tally.Gauge
+	logBytes, snapBytes, waiting, diskFailed, live tally.Gauge
 }
 
 type requestKey struct {
@@ -68,6 +71,8 @@
 		writeTime:   scope.Histogram("write_seconds", writeBuckets),
 		leader:      scope.Gauge("leader"),
 		lease:       scope.Gauge("lease"),
+		member:      scope.Gauge("member"),
+		leaderKnown: scope.Gauge("leader_known"),
 		term:        scope.Gauge("term"),
 		commit:      scope.Gauge("commit"),
 		applied:     scope.Gauge("applied"),
@@ -114,6 +119,9 @@
 	}
 	m.leader.Update(indicator(q.Role == quorum.Leader))
 	m.lease.Update(indicator(q.Lease))
+	_, isMember := memberOf(q.Members, q.ID)
+	m.member.Update(indicator(isMember))
+	m.leaderKnown.Update(indicator(q.Leader != ""))
 	m.term.Update(float64(q.Term))
 	m.commit.Update(float64(q.Commit))
 	m.applied.Update(float64(q.Applied))
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -168,14 +168,17 @@
 	s.changed = make(chan struct{})
 }
 
-// SetDocument replaces the document, unless the version is not newer.
-func (s *State) SetDocument(d Document) {
+// SetDocument replaces the document and returns true, unless the version is not
+// newer.
+func (s *State) SetDocument(d Document) (replaced bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if d.Version > s.document.Version {
-		s.document, s.documentReceivedAt = d, time.Now()
-		s.notify()
+	if d.Version <= s.document.Version {
+		return false
 	}
+	s.document, s.documentReceivedAt = d, time.Now()
+	s.notify()
+	return true
 }
 
 // Document returns the newest document, with version 0 if there is none.
