--- a/pkg/quorum/quorum_test.go
+++ b/pkg/quorum/quorum_test.go
@@ -439,3 +439,25 @@
 	}
 	is.True(voteRequested) // requests the vote of the only remaining voter
 }
+
+// Guards against a removed member that names its last leader forever. It does
+// not start elections, and no leader sends it anything any more.
+func TestRemovedMemberForgetsTheLeader(t *testing.T) {
+	is := is.New(t)
+	s, l := newSimWithLeader(t, 3)
+	s.run(time.Second)
+	removed := s.hosts[0]
+	if removed == l {
+		removed = s.hosts[1]
+	}
+	s.change(l, quorum.RemoveMember{ID: removed.id})
+	_, ok := s.runUntil(5*time.Second, func() bool {
+		st := removed.node.Status(removed.clock(s.now))
+		return st.Commit >= l.node.Status(l.clock(s.now)).Commit && len(st.Members) == 2
+	})
+	is.True(ok) // the removed member knows that its removal is committed
+	_, ok = s.runUntil(5*time.Second, func() bool {
+		return removed.node.Status(removed.clock(s.now)).Leader == ""
+	})
+	is.True(ok) // it has had no contact with the leader for several election timeouts
+}
