Forget the leader on a member that gets nothing from it

Fix: past the election timeout a follower that may not start an election names no leader, as one that may.

--- a/pkg/quorum/node.go
+++ b/pkg/quorum/node.go
@@ -158,8 +158,12 @@
 		n.tickLeader()
 		return
 	}
-	if n.now >= n.electionDeadline && n.mayCampaign() {
+	switch {
+	case n.now < n.electionDeadline:
+	case n.mayCampaign():
 		n.startPreVote()
+	default:
+		n.leader = "" // no leader sends to a removed member
 	}
 }
 
--- a/pkg/quorum/sim_test.go
+++ b/pkg/quorum/sim_test.go
@@ -10,6 +10,9 @@
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
+// electionTimeout is the default of quorum.Config.
+const electionTimeout = 800 * time.Millisecond
+
 // sim simulates a group in virtual time and checks the safety invariants after
 // each event. Delays, message loss and clock rates are random.
 type sim struct {
@@ -45,6 +48,8 @@
 	writes    []func(*quorum.Stored)
 	writeSeqs []quorum.Seq
 	syncAt    time.Duration
+	// leaderHeardAt is when this host last got a message of a current leader.
+	leaderHeardAt time.Duration
 	// state is the replicated state machine: the data of all applied commands.
 	state        []string
 	appliedIndex quorum.Index
@@ -252,6 +257,7 @@
 			if p.deliverAt > s.now {
 				s.packets = append(s.packets, p)
 			} else if h := s.hostByID(p.msg.To); h != nil && h.up {
+				h.noteLeader(s.now, p.msg)
 				s.step(h, quorum.Receive{
 					Now:     h.clock(s.now),
 					Message: p.msg,
@@ -265,6 +271,32 @@
 			}
 		}
 		s.checkLeases()
+		s.checkLeaders()
+	}
+}
+
+func (h *host) noteLeader(now time.Duration, m quorum.Message) {
+	if m.Term < h.node.Status(h.clock(now)).Term {
+		return
+	}
+	switch m.Body.(type) {
+	case quorum.AppendRequest, quorum.SnapshotRequest:
+		h.leaderHeardAt = now
+	}
+}
+
+// checkLeaders checks that a host names another one as the leader only if that
+// has sent something within the longest election timeout.
+func (s *sim) checkLeaders() {
+	const limit = 2 * electionTimeout * 11 / 10 // clocks differ by up to 3%
+	for _, h := range s.hosts {
+		if !h.up {
+			continue
+		}
+		l := h.node.Status(h.clock(s.now)).Leader
+		if silent := s.now - h.leaderHeardAt; l != "" && l != h.id && silent > limit && len(s.violations) == 0 {
+			s.reportViolation("%s names the leader %s, silent for %s", h.id, l, silent)
+		}
 	}
 }
 
