Separate the choice of a source from the streams of follow.Reducer

Cause: entry hosts on the platform choose their control host by code of their own, with sockets and clocks, that never leaves one which answers. They are to use the choice that follow.Reducer has: tiers, ejections, return.

--- a/pkg/follow/reducer.go
+++ b/pkg/follow/reducer.go
@@ -1,7 +1,7 @@
 package follow
 
 import (
-	"math/rand/v2"
+	"slices"
 
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -22,12 +22,9 @@
 // source at a time, polls random peers for newer versions, and returns to a
 // better source when one is back. It is not safe for concurrent use.
 type Reducer struct {
-	cfg   Config
-	rng   *rand.Rand
+	sources
 	state *config.State
-	// sources holds the control hosts, then the peers.
-	sources []*source
-	peers   []Source
+	peers []Source
 
 	watch  stream
 	pull   stream
@@ -37,34 +34,13 @@
 	sourceBehindSince ident.Instant
 	sourceBehind      bool
 
-	// retryAt is when a source is watched although all are ejected.
-	retryAt ident.Instant
-
 	poll       versionRequest // to a random peer
 	pollAt     ident.Instant
 	failback   versionRequest // to a source of a better tier
 	failbackAt ident.Instant
-	// failbackTurn rotates failback requests over the better sources.
-	failbackTurn int
-	effects      []Effect
-}
-
-// source is a host that can be watched.
-type source struct {
-	Source
-	tier         int
-	failures     int // consecutive
-	ejectedUntil ident.Instant
+	effects    []Effect
 }
 
-// Tiers of sources, best first. addSource relies on the order.
-const (
-	ownDomainControl = iota
-	otherDomainControl
-	ownDomainPeer
-	otherDomainPeer
-)
-
 // stream is an open watch or pull.
 type stream struct {
 	id            uint64 // zero if none is open
@@ -85,13 +61,8 @@
 
 // New returns a reducer without a configuration.
 func New(cfg Config) *Reducer {
-	r := &Reducer{
-		cfg: cfg,
-		rng: rand.New(rand.NewPCG(cfg.Seed, 0)),
-	}
-	for _, c := range cfg.Controls {
-		r.addSource(c, ownDomainControl)
-	}
+	r := &Reducer{sources: newSources(cfg.Domain, cfg.Seed, retryInterval)}
+	r.replace(ownDomainControl, cfg.Controls)
 	return r
 }
 
@@ -125,7 +96,8 @@
 	case VersionFailed:
 		r.onVersionFailed(e)
 	case PeersChanged:
-		r.setPeers(e.Peers)
+		r.peers = slices.Clone(e.Peers)
+		r.replace(ownDomainPeer, r.peers)
 		if r.watch.id == 0 {
 			r.watchNext(now)
 		}
@@ -316,3 +288,99 @@
 		Digest: digest,
 	})
 }
+
+// watchNext watches the chosen source, if any.
+func (r *Reducer) watchNext(now ident.Instant) {
+	if src := r.choose(now); src != nil {
+		r.openWatch(now, src, false)
+	}
+}
+
+func (r *Reducer) onTick(now ident.Instant) {
+	switch {
+	case r.watch.id == 0:
+		r.watchNext(now)
+	case now.Sub(r.watch.lastMessageAt) >= sourceTimeout:
+		r.closeStream(now, &r.watch, true)
+	case r.sourceBehind && now.Sub(r.sourceBehindSince) >= staleTimeout:
+		r.closeStream(now, &r.watch, true)
+	}
+	if r.pull.id != 0 && now.Sub(r.pull.lastMessageAt) >= pullTimeout {
+		r.closeStream(now, &r.pull, true)
+	}
+	if now >= r.pollAt {
+		r.pollAt = now.Add(pollInterval)
+		if len(r.peers) > 0 {
+			r.poll = r.requestVersion(now, r.peers[r.rng.IntN(len(r.peers))].Address)
+		}
+	}
+	if now >= r.failbackAt {
+		r.failbackAt = now.Add(failbackInterval)
+		if r.watch.id == 0 {
+			return
+		}
+		if s := r.better(r.watch.source); s != nil {
+			r.failback = r.requestVersion(now, s.Address)
+		}
+	}
+}
+
+func (r *Reducer) requestVersion(now ident.Instant, to string) versionRequest {
+	r.lastID++
+	r.emit(AskVersion{
+		Attempt: r.lastID,
+		To:      to,
+	})
+	return versionRequest{
+		attempt: r.lastID,
+		to:      to,
+		at:      now,
+	}
+}
+
+func (r *Reducer) onVersion(now ident.Instant, e VersionAnswered) {
+	switch e.Attempt {
+	case r.poll.attempt:
+		src := r.find(r.poll.to)
+		r.poll = versionRequest{}
+		if src != nil && r.pull.id == 0 && (r.state == nil || r.version().Less(e.Version)) {
+			r.openPull(now, src, false)
+		}
+	case r.failback.attempt:
+		src := r.find(r.failback.to)
+		r.failback = versionRequest{}
+		// A better source that is behind this host would be ejected again as
+		// stale.
+		if src != nil && r.watch.id != 0 && src.tier < r.watch.source.tier && !e.Version.Less(r.version()) {
+			r.emit(CloseStream{Stream: r.watch.id})
+			src.ejectedUntil = 0
+			r.openWatch(now, src, false)
+		}
+	}
+}
+
+func (r *Reducer) onVersionFailed(e VersionFailed) {
+	switch e.Attempt {
+	case r.poll.attempt:
+		r.poll = versionRequest{}
+	case r.failback.attempt:
+		r.failback = versionRequest{}
+	}
+}
+
+// nextWake returns the next time at which onTick has something to do.
+func (r *Reducer) nextWake(now ident.Instant) ident.Instant {
+	at := min(r.pollAt, r.failbackAt)
+	if r.watch.id != 0 {
+		at = min(at, r.watch.lastMessageAt.Add(sourceTimeout))
+		if r.sourceBehind {
+			at = min(at, r.sourceBehindSince.Add(staleTimeout))
+		}
+	} else {
+		at = min(at, max(r.retryAt, now.Add(retryInterval/10)))
+	}
+	if r.pull.id != 0 {
+		at = min(at, r.pull.lastMessageAt.Add(pullTimeout))
+	}
+	return max(at, now)
+}
