Bound how long a host without the replicated log waits for a document

Cause: the leader sends a document to a control host that normally has it from the log only if the document is older than 400 ms; each new document began that time anew, so that with a change each 0.3 s it never ended. Fix: each version has its own grace period (follow.Settled). A host that polls without a version whose period is over gets the newest one. What a poll is answered with is now decided by pkg/board, without clock and sockets; TestDocumentsReachAHostWithoutTheLog draws gaps of 10 to 800 ms and also checks that a host with the log is sent no document.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -8,7 +8,7 @@
 	"github.com/jujubethread/jujubethread/internal/ctrl"
 	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/internal/state"
-	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 	"github.com/jujubethread/jujubethread/platform"
@@ -34,7 +34,7 @@
 		writeError(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	packed, err := watch.Pack(raw)
+	packed, err := board.Pack(raw)
 	if err != nil {
 		writeError(w, http.StatusInternalServerError, err.Error())
 		return
@@ -42,7 +42,7 @@
 	if c.redirect(w, r) {
 		return
 	}
-	a := c.submit(r.Context(), h, documentCommand{Store: &watch.Document{
+	a := c.submit(r.Context(), h, documentCommand{Store: &board.Document{
 		Version: doc.Version,
 		Packed:  packed,
 	}})
@@ -63,7 +63,7 @@
 		writeError(w, http.StatusServiceUnavailable, a.Remedy)
 		return
 	}
-	var d watch.Document
+	var d board.Document
 	if err := proto.Unmarshal(a.Data, &d); err != nil {
 		writeError(w, http.StatusServiceUnavailable, err.Error())
 		return
@@ -72,7 +72,7 @@
 		writeError(w, http.StatusServiceUnavailable, "there is no configuration yet: send one")
 		return
 	}
-	raw, err := watch.Unpack(d.Packed)
+	raw, err := board.Unpack(d.Packed)
 	if err != nil {
 		writeError(w, http.StatusServiceUnavailable, err.Error())
 		return
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,6 +21,7 @@
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
@@ -89,7 +90,7 @@
 type Core struct {
 	cfg        Config
 	log        *slog.Logger
-	self       watch.Host
+	self       board.Host
 	watchState *watch.State
 	host       *ctrl.Host
 	client     *link.Client
@@ -161,9 +162,9 @@
 	if c.host, err = ctrl.New(hostConfig); err != nil {
 		return nil, err
 	}
-	c.self = watch.Host{
+	c.self = board.Host{
 		ID:       c.host.ID(),
-		Kind:     watch.Control,
+		Kind:     board.Control,
 		Domain:   cfg.Domain,
 		Link:     cfg.Link,
 		Operator: cfg.Operator,
@@ -263,7 +264,7 @@
 	}
 	directHosts, _ := c.watchState.DirectHosts()
 	for _, h := range directHosts {
-		if h.Kind == watch.Control {
+		if h.Kind == board.Control {
 			v.Alive = append(v.Alive, roster.Host{
 				ID:      h.ID,
 				Address: h.Link,
@@ -309,9 +310,9 @@
 	failing := false
 	for {
 		s, ok := c.status(ctx)
-		_, age := c.watchState.List()
-		if ok && s.Role == quorum.Leader || age > maxListAge {
-			started := time.Now()
+		_, age, hasList := c.watchState.List()
+		if ok && s.Role == quorum.Leader || !hasList || age > maxListAge {
+			started := c.watchState.Now()
 			upstreams, skipped, err := c.lister.Read(ctx)
 			switch {
 			case err != nil && !failing:
@@ -322,11 +323,11 @@
 					c.log.Info("list of upstreams is readable again")
 					failing = false
 				}
-				l := watch.NewList(upstreams)
-				if old, _ := c.watchState.List(); old.Digest != l.Digest {
+				l := board.NewList(upstreams)
+				if old, _, _ := c.watchState.List(); old.Digest != l.Digest {
 					c.log.Info("list of upstreams changed", "Upstreams", len(upstreams), "Skipped", skipped)
 				}
-				c.watchState.SetList(l, time.Since(started))
+				c.watchState.SetList(l, started)
 			}
 		}
 		select {
@@ -383,12 +384,12 @@
 // that the contacted host names. logHasLeader is set if the replicated log names
 // a leader; atOnce requests a reply without waiting for changes.
 func (c *Core) requestUpdate(ctx context.Context, address string, logHasLeader, atOnce bool) (leader string, err error) {
-	list, _ := c.watchState.List()
+	list, _, _ := c.watchState.List()
 	hosts, rosterDigest := c.watchState.Roster()
 	if c.resync {
 		list.Digest, rosterDigest = 0, 0
 	}
-	request := watch.Request{
+	request := board.Request{
 		From:    c.self,
 		Version: c.watchState.Document().Version,
 		Digest:  list.Digest,
@@ -400,7 +401,7 @@
 	if request.DirectDigest = directDigest; directDigest != c.confirmedDigest {
 		request.DirectHosts = directHosts
 	}
-	var r watch.Reply
+	var r board.Reply
 	err = c.client.Call(ctx, address, watch.MethodPoll, &request, &r)
 	c.confirmedDigest = r.DirectDigest
 	if err != nil {
@@ -409,14 +410,14 @@
 	if r.Document != nil && c.watchState.SetDocument(*r.Document) {
 		c.log.Info("configuration was received", "Version", r.Document.Version, "Source", address)
 	}
-	age := time.Duration(r.ListAge) * time.Millisecond
+	readAt := c.watchState.Now().Add(-time.Duration(r.ListAge) * time.Millisecond)
 	newList, ok := r.NewList(list)
 	c.resync = !ok && r.ListDelta != nil
 	switch {
 	case ok:
-		c.watchState.SetList(newList, age)
+		c.watchState.SetList(newList, readAt)
 	case r.ListAge >= 0 && !c.resync:
-		c.watchState.ConfirmList(list.Digest, age)
+		c.watchState.ConfirmList(list.Digest, readAt)
 	}
 	if r.Roster != rosterDigest {
 		if hosts, ok = r.NewHosts(hosts); ok {
--- a/internal/core/document.go
+++ b/internal/core/document.go
@@ -8,6 +8,7 @@
 	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/board"
 )
 
 // documentPartName is the name of the replicated part in commands and snapshots.
@@ -17,13 +18,13 @@
 // through the log like a change, so that it never returns an older document
 // than one that was acknowledged before.
 type documentCommand struct {
-	Store *watch.Document `cbor:",omitempty"`
+	Store *board.Document `cbor:",omitempty"`
 	Read  bool            `cbor:",omitempty"`
 }
 
 // documentPart replicates the active document: the one with the highest version.
 type documentPart struct {
-	active     watch.Document
+	active     board.Document
 	watchState *watch.State
 	log        *slog.Logger
 }
@@ -57,7 +58,7 @@
 
 // Restore implements state.Part.
 func (p *documentPart) Restore(data []byte) error {
-	var d watch.Document
+	var d board.Document
 	if err := proto.Unmarshal(data, &d); err != nil {
 		return err
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/pipe"
 	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
@@ -75,7 +76,7 @@
 	cfg    Config
 	log    *slog.Logger
 	start  time.Time
-	self   watch.Host
+	self   board.Host
 	client *link.Client
 	pool   *pipe.Pool
 	gauge  *gauge.Gauge
@@ -124,9 +125,9 @@
 		log:    cfg.Log,
 		start:  time.Now(),
 		client: client,
-		self: watch.Host{
+		self: board.Host{
 			ID:     cfg.Name,
-			Kind:   watch.Entry,
+			Kind:   board.Entry,
 			Domain: cfg.Domain,
 			Link:   cfg.Link,
 		},
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/gather"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
@@ -31,10 +31,10 @@
 }
 
 // setRoster replaces the hosts to select from by the entry hosts of a roster.
-func (p *peers) setRoster(now ident.Instant, roster []watch.Host) {
+func (p *peers) setRoster(now ident.Instant, roster []board.Host) {
 	hosts := make([]gather.Host, 0, len(roster))
 	for _, h := range roster {
-		if h.Kind == watch.Entry {
+		if h.Kind == board.Entry {
 			hosts = append(hosts, gather.Host{
 				ID:       h.ID,
 				Domain:   h.Domain,
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/gather"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 	"github.com/jujubethread/jujubethread/pkg/rules"
@@ -35,10 +36,10 @@
 	seeds      []string
 	source     string
 	nextSource int
-	hosts      []watch.Host
+	hosts      []board.Host
 
 	version    rules.Version
-	list       watch.List
+	list       board.List
 	roster     uint64
 	listReadAt time.Time
 
@@ -95,7 +96,7 @@
 	var own, others []string
 	for _, h := range w.hosts {
 		switch {
-		case h.Kind != watch.Control:
+		case h.Kind != board.Control:
 		case h.Domain == w.front.cfg.Domain:
 			own = append(own, h.Link)
 		default:
@@ -115,7 +116,7 @@
 func (w *watcher) closerSource() string {
 	found := ""
 	for _, h := range w.hosts {
-		if h.Kind != watch.Control || h.Domain != w.front.cfg.Domain {
+		if h.Kind != board.Control || h.Domain != w.front.cfg.Domain {
 			continue
 		}
 		if h.Link == w.source {
@@ -128,10 +129,10 @@
 
 func (w *watcher) poll(ctx context.Context) error {
 	f := w.front
-	var r watch.Reply
+	var r board.Reply
 	self := f.self
 	self.Draining = f.draining.Load()
-	err := f.client.Call(ctx, w.source, watch.MethodPoll, &watch.Request{
+	err := f.client.Call(ctx, w.source, watch.MethodPoll, &board.Request{
 		From:    self,
 		Version: w.version,
 		Digest:  w.list.Digest,
@@ -163,9 +164,9 @@
 	return nil
 }
 
-func (w *watcher) install(d watch.Document) {
+func (w *watcher) install(d board.Document) {
 	f := w.front
-	raw, err := watch.Unpack(d.Packed)
+	raw, err := board.Unpack(d.Packed)
 	if err != nil {
 		f.log.Error("configuration cannot be unpacked", "Version", d.Version, "Error", err.Error())
 		return
@@ -186,7 +187,7 @@
 
 // applyList applies the list of upstreams in a reply, unless it was read
 // earlier than the one in use.
-func (w *watcher) applyList(r *watch.Reply) {
+func (w *watcher) applyList(r *board.Reply) {
 	if r.ListAge < 0 {
 		return
 	}
@@ -217,7 +218,7 @@
 func (w *watcher) updateHostCount() {
 	n := 0
 	for _, h := range w.hosts {
-		if h.Kind == watch.Entry {
+		if h.Kind == board.Entry {
 			n++
 		}
 	}
--- a/internal/front/watch_test.go
+++ b/internal/front/watch_test.go
@@ -15,6 +15,7 @@
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/ports"
 	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/rules"
@@ -26,7 +27,7 @@
 // controlHost is a stand-in of a control host: a state that entry hosts poll.
 type controlHost struct {
 	*watch.State
-	host watch.Host
+	host board.Host
 }
 
 func startControlHost(t *testing.T, domain ident.Domain) *controlHost {
@@ -38,9 +39,9 @@
 	is.NoErr(err)
 	c := &controlHost{
 		State: watch.NewState(),
-		host: watch.Host{
+		host: board.Host{
 			ID:     ident.HostID("control-" + domain),
-			Kind:   watch.Control,
+			Kind:   board.Control,
 			Domain: domain,
 			Link:   lis.Addr().String(),
 		},
@@ -64,13 +65,13 @@
 	})
 }
 
-func document(t *testing.T, version rules.Version, prefix string) watch.Document {
+func document(t *testing.T, version rules.Version, prefix string) board.Document {
 	t.Helper()
-	packed, err := watch.Pack(fmt.Appendf(nil, `{"Version":%d,"Routes":[{"Name":"r","Host":"a.example","PathPrefix":%q,"Kind":"safe",
+	packed, err := board.Pack(fmt.Appendf(nil, `{"Version":%d,"Routes":[{"Name":"r","Host":"a.example","PathPrefix":%q,"Kind":"safe",
 		"TimeoutMs":1000,"TargetLatencyMs":500,"Priority":1,"Service":"s","MaxAttempts":1}],
 		"Services":[{"Name":"s","MaxConnections":8}],"Limits":{}}`, version, prefix))
 	is.New(t).NoErr(err)
-	return watch.Document{
+	return board.Document{
 		Version: version,
 		Packed:  packed,
 	}
@@ -133,7 +134,7 @@
 func TestEntryHostLeavesAControlHostWithoutTheLeader(t *testing.T) {
 	is := is.New(t)
 	cutOff, other := startControlHost(t, "a"), startControlHost(t, "b")
-	roster := []watch.Host{cutOff.host, other.host}
+	roster := []board.Host{cutOff.host, other.host}
 	for _, c := range []*controlHost{cutOff, other} {
 		c.SetRoster(roster)
 		c.SetDocument(document(t, 1, "/old/"))
--- a/internal/watch/delta.go
+++ b/pkg/board/delta.go
@@ -1,4 +1,4 @@
-package watch
+package board
 
 import (
 	"cmp"
--- a/internal/watch/delta_test.go
+++ b/pkg/board/delta_test.go
@@ -1,55 +1,33 @@
-package watch_test
+package board_test
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"github.com/jujubethread/jujubethread/internal/link"
-	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 )
 
-// serve serves a state on loopback and returns a function that polls it.
-func serve(t *testing.T, state *watch.State) func(watch.Request) watch.Reply {
-	t.Helper()
-	is := is.New(t)
-	s, err := link.NewServer(link.Config{})
-	is.NoErr(err)
-	state.Register(s)
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- s.Serve(ctx, lis) }()
-	c, err := link.NewClient(link.Config{})
-	is.NoErr(err)
-	t.Cleanup(func() {
-		_ = c.Close()
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
-	return func(in watch.Request) (r watch.Reply) {
+// poller returns a function that polls a board and gets the answer at once.
+func poller(b *board.Board) func(board.Request) board.Reply {
+	return func(in board.Request) board.Reply {
 		in.From.ID, in.AtOnce = "poller", true
-		is.NoErr(c.Call(t.Context(), lis.Addr().String(), watch.MethodPoll, &in, &r))
-		return r
+		r, _ := b.Answer(0, b.Open(0, &in))
+		return *r
 	}
 }
 
-func roster(n int) []watch.Host {
-	var list []watch.Host
+func roster(n int) []board.Host {
+	var list []board.Host
 	for i := range n {
-		list = append(list, watch.Host{
+		list = append(list, board.Host{
 			ID:   ident.HostID(fmt.Sprintf("h%03d", i)),
-			Kind: watch.Entry,
+			Kind: board.Entry,
 			Link: fmt.Sprint("10.0.0.", i),
 		})
 	}
@@ -60,10 +38,10 @@
 // roster differs from the server's after applying deltas.
 func TestRosterComesAsDeltas(t *testing.T) {
 	is := is.New(t)
-	state := watch.NewState()
-	poll := serve(t, state)
+	state := board.New()
+	poll := poller(state)
 	rng := rand.New(rand.NewPCG(1, 1))
-	var current []watch.Host
+	var current []board.Host
 	digest := uint64(0)
 	for n := range 60 {
 		all := roster(100)
@@ -74,7 +52,7 @@
 			all = append(all[:j:j], all[j+1:]...)
 		}
 		state.SetRoster(all)
-		r := poll(watch.Request{Roster: digest})
+		r := poll(board.Request{Roster: digest})
 		if digest != 0 {
 			is.Equal(len(r.Hosts), 0) // only a delta
 		}
@@ -85,11 +63,11 @@
 		}
 		is.Equal(current, all)
 	}
-	r := poll(watch.Request{Roster: 12345}) // unknown digest: full copy
+	r := poll(board.Request{Roster: 12345}) // unknown digest: full copy
 	is.Equal(r.Hosts, current)
-	_, ok := (&watch.Reply{
+	_, ok := (&board.Reply{
 		Roster:    digest + 1,
-		HostDelta: &watch.HostDelta{},
+		HostDelta: &board.HostDelta{},
 	}).NewHosts(current)
 	is.True(!ok) // a delta that does not apply is rejected
 }
@@ -99,9 +77,9 @@
 // changed.
 func TestListComesAsDeltas(t *testing.T) {
 	is := is.New(t)
-	state := watch.NewState()
-	poll := serve(t, state)
-	current := watch.List{}
+	state := board.New()
+	poll := poller(state)
+	current := board.List{}
 	for n := range 20 {
 		var ups []relay.Upstream
 		for i := n; i < n+50; i++ {
@@ -112,9 +90,9 @@
 				Cold:     time.Duration(n) * time.Second,
 			})
 		}
-		list := watch.NewList(ups)
+		list := board.NewList(ups)
 		state.SetList(list, 0)
-		r := poll(watch.Request{Digest: current.Digest})
+		r := poll(board.Request{Digest: current.Digest})
 		is.Equal(r.List != nil, n == 0)
 		next, ok := r.NewList(current)
 		is.True(ok)
