Leave a control host whose copy of the configuration is stale

Cause: an entry host polled a control host for as long as that answered. The answer did not say how old the copy was, so neither could tell; the choice of the source was made beside the socket and never looked at the versions. Fix: the leader confirms its copy while it has the lease; every answer says how long ago the copy was confirmed, measured from when the poll was sent, so that no delay on the way counts as age of nothing. Past 1.2 s a control host answers the waiting polls, and entry hosts probe the others and take one that is current (follow.Poller, with the choice of follow.Reducer). While none is current they stay and go on serving. A stale control host offers no roster, and nobody offers a list that is older than the one held.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,6 +23,7 @@
 	"github.com/jujubethread/jujubethread/internal/watch"
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/follow"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 	"github.com/jujubethread/jujubethread/pkg/roster"
@@ -100,6 +101,9 @@
 	seeds atomic.Pointer[[]string]
 	// leaders receives the link addresses of leaders that announce themselves.
 	leaders chan string
+	// namedLeader is the leader that another host has named, empty if none. It
+	// counts while the replicated log names none.
+	namedLeader atomic.Pointer[string]
 
 	// confirmedDigest is the digest of the hosts that poll this host, as last
 	// confirmed by the leader.
@@ -134,6 +138,7 @@
 		leaders:    make(chan string, 1),
 	}
 	c.seeds.Store(&cfg.Seeds)
+	c.namedLeader.Store(new(string))
 	hostConfig := ctrl.Config{
 		Folder:  cfg.Folder,
 		Listen:  cfg.Operator,
@@ -225,6 +230,8 @@
 			return nil
 		case <-tick.C:
 		}
+		c.watchState.Sweep()
+		asked := c.watchState.Now()
 		s, ok := c.status(ctx)
 		if !ok {
 			continue
@@ -235,14 +242,19 @@
 			address = c.cfg.Link
 			c.watchState.RecordHeartbeat(c.self)
 		}
-		if address != leader && address != "" {
+		if s.Lease {
+			c.watchState.ConfirmOwn(asked)
+		}
+		if address != leader {
 			c.log.Info("leader changed", "Leader", address, "Term", uint64(s.Term), "Leading", leading, "Members", len(s.Members))
 			leader = address
 		}
+		if address == "" {
+			address = *c.namedLeader.Load()
+		}
 		if address != "" {
 			c.watchState.SetLeader(leading, address)
 		}
-		c.watchState.Sweep()
 		if !leading || !s.Lease {
 			c.planner.Reset()
 			continue
@@ -343,48 +355,52 @@
 // as one removed from the group, receives the document this way as well, and
 // the leader learns of it as a host that may join.
 func (c *Core) followLeader(ctx context.Context) error {
-	source := Source{Own: c.cfg.Link}
+	finder := follow.LeaderFinder{Own: c.cfg.Link}
 	disconnected := false
 	for ctx.Err() == nil {
-		source.Seeds = *c.seeds.Load()
+		finder.Seeds = *c.seeds.Load()
 		select {
 		case leader := <-c.leaders:
-			source.SetLeader(leader)
+			finder.Answered(leader)
 		default:
 		}
+		named := finder.Leader()
+		c.namedLeader.Store(&named)
 		s, ok := c.status(ctx)
 		if ok && s.Role == quorum.Leader {
-			source.SetLeader("")
+			finder.Failed()
 			sleep(ctx, retryDelay)
 			continue
 		}
 		logHasLeader := s.Leader != ""
-		address, discovering := source.Target(leaderAddress(s))
+		address, discovering := finder.Target(leaderAddress(s))
 		if address == "" {
 			sleep(ctx, retryDelay)
 			continue
 		}
-		leader, err := c.requestUpdate(ctx, address, logHasLeader, discovering)
+		leader, current, err := c.requestUpdate(ctx, address, logHasLeader, discovering)
 		if disconnected != (err != nil) || discovering && leader != "" {
 			disconnected = err != nil
-			c.log.Info("update source changed", "Source", address, "Lost", disconnected, "Leader", leader, "Hears", logHasLeader, "Version", c.watchState.Document().Version, "Error", errorText(err))
+			c.log.Info("update source changed", "Source", address, "Lost", disconnected, "Leader", leader, "Hears", logHasLeader, "Current", current, "Version", c.watchState.Document().Version, "Error", errorText(err))
 		}
-		source.SetLeader(leader)
-		if err != nil || discovering && leader == "" {
-			sleep(ctx, retryDelay)
+		if err != nil {
+			finder.Failed()
+		} else {
+			finder.Answered(leader)
 		}
-		if err == nil && !logHasLeader && leader != "" && leader != c.cfg.Link {
-			c.watchState.SetLeader(false, leader)
+		if err != nil || finder.Leader() == "" {
+			sleep(ctx, retryDelay)
 		}
 	}
 	return nil
 }
 
-// requestUpdate requests an update from one control host and returns the leader
-// that the contacted host names. logHasLeader is set if the replicated log names
-// a leader; atOnce requests a reply without waiting for changes.
-func (c *Core) requestUpdate(ctx context.Context, address string, logHasLeader, atOnce bool) (leader string, err error) {
-	list, _, _ := c.watchState.List()
+// requestUpdate requests an update from one control host. It returns the leader
+// that the contacted host names, and whether its copy is current. logHasLeader
+// is set if the replicated log names a leader; atOnce requests an answer without
+// waiting for changes.
+func (c *Core) requestUpdate(ctx context.Context, address string, logHasLeader, atOnce bool) (leader string, current bool, err error) {
+	list, listAge, _ := c.watchState.List()
 	hosts, rosterDigest := c.watchState.Roster()
 	if c.resync {
 		list.Digest, rosterDigest = 0, 0
@@ -393,6 +409,7 @@
 		From:    c.self,
 		Version: c.watchState.Document().Version,
 		Digest:  list.Digest,
+		ListAge: listAge.Milliseconds(),
 		Roster:  rosterDigest,
 		Follows: logHasLeader,
 		AtOnce:  atOnce,
@@ -401,25 +418,29 @@
 	if request.DirectDigest = directDigest; directDigest != c.confirmedDigest {
 		request.DirectHosts = directHosts
 	}
+	sentAt := c.watchState.Now()
 	var r board.Reply
 	err = c.client.Call(ctx, address, watch.MethodPoll, &request, &r)
 	c.confirmedDigest = r.DirectDigest
 	if err != nil {
-		return "", err
+		return "", false, err
 	}
 	if r.Document != nil && c.watchState.SetDocument(*r.Document) {
 		c.log.Info("configuration was received", "Version", r.Document.Version, "Source", address)
 	}
-	readAt := c.watchState.Now().Add(-time.Duration(r.ListAge) * time.Millisecond)
+	confirmedAt, confirmed := r.ConfirmedAt(sentAt)
+	if confirmed {
+		c.watchState.Confirm(r.Version, confirmedAt)
+	}
 	newList, ok := r.NewList(list)
 	c.resync = !ok && r.ListDelta != nil
-	switch {
-	case ok:
+	switch readAt, read := r.ListReadAt(sentAt); {
+	case ok && read:
 		c.watchState.SetList(newList, readAt)
-	case r.ListAge >= 0 && !c.resync:
+	case read && !c.resync:
 		c.watchState.ConfirmList(list.Digest, readAt)
 	}
-	if r.Roster != rosterDigest {
+	if r.Roster != 0 && r.Roster != rosterDigest {
 		if hosts, ok = r.NewHosts(hosts); ok {
 			c.watchState.SetRoster(hosts)
 		} else {
@@ -429,7 +450,7 @@
 	if c.resync {
 		c.log.Info("update does not apply to the stored copy; requesting a full copy", "Source", address)
 	}
-	return r.Leader, nil
+	return r.Leader, confirmed && c.watchState.Now().Sub(confirmedAt) <= follow.StaleAge, nil
 }
 
 // errorText returns the message of an error for a log; it is empty for none.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -97,8 +97,9 @@
 	hasList  atomic.Bool
 	draining atomic.Bool
 	closing  atomic.Bool
-	// The values of the gauges; listReadAt is in Unix nanoseconds.
-	requestsRunning, upstreams, hosts, listReadAt atomic.Int64
+	// The values of the gauges; listReadAt, and confirmedAt of the configuration,
+	// are in Unix nanoseconds.
+	requestsRunning, upstreams, hosts, listReadAt, confirmedAt atomic.Int64
 	// lastUnreadyReason is the reason at the last readiness check, empty if ready.
 	lastUnreadyReason atomic.Pointer[string]
 	// isolated is set while no other domain is reachable, localCoverage while
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -106,6 +106,7 @@
 		f.gauge.Running.Update(float64(f.requestsRunning.Load()))
 		f.gauge.Upstreams.Update(float64(f.upstreams.Load()))
 		f.gauge.Hosts.Update(float64(f.hosts.Load()))
+		f.gauge.VersionAge.Update(time.Since(time.Unix(0, f.confirmedAt.Load())).Seconds())
 		f.gauge.ListAge.Update(time.Since(time.Unix(0, f.listReadAt.Load())).Seconds())
 		if f.cfg.Dropped != nil {
 			f.gauge.Dropped.Update(float64(f.cfg.Dropped()))
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -4,21 +4,21 @@
 	"context"
 	"time"
 
+	"github.com/jujubethread/jujubethread/internal/clock"
 	"github.com/jujubethread/jujubethread/internal/watch"
 	"github.com/jujubethread/jujubethread/pkg/board"
+	"github.com/jujubethread/jujubethread/pkg/follow"
 	"github.com/jujubethread/jujubethread/pkg/gather"
+	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 	"github.com/jujubethread/jujubethread/pkg/rules"
 	"github.com/jujubethread/jujubethread/platform"
 )
 
 const (
-	// pollRetryDelay is the pause after a failed poll.
-	pollRetryDelay = 150 * time.Millisecond
-
-	// startOffsets is the number of different offsets at which hosts start their
-	// round-robin over the seeds.
-	startOffsets = 60
+	// outdatedAge is the age of the configuration above which changes may be
+	// missing that must be in force.
+	outdatedAge = 3 * time.Second
 
 	// hostCountRetention is how long the largest host count seen stays in use, so
 	// that hosts in an isolated domain do not take over the budget shares of the
@@ -30,18 +30,26 @@
 	hostCountSettleTime = 1500 * time.Millisecond
 )
 
-// watcher polls one control host for updates, in its own domain if possible.
+// watcher keeps the configuration, the list of upstreams and the roster up to
+// date. follow.Poller decides which control host is polled.
 type watcher struct {
-	front      *Front
-	seeds      []string
-	source     string
-	nextSource int
-	hosts      []board.Host
+	front  *Front
+	start  clock.Reading
+	poller *follow.Poller
+	polls  map[uint64]*poll
+	ended  chan pollEnd
+	timer  *time.Timer
 
-	version    rules.Version
+	version rules.Version
+	// stated is the version that polls state: that in force, or a later one that
+	// could not be read and is not to be sent again.
+	stated rules.Version
+	// copy is the age of the configuration.
+	copy       follow.Copy[rules.Version]
 	list       board.List
+	listReadAt ident.Instant
+	hosts      []board.Host
 	roster     uint64
-	listReadAt time.Time
 
 	hostCount      int
 	hostCountSince time.Time
@@ -49,123 +57,174 @@
 	maxHostsAt     time.Time
 	reported       relay.Hosts
 	disconnected   bool
+	outdated       bool
+}
+
+// poll is a poll in progress. list and hosts are those that it was sent with, to
+// which a delta applies.
+type poll struct {
+	source string
+	sentAt ident.Instant
+	cancel context.CancelFunc
+	list   board.List
+	hosts  []board.Host
+	roster uint64
+}
+
+// pollEnd is the end of a poll.
+type pollEnd struct {
+	attempt uint64
+	reply   board.Reply
+	err     error
 }
 
-// watch polls a control host for updates until ctx ends.
+// watch polls control hosts for updates until ctx ends.
 func (f *Front) watch(ctx context.Context) error {
 	w := &watcher{
 		front: f,
-		seeds: f.cfg.Seeds,
-		// Hosts that start together poll different seeds first.
-		nextSource: int(gather.Hash(string(f.cfg.Name)) % startOffsets),
+		start: clock.Now(),
+		poller: follow.NewPoller(follow.PollerConfig{
+			Domain: f.cfg.Domain,
+			Seed:   gather.Hash(string(f.cfg.Name)),
+		}),
+		polls: make(map[uint64]*poll),
+		ended: make(chan pollEnd),
+		timer: time.NewTimer(0),
 	}
-	for ctx.Err() == nil {
+	defer w.timer.Stop()
+	w.step(ctx, follow.SeedsChanged{Seeds: f.cfg.Seeds})
+	for {
 		select {
-		case w.seeds = <-f.seeds:
-			f.log.Info("seeds changed", "Seeds", w.seeds)
-		default:
-		}
-		if w.source == "" {
-			w.source = w.chooseSource()
-		}
-		if w.source == "" {
-			sleep(ctx, pollRetryDelay)
-			continue
-		}
-		if err := w.poll(ctx); err != nil {
-			if !w.disconnected {
-				f.log.Info("control host is unreachable", "Source", w.source, "Version", w.version, "ListAgeMillis", time.Since(w.listReadAt).Milliseconds(), "Error", err.Error())
-				w.disconnected = true
-			}
-			w.source = ""
-			sleep(ctx, pollRetryDelay)
-			continue
-		}
-		if w.disconnected {
-			f.log.Info("control host is reachable again", "Source", w.source, "Version", w.version)
-			w.disconnected = false
+		case <-ctx.Done():
+			return nil
+		case seeds := <-f.seeds:
+			f.log.Info("seeds changed", "Seeds", seeds)
+			w.step(ctx, follow.SeedsChanged{Seeds: seeds})
+		case e := <-w.ended:
+			w.finishPoll(ctx, e)
+		case <-w.timer.C:
+			w.step(ctx, follow.Ticked{})
 		}
+		w.reportAge()
+		w.updateHostCount()
 	}
-	return nil
 }
 
-// chooseSource returns the address of the next control host to poll. It goes
-// round-robin over the control hosts of its own domain, those of other domains,
-// and the seeds.
-func (w *watcher) chooseSource() string {
-	var own, others []string
-	for _, h := range w.hosts {
-		switch {
-		case h.Kind != board.Control:
-		case h.Domain == w.front.cfg.Domain:
-			own = append(own, h.Link)
-		default:
-			others = append(others, h.Link)
-		}
-	}
-	all := append(append(own, others...), w.seeds...)
-	if len(all) == 0 {
-		return ""
-	}
-	w.nextSource++
-	return all[(w.nextSource-1)%len(all)]
-}
+// now returns the time since the watcher started, suspensions included.
+func (w *watcher) now() ident.Instant { return ident.Instant(clock.Now().Sub(w.start)) }
 
-// closerSource returns a control host of its own domain if the current source
-// is in another one, else "".
-func (w *watcher) closerSource() string {
-	found := ""
-	for _, h := range w.hosts {
-		if h.Kind != board.Control || h.Domain != w.front.cfg.Domain {
-			continue
-		}
-		if h.Link == w.source {
-			return ""
+// step passes one event to the poller and carries out the effects.
+func (w *watcher) step(ctx context.Context, ev follow.PollEvent) {
+	for _, e := range w.poller.Step(w.now(), ev) {
+		switch e := e.(type) {
+		case follow.Poll:
+			w.startPoll(ctx, e)
+		case follow.CancelPoll:
+			if p := w.polls[e.Attempt]; p != nil {
+				p.cancel()
+				delete(w.polls, e.Attempt)
+			}
+		case follow.SourceChanged:
+			w.front.log.Info("control host changed", "Source", e.To, "Previous", e.From, "Reason", string(e.Reason), "Version", w.version)
+		case follow.Wake:
+			w.timer.Reset(e.At.Sub(w.now()))
 		}
-		found = h.Link
 	}
-	return found
 }
 
-func (w *watcher) poll(ctx context.Context) error {
+func (w *watcher) startPoll(ctx context.Context, e follow.Poll) {
 	f := w.front
-	var r board.Reply
 	self := f.self
 	self.Draining = f.draining.Load()
-	err := f.client.Call(ctx, w.source, watch.MethodPoll, &board.Request{
+	ctx, cancel := context.WithCancel(ctx)
+	p := &poll{
+		source: e.To,
+		sentAt: w.now(),
+		cancel: cancel,
+		list:   w.list,
+		hosts:  w.hosts,
+		roster: w.roster,
+	}
+	w.polls[e.Attempt] = p
+	request := &board.Request{
 		From:    self,
-		Version: w.version,
+		Version: w.stated,
 		Digest:  w.list.Digest,
+		ListAge: p.sentAt.Sub(w.listReadAt).Milliseconds(),
 		Roster:  w.roster,
-		AtOnce:  w.disconnected,
-	}, &r)
-	if err != nil {
-		return err
+		AtOnce:  e.AtOnce,
 	}
-	if r.Document != nil {
-		w.install(*r.Document)
-	}
-	w.applyList(&r)
-	if r.Roster != w.roster {
-		hosts, ok := r.NewHosts(w.hosts)
-		if !ok {
-			f.log.Info("update does not apply to the stored copy; requesting a full copy", "Source", w.source)
-			w.roster = 0
-			return nil
+	go func() {
+		end := pollEnd{attempt: e.Attempt}
+		end.err = f.client.Call(ctx, e.To, watch.MethodPoll, request, &end.reply)
+		select {
+		case w.ended <- end:
+		case <-ctx.Done(): // cancelled
 		}
-		w.hosts, w.roster = hosts, r.Roster
-		f.peers.setRoster(f.now(), w.hosts)
-		f.updateGatherers()
-		if closer := w.closerSource(); closer != "" {
-			w.source, w.nextSource = closer, 0
+	}()
+}
+
+// finishPoll takes what is new in the answer to a poll.
+func (w *watcher) finishPoll(ctx context.Context, e pollEnd) {
+	f, p := w.front, w.polls[e.attempt]
+	if p == nil {
+		return // cancelled meanwhile
+	}
+	p.cancel()
+	delete(w.polls, e.attempt)
+	if e.err != nil {
+		if !w.disconnected && p.source == w.poller.Current() {
+			f.log.Info("control host is unreachable", "Source", p.source, "Version", w.version, "ListAgeMillis", w.now().Sub(w.listReadAt).Milliseconds(), "Error", e.err.Error())
+			w.disconnected = true
 		}
+		w.step(ctx, follow.PollFailed{Attempt: e.attempt})
+		return
+	}
+	if w.disconnected {
+		f.log.Info("control host is reachable again", "Source", p.source, "Version", w.version)
+		w.disconnected = false
+	}
+	r := &e.reply
+	if r.Document != nil {
+		w.install(*r.Document, p.source)
+	}
+	confirmedAt, confirmed := r.ConfirmedAt(p.sentAt)
+	if confirmed {
+		w.copy.Confirm(r.Version, confirmedAt)
+	}
+	w.applyList(r, p)
+	controls, changed := w.applyRoster(r, p)
+	w.step(ctx, follow.PollAnswered{
+		Attempt:     e.attempt,
+		Confirmed:   confirmed,
+		ConfirmedAt: confirmedAt,
+	})
+	if changed {
+		w.step(ctx, follow.ControlsChanged{Controls: controls})
+	}
+}
+
+// reportAge logs when the configuration has not been confirmed for outdatedAge,
+// and when it is again, and updates the metric.
+func (w *watcher) reportAge() {
+	f := w.front
+	age, known := w.copy.Age(w.now())
+	if !known {
+		return
+	}
+	f.confirmedAt.Store(time.Now().Add(-age).UnixNano())
+	if outdated := age > outdatedAge; outdated != w.outdated {
+		w.outdated = outdated
+		f.log.Info("age of the configuration changed", "Outdated", outdated, "Version", w.version, "AgeMillis", age.Milliseconds(), "Source", w.poller.Current())
 	}
-	w.updateHostCount()
-	return nil
 }
 
-func (w *watcher) install(d board.Document) {
+func (w *watcher) install(d board.Document, source string) {
 	f := w.front
+	if d.Version <= w.stated {
+		return
+	}
+	w.stated = d.Version
 	raw, err := board.Unpack(d.Packed)
 	if err != nil {
 		f.log.Error("configuration cannot be unpacked", "Version", d.Version, "Error", err.Error())
@@ -177,40 +236,77 @@
 		return
 	}
 	w.version = d.Version
+	w.copy.Hold(d.Version)
 	table := rules.NewTable(doc)
 	if old := f.table.Load(); old == nil || table.Version() > old.Version() {
-		f.log.Info("configuration is in force", "Version", doc.Version, "Routes", len(doc.Routes), "Source", w.source)
+		f.log.Info("configuration is in force", "Version", doc.Version, "Routes", len(doc.Routes), "Source", source)
 		f.table.Store(table)
 		f.inputs <- input{event: relay.Install{Table: table}}
 	}
 }
 
-// applyList applies the list of upstreams in a reply, unless it was read
-// earlier than the one in use.
-func (w *watcher) applyList(r *board.Reply) {
-	if r.ListAge < 0 {
+// applyList takes the list of upstreams in an answer, unless it was read earlier
+// than the one in use.
+func (w *watcher) applyList(r *board.Reply, p *poll) {
+	readAt, read := r.ListReadAt(p.sentAt)
+	if !read || readAt.Add(board.ReadTolerance).Before(w.listReadAt) {
 		return
 	}
-	readAt := time.Now().Add(-time.Duration(r.ListAge) * time.Millisecond)
-	w.front.listReadAt.Store(readAt.UnixNano())
 	if r.List == nil && r.ListDelta == nil {
-		w.listReadAt = readAt
-		return
-	}
-	if readAt.Before(w.listReadAt) {
+		if p.list.Digest == w.list.Digest {
+			w.setListReadAt(readAt)
+		}
 		return
 	}
-	next, ok := r.NewList(w.list)
+	next, ok := r.NewList(p.list)
 	if !ok {
-		w.front.log.Info("update does not apply to the stored copy; requesting a full copy", "Source", w.source)
+		w.front.log.Info("update does not apply to the stored copy; requesting a full copy", "Source", p.source)
 		w.list.Digest = 0
 		return
 	}
-	w.listReadAt, w.list = readAt, next
+	w.setListReadAt(readAt)
+	if next.Digest == w.list.Digest {
+		return
+	}
+	w.list = next
 	w.front.inputs <- input{event: relay.Listed{Upstreams: next.Upstreams}}
 	w.front.hasList.Store(true)
 	w.front.upstreams.Store(int64(len(next.Upstreams)))
-	w.front.log.Info("list of upstreams is in use", "Upstreams", len(next.Upstreams), "AgeMillis", r.ListAge, "Source", w.source)
+	w.front.log.Info("list of upstreams is in use", "Upstreams", len(next.Upstreams), "AgeMillis", r.ListAge, "Source", p.source)
+}
+
+func (w *watcher) setListReadAt(at ident.Instant) {
+	w.listReadAt = at
+	w.front.listReadAt.Store(time.Now().Add(-w.now().Sub(at)).UnixNano())
+}
+
+// applyRoster takes the roster in an answer and returns the control hosts in it.
+func (w *watcher) applyRoster(r *board.Reply, p *poll) (controls []follow.Source, changed bool) {
+	if r.Roster == 0 || r.Roster == w.roster {
+		return nil, false
+	}
+	if r.Roster == p.roster {
+		return nil, false // a later answer has replaced it meanwhile
+	}
+	f := w.front
+	hosts, ok := r.NewHosts(p.hosts)
+	if !ok {
+		f.log.Info("update does not apply to the stored copy; requesting a full copy", "Source", p.source)
+		w.roster = 0
+		return nil, false
+	}
+	w.hosts, w.roster = hosts, r.Roster
+	f.peers.setRoster(f.now(), w.hosts)
+	f.updateGatherers()
+	for _, h := range hosts {
+		if h.Kind == board.Control {
+			controls = append(controls, follow.Source{
+				Address: h.Link,
+				Domain:  h.Domain,
+			})
+		}
+	}
+	return controls, true
 }
 
 // updateHostCount reports to the engine how many entry hosts share the budgets.
@@ -240,12 +336,3 @@
 		w.reported = next
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/front/watch_test.go
+++ b/internal/front/watch_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,10 +25,12 @@
 // applyTimeout is how long a confirmed change may take to be in force.
 const applyTimeout = 3 * time.Second
 
-// controlHost is a stand-in of a control host: a state that entry hosts poll.
+// controlHost is a stand-in of a control host: a state that entry hosts poll. It
+// confirms its copy unless it has lost the leader.
 type controlHost struct {
 	*watch.State
-	host board.Host
+	host       board.Host
+	lostLeader atomic.Bool
 }
 
 func startControlHost(t *testing.T, domain ident.Domain) *controlHost {
@@ -48,6 +51,21 @@
 	}
 	c.Register(s)
 	run(t, func(ctx context.Context) error { return s.Serve(ctx, lis) })
+	run(t, func(ctx context.Context) error {
+		tick := time.NewTicker(50 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			if !c.lostLeader.Load() {
+				c.ConfirmOwn(c.Now())
+			}
+			c.Sweep()
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-tick.C:
+			}
+		}
+	})
 	return c
 }
 
@@ -141,6 +159,7 @@
 	}
 	hasRoute := startEntryHost(t, cutOff.host.Link)
 	is.True(waitFor(t, applyTimeout, func() bool { return hasRoute("/old/") && !hasRoute("/new/") }))
+	cutOff.lostLeader.Store(true)
 	other.SetDocument(document(t, 2, "/new/"))
 	is.True(waitFor(t, applyTimeout, func() bool { return hasRoute("/new/") }))
 }
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -20,6 +20,7 @@
 //	|                   |           |             | process started                               |
 //	| requests_running  | gauge     |             | callers' and delegated requests in progress   |
 //	| document_version  | gauge     |             | version of the active configuration           |
+//	| document_age_seconds | gauge  |             | time since that was known to be the newest    |
 //	| list_age_seconds  | gauge     |             | age of the list of upstreams                  |
 //	| upstreams         | gauge     |             | upstreams in the list                         |
 //	| hosts             | gauge     |             | entry hosts that share the budgets            |
@@ -83,6 +84,7 @@
 	Connections tally.Gauge
 	Running     tally.Gauge
 	Version     tally.Gauge
+	VersionAge  tally.Gauge
 	ListAge     tally.Gauge
 	Upstreams   tally.Gauge
 	Hosts       tally.Gauge
@@ -113,6 +115,7 @@
 		Connections:    scope.Gauge("connections"),
 		Running:        scope.Gauge("requests_running"),
 		Version:        scope.Gauge("document_version"),
+		VersionAge:     scope.Gauge("document_age_seconds"),
 		ListAge:        scope.Gauge("list_age_seconds"),
 		Upstreams:      scope.Gauge("upstreams"),
 		Hosts:          scope.Gauge("hosts"),
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -12,6 +12,7 @@
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/rules"
 )
 
 // MethodPoll is the RPC with which a host polls: board.Request, board.Reply.
@@ -63,6 +64,29 @@
 	return s.update(func(now ident.Instant, b *board.Board) bool { return b.SetDocument(now, d) })
 }
 
+// ConfirmOwn records that this host, which leads, held the newest document at
+// the given time.
+func (s *State) ConfirmOwn(at ident.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.ConfirmOwn(at)
+}
+
+// Confirm records that v was the newest version at the given time.
+func (s *State) Confirm(v rules.Version, at ident.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Confirm(v, at)
+}
+
+// Age returns the time since the document was known to be the newest, or false
+// if it never was.
+func (s *State) Age() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.board.Age(s.Now())
+}
+
 // Document returns the newest document, with version 0 if there is none.
 func (s *State) Document() board.Document {
 	s.mu.Lock()
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -19,6 +19,14 @@
 	// heartbeats, it sets the heartbeat interval.
 	PollWait = time.Second
 
+	// ControlPollWait is the same for polls of control hosts, which confirm their
+	// copies by them.
+	ControlPollWait = 500 * time.Millisecond
+
+	// ReadTolerance allows for two hosts that estimate the reading time of the same
+	// list differently. Two readings are over 1 s apart.
+	ReadTolerance = 100 * time.Millisecond
+
 	// LogGrace is how long the replicated log gets to deliver a document to a
 	// member that follows it, before an answer includes the document.
 	LogGrace = 400 * time.Millisecond
@@ -30,6 +38,10 @@
 // Board is the state of one control host.
 type Board struct {
 	document Document
+	// copy is the age of the document, and of the roster.
+	copy follow.Copy[rules.Version]
+	// wasStale is whether copy was stale at the last Sweep.
+	wasStale bool
 	// settled tells which documents the members of the replicated log must have.
 	settled  follow.Settled[rules.Version]
 	list     List
@@ -75,17 +87,30 @@
 		return false
 	}
 	b.document = d
+	b.copy.Hold(d.Version)
 	b.settled.Add(now, d.Version)
 	return true
 }
 
+// ConfirmOwn records that this host, which leads, held the newest document at
+// the given time.
+func (b *Board) ConfirmOwn(at ident.Instant) { b.copy.Confirm(b.document.Version, at) }
+
+// Confirm records that v was the newest version at the given time.
+func (b *Board) Confirm(v rules.Version, at ident.Instant) { b.copy.Confirm(v, at) }
+
+// Age returns the time since the document was known to be the newest, or false
+// if it never was.
+func (b *Board) Age(now ident.Instant) (time.Duration, bool) { return b.copy.Age(now) }
+
 // Document returns the newest document, with version 0 if there is none.
 func (b *Board) Document() Document { return b.document }
 
 // SetList replaces the list by one that was read at readAt, unless the present
-// one was read later. It returns true if the contents changed.
+// one was read later by more than ReadTolerance. It returns true if the contents
+// changed.
 func (b *Board) SetList(l List, readAt ident.Instant) (changed bool) {
-	if b.listRead && readAt.Before(b.listReadAt) {
+	if b.listRead && readAt.Add(ReadTolerance).Before(b.listReadAt) {
 		return false
 	}
 	b.listRead, b.listReadAt = true, readAt
@@ -135,8 +160,8 @@
 }
 
 // Sweep removes hosts that have not polled within livenessTimeout, and rebuilds
-// the roster on the leader. It returns true if the roster changed. It must be
-// called regularly.
+// the roster on the leader. It returns true if the roster changed or the board
+// became stale. It must be called regularly.
 func (b *Board) Sweep(now ident.Instant) (changed bool) {
 	for id, h := range b.hosts {
 		if now.Sub(h.seenAt) > livenessTimeout {
@@ -148,7 +173,10 @@
 			delete(b.reports, id)
 		}
 	}
-	return b.leading && b.SetRoster(b.allHosts())
+	stale := b.copy.Stale(now)
+	changed = stale && !b.wasStale
+	b.wasStale = stale
+	return b.leading && b.SetRoster(b.allHosts()) || changed
 }
 
 // DirectHosts returns the hosts that poll this one directly, and the digest of
--- a/pkg/board/delta_test.go
+++ b/pkg/board/delta_test.go
@@ -40,6 +40,7 @@
 	is := is.New(t)
 	state := board.New()
 	poll := poller(state)
+	state.ConfirmOwn(0)
 	rng := rand.New(rand.NewPCG(1, 1))
 	var current []board.Host
 	digest := uint64(0)
@@ -91,7 +92,7 @@
 			})
 		}
 		list := board.NewList(ups)
-		state.SetList(list, 0)
+		state.SetList(list, ident.Instant(n)*ident.Instant(time.Second))
 		r := poll(board.Request{Digest: current.Digest})
 		is.Equal(r.List != nil, n == 0)
 		next, ok := r.NewList(current)
--- a/pkg/board/event.go
+++ b/pkg/board/event.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
@@ -48,9 +49,11 @@
 // Request is one poll. It states what the polling host already has.
 type Request struct {
 	From Host
-	// Version is the version of its document, Digest the digest of its list.
+	// Version is the version of its document, Digest the digest of its list, 0 to
+	// request a full copy. ListAge is the age of that list in milliseconds.
 	Version rules.Version
 	Digest  uint64
+	ListAge int64 `cbor:",omitempty"`
 	// Roster is the digest of its roster, 0 to request a full copy.
 	Roster uint64
 	// DirectDigest is the digest of the hosts that poll the polling host itself,
@@ -68,6 +71,12 @@
 // Reply holds what is newer than the polling host's state.
 type Reply struct {
 	Document *Document `cbor:",omitempty"`
+	// Version is the version of the control host's document. Age is the time in
+	// milliseconds since that was known to be the newest version, -1 if it never
+	// was, and Waited how long the poll waited for this answer.
+	Version rules.Version
+	Age     int64
+	Waited  int64 `cbor:",omitempty"`
 	// List is the full list. Otherwise ListDelta is the difference from the
 	// polling host's list, and ListDigest the digest of the resulting one.
 	List       *List          `cbor:",omitempty"`
@@ -77,10 +86,11 @@
 	// none.
 	ListAge int64
 	// Hosts is the full roster, or HostDelta the difference from the polling
-	// host's. Roster is the digest of the resulting one.
+	// host's. Roster is the digest of the resulting one, 0 if the control host
+	// offers none.
 	Hosts     []Host     `cbor:",omitempty"`
 	HostDelta *HostDelta `cbor:",omitempty"`
-	Roster    uint64
+	Roster    uint64     `cbor:",omitempty"`
 	// DirectDigest confirms the last Request.DirectDigest that came with its
 	// DirectHosts.
 	DirectDigest uint64 `cbor:"Here,omitempty"`
@@ -118,3 +128,21 @@
 	}
 	return f.Sum64()
 }
+
+// ConfirmedAt returns when the document of the control host was known to be the
+// newest, on the clock of the polling host, which sent its poll at sentAt. It is
+// false if that was never known.
+func (r *Reply) ConfirmedAt(sentAt ident.Instant) (ident.Instant, bool) {
+	if r.Age < 0 {
+		return 0, false
+	}
+	return sentAt.Add(time.Duration(r.Waited-r.Age) * time.Millisecond), true
+}
+
+// ListReadAt returns when the list of the control host was read, in the same way.
+func (r *Reply) ListReadAt(sentAt ident.Instant) (ident.Instant, bool) {
+	if r.ListAge < 0 {
+		return 0, false
+	}
+	return sentAt.Add(time.Duration(r.Waited-r.ListAge) * time.Millisecond), true
+}
--- a/pkg/board/poll.go
+++ b/pkg/board/poll.go
@@ -1,6 +1,8 @@
 package board
 
 import (
+	"time"
+
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/rules"
 )
@@ -11,6 +13,9 @@
 	// settled is the document that a host which follows the replicated log must
 	// have had when it polled.
 	settled rules.Version
+	// openedAt is when the poll arrived, and stale is set if the board was stale.
+	openedAt ident.Instant
+	stale    bool
 	// Deadline is when the poll is answered in any case.
 	Deadline ident.Instant
 }
@@ -21,25 +26,36 @@
 	p := &Poll{
 		request:  in,
 		settled:  b.settled.Version(now),
+		openedAt: now,
+		stale:    b.copy.Stale(now),
 		Deadline: now.Add(PollWait),
 	}
-	if in.AtOnce {
+	switch {
+	case in.AtOnce:
 		p.Deadline = now
+	case in.From.Kind == Control:
+		p.Deadline = now.Add(ControlPollWait)
 	}
 	return p
 }
 
-// Answer returns the answer to a poll, and whether it is due: there is an update
-// or the poll has reached its deadline.
+// Answer returns the answer to a poll, and whether it is due: there is an
+// update, the board has become stale, or the poll has reached its deadline.
 func (b *Board) Answer(now ident.Instant, p *Poll) (r *Reply, due bool) {
 	in := p.request
-	due = now >= p.Deadline
+	stale := b.copy.Stale(now)
+	due = now >= p.Deadline || stale && !p.stale
 	r = &Reply{
+		Version:      b.document.Version,
+		Age:          -1,
+		Waited:       now.Sub(p.openedAt).Milliseconds(),
 		ListAge:      -1,
-		Roster:       b.rosterDigest,
 		Leader:       b.leader,
 		DirectDigest: b.reports[in.From.ID].digest,
 	}
+	if age, known := b.copy.Age(now); known {
+		r.Age = age.Milliseconds()
+	}
 	if b.listRead {
 		r.ListAge = now.Sub(b.listReadAt).Milliseconds()
 	}
@@ -49,7 +65,8 @@
 		d := b.document
 		r.Document, due = &d, true
 	}
-	if b.listRead && b.list.Digest != in.Digest {
+	haveReadAt := p.openedAt.Add(-time.Duration(in.ListAge) * time.Millisecond)
+	if b.listRead && b.list.Digest != in.Digest && (in.Digest == 0 || haveReadAt.Before(b.listReadAt)) {
 		due = true
 		if old, ok := b.listHistory.find(in.Digest); ok {
 			r.ListDelta, r.ListDigest = diff(old, b.list.Upstreams, upstreamKey, equalUpstreams), b.list.Digest
@@ -58,7 +75,12 @@
 			r.List = &l
 		}
 	}
-	if b.rosterDigest != in.Roster {
+	// The roster has no version: one of a stale board may be older than that of
+	// the polling host.
+	if !stale || in.Roster == 0 {
+		r.Roster = b.rosterDigest
+	}
+	if r.Roster != 0 && r.Roster != in.Roster {
 		due = true
 		if old, ok := b.hostHistory.find(in.Roster); ok {
 			r.HostDelta = diff(old, b.roster, hostKey, equalHosts)
--- a/pkg/board/poll_test.go
+++ b/pkg/board/poll_test.go
@@ -8,7 +8,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/jujubethread/jujubethread/pkg/board"
+	"github.com/jujubethread/jujubethread/pkg/follow"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/relay"
 	"github.com/jujubethread/jujubethread/pkg/rules"
 )
 
@@ -80,3 +82,75 @@
 	_, due = b.Answer(1, b.Open(1, &board.Request{Version: 3, AtOnce: true}))
 	is.True(due)
 }
+
+// Guards against a host that learns of a lost leader only at its next poll.
+func TestStaleBoardAnswersAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := board.New()
+	b.SetDocument(0, board.Document{Version: 3})
+	b.ConfirmOwn(0)
+	p := b.Open(ident.Instant(follow.StaleAge), &board.Request{Version: 3})
+	_, due := b.Answer(ident.Instant(follow.StaleAge), p)
+	is.True(!due)
+	is.True(b.Sweep(ident.Instant(follow.StaleAge) + 1)) // waiting polls are woken
+	r, due := b.Answer(ident.Instant(follow.StaleAge)+1, p)
+	is.True(due)
+	is.Equal(r.Age, follow.StaleAge.Milliseconds())
+	_, due = b.Answer(0, b.Open(ident.Instant(2*time.Second), &board.Request{Version: 3}))
+	is.True(!due) // one that is stale already answers no earlier
+}
+
+// Guards against an older roster or list that replaces a newer one when a host
+// polls a control host that is behind, and against answering at once again and
+// again because the two differ.
+func TestBoardOffersNothingOlder(t *testing.T) {
+	is := is.New(t)
+	b := board.New()
+	now := ident.Instant(10 * time.Second)
+	b.SetRoster(roster(3))
+	b.SetList(board.NewList([]relay.Upstream{{ID: "u"}}), now.Add(-3*time.Second))
+	newer := board.Request{
+		Roster:  12345,
+		Digest:  6789,
+		ListAge: time.Second.Milliseconds(),
+	}
+	r, due := b.Answer(now, b.Open(now, &newer))
+	is.True(!due)
+	is.Equal(r.Roster, uint64(0))
+	is.True(r.List == nil)
+	r, due = b.Answer(now, b.Open(now, &board.Request{})) // a host that has none
+	is.True(due)
+	is.Equal(len(r.Hosts), 3)
+	is.Equal(len(r.List.Upstreams), 1)
+	older := newer
+	older.ListAge = (5 * time.Second).Milliseconds()
+	r, due = b.Answer(now, b.Open(now, &older))
+	is.True(due)
+	is.Equal(len(r.List.Upstreams), 1)
+}
+
+// Guards against a copy that counts as current although its source had lost the
+// leader, or because the answer was long under way.
+func TestAgeTravelsWithTheAnswer(t *testing.T) {
+	is := is.New(t)
+	at := func(ms int) ident.Instant { return ident.Instant(time.Duration(ms) * time.Millisecond) }
+	leader := board.New()
+	r, _ := leader.Answer(at(50), leader.Open(at(0), &board.Request{}))
+	_, known := r.ConfirmedAt(0)
+	is.True(!known)
+	leader.SetDocument(at(0), board.Document{Version: 3})
+	leader.ConfirmOwn(at(100))
+	r, _ = leader.Answer(at(900), leader.Open(at(600), &board.Request{}))
+	confirmedAt, known := r.ConfirmedAt(at(7000)) // on another clock; the poll waited 300 ms
+	is.True(known)
+	is.Equal(confirmedAt, at(7000+300-800))
+
+	follower := board.New()
+	follower.Confirm(r.Version, confirmedAt)
+	_, known = follower.Age(at(8000))
+	is.True(!known) // it does not have the version yet
+	follower.SetDocument(at(8100), board.Document{Version: 3})
+	age, known := follower.Age(at(8200))
+	is.True(known)
+	is.Equal(age, 1700*time.Millisecond)
+}
--- a/pkg/follow/const.go
+++ b/pkg/follow/const.go
@@ -39,6 +39,20 @@
 	// ejected.
 	retryInterval = 500 * time.Millisecond
 
+	// StaleAge is the age of a control host's copy past which others look for a
+	// fresher one. Control hosts confirm their copies each PollWait of theirs, so
+	// two confirmations may be lost. A change must be in force within 3 s, also if
+	// the polled control host is cut off just before it.
+	StaleAge = 1200 * time.Millisecond
+
+	// pollRetryInterval is the time between polls while every source is ejected.
+	pollRetryInterval = 150 * time.Millisecond
+
+	// probeInterval is the time between two rounds of probes for a fresher
+	// source, and maxProbes the most probes in flight.
+	probeInterval = time.Second
+	maxProbes     = 8
+
 	// DefaultMaxDeltas is the default number of deltas that a source keeps. A
 	// host that is further behind gets a full copy.
 	DefaultMaxDeltas = 1024
--- a/internal/core/source_test.go
+++ b/pkg/follow/leader_test.go
@@ -1,18 +1,18 @@
-package core_test
+package follow_test
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"github.com/jujubethread/jujubethread/internal/core"
+	"github.com/jujubethread/jujubethread/pkg/follow"
 )
 
 // Guards against a host that requests updates from itself: after a disk
 // failure, other hosts may still name it as the leader.
-func TestSourceIsNeverThisHost(t *testing.T) {
+func TestLeaderIsNeverThisHost(t *testing.T) {
 	is := is.New(t)
-	s := core.Source{
+	s := follow.LeaderFinder{
 		Own:   "a:1",
 		Seeds: []string{"a:1", "b:1"},
 	}
@@ -21,7 +21,7 @@
 	address, discovering := s.Target("")
 	is.Equal(address, "b:1")
 	is.True(discovering)
-	s.SetLeader("a:1")
+	s.Answered("a:1")
 	contacted := map[string]bool{}
 	for range 4 {
 		address, _ = s.Target("")
@@ -32,19 +32,19 @@
 }
 
 // Guards against a host that keeps contacting seeds although it knows the leader.
-func TestSourceFollowsTheLeader(t *testing.T) {
+func TestLeaderIsFollowed(t *testing.T) {
 	is := is.New(t)
-	s := core.Source{
+	s := follow.LeaderFinder{
 		Own:   "a:1",
 		Seeds: []string{"b:1"},
 	}
-	s.SetLeader("c:1")
+	s.Answered("c:1")
 	address, discovering := s.Target("")
 	is.Equal(address, "c:1")
 	is.True(!discovering)
 	address, _ = s.Target("d:1") // the log takes precedence
 	is.Equal(address, "d:1")
-	s.SetLeader("") // no reply
+	s.Failed()
 	address, discovering = s.Target("")
 	is.Equal(address, "b:1")
 	is.True(discovering)
