Forget the lead on a host whose log has lost it

Cause: a host told its pollers who leads, and whether it does, only while the replicated log names a leader. A leader that was cut off steps down, the log names none, and the host went on building the roster from the hosts on its side and naming itself. Fix: the lead ends with the log's, and its last roster stays.

--- a/internal/core/announce_test.go
+++ b/internal/core/announce_test.go
@@ -30,7 +30,17 @@
 func start(t *testing.T, link string, first bool, seeds ...string) (host *core.Core, operator string) {
 	t.Helper()
 	operator = free(t)
-	c, err := core.New(core.Config{
+	c, err := core.New(config(t, link, operator, first, seeds...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	run(t, c)
+	return c, operator
+}
+
+func config(t *testing.T, link, operator string, first bool, seeds ...string) core.Config {
+	t.Helper()
+	return core.Config{
 		Name:        ident.HostID("core-" + link),
 		Domain:      "a",
 		Folder:      t.TempDir(),
@@ -40,10 +50,12 @@
 		First:       first,
 		ListAddress: free(t),
 		Log:         slog.New(slog.DiscardHandler),
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
+}
+
+// run runs a control host until stop is called or the test ends.
+func run(t *testing.T, c *core.Core) (stop func()) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -52,11 +64,12 @@
 			t.Error(err)
 		}
 	}()
-	t.Cleanup(func() {
+	stop = func() {
 		cancel()
 		<-ended
-	})
-	return c, operator
+	}
+	t.Cleanup(stop)
+	return stop
 }
 
 // Guards against a system that stays without configuration after a power loss
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -252,9 +252,7 @@
 		if address == "" {
 			address = *c.namedLeader.Load()
 		}
-		if address != "" {
-			c.watchState.SetLeader(leading, address)
-		}
+		c.watchState.SetLeader(leading, address)
 		if !leading || !s.Lease {
 			c.planner.Reset()
 			continue
