Leave a former leader that still names itself, and look beyond the seeds

Callers saw: nothing yet; a control host outside the group follows the leader that another host names. Cause: such a host stayed with a host that names itself, for as long as that answered, also after it had lost the lead; its entry hosts stay with it. With all seeds gone it contacted none of the control hosts that it knows. Fix: a host that names itself counts as the leader only with a current copy; the control hosts of the roster are asked like the seeds.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -359,7 +359,7 @@
 		finder.Seeds = *c.seeds.Load()
 		select {
 		case leader := <-c.leaders:
-			finder.Answered(leader)
+			finder.Answered("", leader, true)
 		default:
 		}
 		named := finder.Leader()
@@ -371,7 +371,7 @@
 			continue
 		}
 		logHasLeader := s.Leader != ""
-		address, discovering := finder.Target(leaderAddress(s))
+		address, discovering := finder.Target(leaderAddress(s), c.otherControls())
 		if address == "" {
 			sleep(ctx, retryDelay)
 			continue
@@ -384,7 +384,7 @@
 		if err != nil {
 			finder.Failed()
 		} else {
-			finder.Answered(leader)
+			finder.Answered(address, leader, current)
 		}
 		if err != nil || finder.Leader() == "" {
 			sleep(ctx, retryDelay)
@@ -393,6 +393,18 @@
 	return nil
 }
 
+// otherControls returns the link addresses of the control hosts in the roster.
+func (c *Core) otherControls() []string {
+	var list []string
+	hosts, _ := c.watchState.Roster()
+	for _, h := range hosts {
+		if h.Kind == board.Control && h.Link != c.cfg.Link {
+			list = append(list, h.Link)
+		}
+	}
+	return list
+}
+
 // requestUpdate requests an update from one control host. It returns the leader
 // that the contacted host names, and whether its copy is current. logHasLeader
 // is set if the replicated log names a leader; atOnce requests an answer without
--- a/pkg/follow/leader_test.go
+++ b/pkg/follow/leader_test.go
@@ -16,15 +16,15 @@
 		Own:   "a:1",
 		Seeds: []string{"a:1", "b:1"},
 	}
-	address, _ := s.Target("")
+	address, _ := s.Target("", nil)
 	is.Equal(address, "") // the first seed is this host
-	address, discovering := s.Target("")
+	address, discovering := s.Target("", nil)
 	is.Equal(address, "b:1")
 	is.True(discovering)
-	s.Answered("a:1")
+	s.Answered("b:1", "a:1", true)
 	contacted := map[string]bool{}
 	for range 4 {
-		address, _ = s.Target("")
+		address, _ = s.Target("", nil)
 		contacted[address] = true
 	}
 	is.True(contacted["b:1"])
@@ -38,14 +38,47 @@
 		Own:   "a:1",
 		Seeds: []string{"b:1"},
 	}
-	s.Answered("c:1")
-	address, discovering := s.Target("")
+	s.Answered("b:1", "c:1", true)
+	address, discovering := s.Target("", nil)
 	is.Equal(address, "c:1")
 	is.True(!discovering)
-	address, _ = s.Target("d:1") // the log takes precedence
+	address, _ = s.Target("d:1", nil) // the log takes precedence
 	is.Equal(address, "d:1")
 	s.Failed()
-	address, discovering = s.Target("")
+	address, discovering = s.Target("", nil)
 	is.Equal(address, "b:1")
 	is.True(discovering)
 }
+
+// Guards against a host that stays with a leader which has lost the lead and
+// still answers, such as one cut off from the other members.
+func TestFormerLeaderIsLeft(t *testing.T) {
+	is := is.New(t)
+	s := follow.LeaderFinder{
+		Own:   "a:1",
+		Seeds: []string{"b:1"},
+	}
+	s.Answered("b:1", "b:1", true)
+	address, discovering := s.Target("", nil)
+	is.Equal(address, "b:1")
+	is.True(!discovering)
+	s.Answered("b:1", "b:1", false)
+	_, discovering = s.Target("", nil)
+	is.True(discovering)
+}
+
+// Guards against a host that finds no leader because all seeds are gone, although
+// it knows other control hosts.
+func TestLeaderIsFoundWithoutSeeds(t *testing.T) {
+	is := is.New(t)
+	s := follow.LeaderFinder{
+		Own:   "a:1",
+		Seeds: []string{"gone:1"},
+	}
+	contacted := map[string]bool{}
+	for range 4 {
+		address, _ := s.Target("", []string{"a:1", "c:1"})
+		contacted[address] = true
+	}
+	is.True(contacted["c:1"])
+}
