Bound what is read of an upstream's answer on the search path

Cause: a closed connection was drained for up to 0.5 s without a limit on the bytes, and 20 answers of up to 4 MiB could be held at once. Fix: 64 KiB are drained, then the connection is reset. An answer has at most 1 MiB, and the large ones of a host share 8 MiB (internal/bound). The tools have limits as well.

--- /dev/null
+++ b/internal/bound/bound.go
@@ -0,0 +1,78 @@
+// Package bound limits how much is read of what other processes send: a Budget
+// limits the unfinished messages of a process together, a Reader one connection.
+package bound
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// ErrEndless is the cause of errors about an answer that exceeds a bound.
+var ErrEndless = errors.New("the answer does not end: check the process that sends it, or restart it")
+
+// FreeBytes of each message do not count towards a Budget, so that ordinary
+// answers are read while large ones use it up.
+const FreeBytes = 64 << 10
+
+// Budget limits the bytes of all messages that are being read. The zero value
+// allows only messages of up to FreeBytes.
+type Budget struct {
+	// Max is the limit in bytes.
+	Max  int64
+	held atomic.Int64
+}
+
+// Message reads one message within a Budget. Done must follow.
+type Message struct {
+	from   io.Reader
+	budget *Budget
+	read   int64
+	held   int64
+}
+
+// Message returns a reader of one message.
+func (b *Budget) Message(from io.Reader) *Message {
+	return &Message{
+		from:   from,
+		budget: b,
+	}
+}
+
+// Read implements io.Reader.
+func (m *Message) Read(p []byte) (int, error) {
+	n, err := m.from.Read(p)
+	m.read += int64(n)
+	if more := m.read - FreeBytes - m.held; more > 0 {
+		m.held += more
+		if m.budget.held.Add(more) > m.budget.Max {
+			return n, errors.Wrapf(ErrEndless, "unfinished answers hold over %d bytes", m.budget.Max)
+		}
+	}
+	return n, err
+}
+
+// Done returns what the message holds to the budget.
+func (m *Message) Done() { m.budget.held.Add(-m.held) }
+
+// Reader reads from a connection up to a bound that its user sets anew for each
+// part of a message. Use it from one goroutine.
+type Reader struct {
+	From io.Reader
+	// Left is the number of bytes that may still be read.
+	Left int
+	// Exceeded is set once more was wanted.
+	Exceeded bool
+}
+
+// Read implements io.Reader.
+func (r *Reader) Read(p []byte) (int, error) {
+	if r.Left <= 0 {
+		r.Exceeded = true
+		return 0, ErrEndless
+	}
+	n, err := r.From.Read(p[:min(len(p), r.Left)])
+	r.Left -= n
+	return n, err
+}
--- a/internal/cost/baseline.go
+++ b/internal/cost/baseline.go
@@ -74,9 +74,9 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(resp.Body).Decode(answer); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, wire.MaxAnswerBytes)).Decode(answer); err != nil {
 		return err
 	}
-	_, err = io.Copy(io.Discard, resp.Body)
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, wire.MaxAnswerBytes))
 	return err
 }
--- a/internal/cost/cost.go
+++ b/internal/cost/cost.go
@@ -226,7 +226,7 @@
 		return []byte(err.Error()), false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxMergedBytes))
 	complete := err == nil && bytes.Contains(body, []byte(`"Outcome":"Done"`)) &&
 		bytes.Count(body, []byte(`"ID"`)) == documentsPerAnswer*c.Shards
 	return body, complete
--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -178,7 +178,9 @@
 		}
 		return failure
 	}
-	failure := readResponse(ctx, resp, ex.decode)
+	answer := c.budget.Message(resp.Body)
+	failure := readResponse(ctx, resp.StatusCode, answer, ex.decode)
+	answer.Done()
 	_ = resp.Body.Close()
 	p.closeExcessIdle()
 	return failure
@@ -217,18 +219,18 @@
 // readResponse decodes a response. An error response counts as NotRun only if
 // its kind says so; with any other kind the upstream may have executed the
 // request, so the failure is Malformed.
-func readResponse(ctx context.Context, resp *http.Response, decode func(io.Reader) error) *Failure {
-	if resp.StatusCode == http.StatusOK {
-		return bodyFailure(ctx, decode(resp.Body))
+func readResponse(ctx context.Context, status int, body io.Reader, decode func(io.Reader) error) *Failure {
+	if status == http.StatusOK {
+		return bodyFailure(ctx, decode(body))
 	}
-	leafErr, err := wire.DecodeLeafError(resp.Body)
+	leafErr, err := wire.DecodeLeafError(body)
 	if err != nil {
-		return bodyFailure(ctx, errors.Wrapf(err, "status %d", resp.StatusCode))
+		return bodyFailure(ctx, errors.Wrapf(err, "status %d", status))
 	}
 	failure := &Failure{
 		Kind: leafErr.Kind,
 		Held: leafErr.Held,
-		Err:  errors.Errorf("status %d: %s", resp.StatusCode, leafErr.Remedy),
+		Err:  errors.Errorf("status %d: %s", status, leafErr.Remedy),
 	}
 	if !failure.NotRun() {
 		failure.Kind = engine.Malformed
--- a/internal/dial/conn.go
+++ b/internal/dial/conn.go
@@ -36,9 +36,9 @@
 }
 
 // Close half-closes the connection. Its slot in the pool is released when the
-// upstream has closed its end, or after lingerTimeout: an upstream counts a
-// connection until it notices the close, so one opened earlier could exceed the
-// connection limit.
+// upstream has closed its end, or after lingerTimeout or lingerBytes: an upstream
+// counts a connection until it notices the close, so one opened earlier could
+// exceed the connection limit.
 func (c *conn) Close() error {
 	if !c.closed.CompareAndSwap(false, true) {
 		return net.ErrClosed
@@ -60,7 +60,7 @@
 	defer c.pool.client.work.Done()
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	stop := context.AfterFunc(c.pool.client.baseCtx, func() { _ = c.SetReadDeadline(time.Now()) })
-	_, _ = io.Copy(io.Discard, c.Conn)
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
 	stop()
 	_ = c.Conn.Close()
 	c.pool.releaseSlot()
--- a/internal/dial/const.go
+++ b/internal/dial/const.go
@@ -19,6 +19,9 @@
 	// maxResponseHeader bounds the header of a response.
 	maxResponseHeader = 16 << 10 // bytes
 
+	// maxHeld bounds the bytes of all unfinished large answers.
+	maxHeld = 8 << 20
+
 	// maxIdleConns is above any connection share, so that only Warm limits the
 	// size of a pool.
 	maxIdleConns = 10_000
@@ -27,6 +30,10 @@
 	// connection that this host has closed.
 	lingerTimeout = 500 * time.Millisecond
 
+	// lingerBytes bounds what is read meanwhile. Beyond it the connection is
+	// reset, which an upstream notices at its next write.
+	lingerBytes = 64 << 10
+
 	// The backoff between failed dials doubles between these bounds.
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = 2 * time.Second
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/jujubethread/jujubethread/internal/bound"
 	"github.com/jujubethread/jujubethread/internal/span"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -79,6 +80,9 @@
 	// probeSlots is a semaphore that limits the probes in flight.
 	probeSlots chan struct{}
 
+	// budget is shared by the answers that are being read.
+	budget bound.Budget
+
 	mu       sync.Mutex
 	closed   bool
 	pools    map[ident.Upstream]*pool
@@ -94,6 +98,7 @@
 		baseCtx:    baseCtx,
 		cancelBase: cancelBase,
 		probeSlots: make(chan struct{}, c.MaxProbes),
+		budget:     bound.Budget{Max: maxHeld},
 		pools:      make(map[ident.Upstream]*pool),
 		attempts:   make(map[ident.AttemptID]*attempt),
 	}
--- a/internal/launch/dev.go
+++ b/internal/launch/dev.go
@@ -185,7 +185,7 @@
 		return wire.SearchAnswer{}, errors.Wrap(err, "lookup failed")
 	}
 	defer res.Body.Close()
-	raw, err := io.ReadAll(res.Body)
+	raw, err := io.ReadAll(io.LimitReader(res.Body, wire.MaxMergedBytes))
 	if err != nil {
 		return wire.SearchAnswer{}, errors.Wrap(err, "answer cannot be read")
 	}
--- a/internal/wire/const.go
+++ b/internal/wire/const.go
@@ -8,7 +8,7 @@
 	MaxFilingBytes = 512 << 10 // filing from a caller or an entry host
 	MaxHealthBytes = 1 << 20   // health report from an upstream
 	MaxErrorBytes  = 64 << 10  // LeafError
-	MaxAnswerBytes = 4 << 20   // answer from one upstream
+	MaxAnswerBytes = 1 << 20   // answer from one upstream
 	MaxMergedBytes = 64 << 20  // answer to a caller, merged from many shards
 
 	maxNameBytes      = 128    // index, shard or request id
