Bound what is read of an upstream's answer on the platform

Cause: http.ReadResponse has no bound on a head, so a line without end took memory until the call's limit, up to 15 s; bodies could take 8 MiB each. Fix: heads have at most 64 KiB, bodies 1 MiB, unfinished large bodies 8 MiB together. The connection closes, the call fails with an error that says that the answer does not end, and the engine does not choose that upstream for 5 s.

--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -122,6 +122,7 @@
 		Result:  o.Result,
 		Status:  o.Answer.Status,
 		Moved:   o.Answer.Moved,
+		Endless: o.Endless,
 		Load:    o.Answer.Load,
 	})
 	if f.queries[c.query] == nil {
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,16 +11,19 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/bound"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 )
 
 // conn is one connection. Its reader goroutine passes each answer to the call
 // that waits for it.
 type conn struct {
-	pool   *Pool
-	key    string
-	raw    net.Conn
-	reader *bufio.Reader
+	pool *Pool
+	key  string
+	raw  net.Conn
+	// reader reads through bounded.
+	bounded *bound.Reader
+	reader  *bufio.Reader
 	// idleDeadline is when the idle connection is too old to be used again. It is
 	// guarded by the pool's mutex.
 	idleDeadline time.Time
@@ -88,9 +90,13 @@
 	if !sent {
 		result = relay.Unsent
 	}
+	if r.endless() {
+		err = errors.Wrapf(bound.ErrEndless, "not whole after %s", r.Limit)
+	}
 	r.finish(Outcome{
-		Result: result,
-		Err:    err,
+		Result:  result,
+		Err:     err,
+		Endless: errors.Is(err, bound.ErrEndless),
 	})
 }
 
@@ -129,6 +135,7 @@
 // reused.
 func (c *conn) readLoop() {
 	for {
+		c.bounded.Left = MaxHead
 		if _, err := c.reader.Peek(1); err != nil {
 			c.pool.removeIdle(c)
 			c.failCall(true, err)
@@ -143,6 +150,7 @@
 			c.close()
 			return
 		}
+		r.begin()
 		o, reuse, err := c.readAnswer(r)
 		if err != nil {
 			c.failCall(true, err)
@@ -176,18 +184,23 @@
 // requests.
 func (c *conn) readAnswer(r *activeCall) (o Outcome, reuse bool, err error) {
 	for range maxForeignAnswers {
-		res, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
-			return o, false, errors.Wrap(err, "upstream's answer is not valid HTTP/1.1")
-		}
-		body, err := io.ReadAll(io.LimitReader(res.Body, maxBody+1))
-		_ = res.Body.Close()
+		c.bounded.Left = MaxHead
+		res, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) // bounded by c.bounded
 		switch {
+		case c.bounded.Exceeded:
+			return o, false, errors.Wrapf(bound.ErrEndless, "its head exceeds %d bytes", MaxHead)
 		case err != nil:
+			return o, false, errors.Wrap(err, "upstream's answer is not valid HTTP/1.1")
+		}
+		// The rest allows for the framing of chunks.
+		c.bounded.Left = 2*MaxAnswer + MaxHead
+		body, err := c.pool.readBody(res.Body)
+		if err != nil {
+			// Closing the body would read on.
 			return o, false, errors.Wrap(err, "upstream's answer is incomplete")
-		case len(body) > maxBody:
-			return o, false, errors.Errorf("upstream's answer exceeds %d bytes", maxBody)
-		case res.StatusCode < http.StatusOK:
+		}
+		_ = res.Body.Close()
+		if res.StatusCode < http.StatusOK {
 			continue
 		}
 		answer, foreign := r.Parse(res, r.ID)
@@ -205,7 +218,7 @@
 		c.verified = c.verified || o.Result == relay.Good
 		return o, !res.Close && c.idleTimeout > 0 && !answer.Moved, nil
 	}
-	return o, false, errors.New("upstream sent too many answers to other requests")
+	return o, false, errors.Wrap(bound.ErrEndless, "too many interim answers or answers to other requests")
 }
 
 func resultOf(a relay.Answer) relay.Result {
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/jujubethread/jujubethread/internal/bound"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 )
@@ -37,8 +38,12 @@
 	// maxIdle is the longest time an idle connection stays usable.
 	maxIdle = 30 * time.Second
 
-	// maxBody bounds the body of an answer in bytes.
-	maxBody = 8 << 20
+	// MaxHead bounds the head of an answer in bytes, MaxAnswer its body.
+	MaxHead   = 64 << 10
+	MaxAnswer = 1 << 20
+
+	// maxHeld bounds the bytes of all unfinished large bodies of a pool.
+	maxHeld = 8 << 20
 
 	// maxForeignAnswers bounds the answers to other requests that one call skips.
 	maxForeignAnswers = 4
@@ -75,13 +80,14 @@
 }
 
 // Outcome is the result of a call. Answer, Header and Body are set if an answer
-// was read, Err if not.
+// was read, Err if not. Endless is set if the answer exceeded a bound.
 type Outcome struct {
-	Result relay.Result
-	Answer relay.Answer
-	Header http.Header
-	Body   []byte
-	Err    error
+	Result  relay.Result
+	Answer  relay.Answer
+	Header  http.Header
+	Body    []byte
+	Err     error
+	Endless bool
 }
 
 // Pool holds the idle connections of one process. It is safe for concurrent use.
@@ -89,10 +95,17 @@
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	dials int64
+	// budget is shared by the answers that are being read.
+	budget bound.Budget
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn)} }
+func NewPool() *Pool {
+	return &Pool{
+		idle:   make(map[string][]*conn),
+		budget: bound.Budget{Max: maxHeld},
+	}
+}
 
 // Dials returns the number of connection attempts so far.
 func (p *Pool) Dials() int64 {
@@ -123,6 +136,10 @@
 	timer   *time.Timer
 	ended   bool
 	stopped bool
+	// expired is set if the call was stopped at its limit, receiving if the answer
+	// had begun.
+	expired   bool
+	receiving bool
 }
 
 // key identifies the connections that the call may use.
@@ -148,11 +165,33 @@
 		return
 	}
 	r.conn = c
-	r.timer = time.AfterFunc(r.Limit-time.Since(r.started)+answerGrace, r.stop)
+	r.timer = time.AfterFunc(r.Limit-time.Since(r.started)+answerGrace, r.expire)
 	r.mu.Unlock()
 	c.send(r)
 }
 
+// expire stops the call at its limit.
+func (r *activeCall) expire() {
+	r.mu.Lock()
+	r.expired = true
+	r.mu.Unlock()
+	r.stop()
+}
+
+// begin records that the answer has begun.
+func (r *activeCall) begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.receiving = true
+}
+
+// endless reports whether the call reached its limit while it read the answer.
+func (r *activeCall) endless() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.expired && r.receiving
+}
+
 // stop cancels the call by closing its connection.
 func (r *activeCall) stop() {
 	r.mu.Lock()
@@ -207,11 +246,13 @@
 	if err != nil {
 		return nil, err
 	}
+	bounded := &bound.Reader{From: raw}
 	c := &conn{
 		pool:        p,
 		key:         key,
 		raw:         raw,
-		reader:      bufio.NewReaderSize(raw, readBufferSize),
+		bounded:     bounded,
+		reader:      bufio.NewReaderSize(bounded, readBufferSize),
 		idleTimeout: maxIdle,
 	}
 	go c.readLoop()
--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -116,6 +116,10 @@
 	// downCost ranks upstreams that do not accept connections behind all others.
 	downCost = 10 * time.Second
 
+	// endlessTime is how long an upstream is not chosen after an answer that did
+	// not end. Each such answer costs a host the reading of up to 1 MiB.
+	endlessTime = 5 * time.Second
+
 	// downTime is how long an upstream is ranked last after a failed connection.
 	downTime = time.Second
 
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -102,7 +102,9 @@
 	Status int
 	// Moved is set if another upstream answers at the address.
 	Moved bool
-	Load  Load
+	// Endless is set if the answer was cut off since it exceeded a bound.
+	Endless bool
+	Load    Load
 }
 
 // Disconnected reports that the caller has closed its connection.
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -15,12 +15,13 @@
 	inFlight []*attempt
 	// slowdown is the EWMA of the latency, as a multiple of what is typical for
 	// the route, and failRate that of failed calls.
-	slowdown      float64
-	failRate      float64
-	updatedAt     ident.Instant
-	coldUntil     ident.Instant
-	downUntil     ident.Instant
-	movedUntil    ident.Instant
+	slowdown  float64
+	failRate  float64
+	updatedAt ident.Instant
+	coldUntil ident.Instant
+	downUntil ident.Instant
+	// excludedUntil is when the upstream may be chosen again.
+	excludedUntil ident.Instant
 	drainingSince ident.Instant
 
 	// otherLoad is the number of calls of other hosts there, running or queued,
@@ -104,7 +105,7 @@
 	start := e.rand.IntN(len(ups))
 	for i := range ups {
 		u := ups[(start+i)%len(ups)]
-		if p.triedOn(u) || e.now < u.movedUntil || u.Draining && e.now >= u.drainingSince.Add(drainGrace) {
+		if p.triedOn(u) || e.now < u.excludedUntil || u.Draining && e.now >= u.drainingSince.Add(drainGrace) {
 			continue
 		}
 		if len(u.inFlight) >= e.connections(q, u) {
@@ -208,10 +209,14 @@
 		u.downUntil = e.after(downTime)
 	case Rejected:
 		if ev.Moved {
-			u.movedUntil = e.after(movedTime)
+			u.excludedUntil = e.after(movedTime)
 			e.eject(u, movedTime, "another upstream answers at its address")
 		}
 	case Bad, Lost:
+		if ev.Endless {
+			u.excludedUntil = e.after(endlessTime)
+			e.eject(u, endlessTime, "its answer does not end")
+		}
 	}
 	u.failRate += ewmaWeight * (failed - u.failRate)
 	if ev.Load.Known {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -442,3 +442,23 @@
 	}
 	is.Equal(len(calls(h.arrive(100, "/search/x"))), 4)
 }
+
+// Guards against calls to an upstream whose answers do not end: each one costs
+// a host the reading of a bound's worth of bytes.
+func TestUpstreamWithoutEndIsEjected(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1)
+	c := calls(h.arrive(1, "/search/x"))[0]
+	h.step(relay.Ended{
+		Attempt: c.Attempt,
+		Result:  relay.Lost,
+		Endless: true,
+	})
+	for id := ident.QueryID(2); id < 40; id++ {
+		h.now += 50 * ms
+		for _, next := range calls(h.arrive(id, "/search/x")) {
+			is.True(next.Upstream.ID != c.Upstream.ID)
+			h.end(next, relay.Good)
+		}
+	}
+}
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -61,7 +61,7 @@
 	}
 	found := false
 	for _, u := range e.services[p.service] {
-		if u.Draining || e.now < u.movedUntil || e.now < u.downUntil {
+		if u.Draining || e.now < u.excludedUntil || e.now < u.downUntil {
 			continue
 		}
 		found = true
