Keep a connection on which a request is read when an entry host drains

Cause: at SIGTERM the host disables keep-alives, and http.Server then closes the connections that it counts as idle. It counts one as idle until the head of a request is parsed, which takes milliseconds on a small host, and runs the request all the same. Fix: internal/accept puts off the close while a request is being read.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/jujubethread/jujubethread/internal/accept"
 	"github.com/jujubethread/jujubethread/internal/gauge"
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/pipe"
@@ -164,15 +165,17 @@
 // progress are answered or the grace time is nearly over.
 func (f *Front) Run(ctx context.Context) error {
 	f.log.Info("entry host starts", "Front", f.cfg.Front, "Seeds", f.cfg.Seeds)
-	lis, err := net.Listen("tcp", f.cfg.Front)
+	raw, err := net.Listen("tcp", f.cfg.Front)
 	if err != nil {
 		return errors.Wrapf(err, "cannot listen for callers on %s", f.cfg.Front)
 	}
+	lis := accept.Wrap(raw)
 	ready, err := net.Listen("tcp", f.cfg.Ready)
 	if err != nil {
 		return errors.Wrapf(err, "cannot listen for readiness checks on %s", f.cfg.Ready)
 	}
 	srv := f.server()
+	srv.ConnState = lis.ConnState
 	checks := &http.Server{
 		Handler:           http.HandlerFunc(f.serveReady),
 		ReadHeaderTimeout: readyTimeout,
@@ -194,7 +197,7 @@
 			return nil
 		case <-ctx.Done():
 		}
-		f.stop(srv)
+		f.stop(srv, lis)
 		return checks.Close()
 	})
 	err = g.Wait()
@@ -213,7 +216,7 @@
 
 // stop waits until the load balancer has removed this host, then closes the
 // connections of callers as their requests are answered.
-func (f *Front) stop(srv *http.Server) {
+func (f *Front) stop(srv *http.Server, lis *accept.Listener) {
 	started := time.Now()
 	f.log.Info("entry host drains")
 	f.draining.Store(true)
@@ -222,7 +225,11 @@
 	f.closing.Store(true)
 	sctx, cancel := context.WithDeadline(context.Background(), started.Add(f.cfg.Grace-graceMargin))
 	defer cancel()
-	if err := srv.Shutdown(sctx); err != nil {
+	err := srv.Shutdown(sctx)
+	if err == nil {
+		err = lis.Wait(sctx)
+	}
+	if err != nil {
 		f.log.Warn("requests were still in progress at the end of the grace time", "Error", err.Error())
 		_ = srv.Close()
 		return
--- a/internal/front/rtt_linux.go
+++ b/internal/front/rtt_linux.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -10,7 +11,7 @@
 // roundTrip returns the kernel's smoothed round-trip time of a connection, or 0
 // if it is not available.
 func roundTrip(c net.Conn) time.Duration {
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := c.(syscall.Conn)
 	if !ok {
 		return 0
 	}
