Leave a control host without a majority on the product's own protocol

Cause: an entry host notices that its control host has no majority only if a peer has a newer version. Without peers it stays, and returns to it as to a better source. Evidence: TestHostLeavesAControlHostWithoutMajority failed before. Fix: updates and version answers say whether their source has lost the leader; a stale source is left if there is another one, and not returned to.

--- a/internal/agent/effect.go
+++ b/internal/agent/effect.go
@@ -83,6 +83,7 @@
 		event := follow.Received{
 			Stream:  id,
 			Version: u.Version,
+			Stale:   u.Stale,
 			Deltas:  u.Deltas,
 		}
 		if u.Part != nil {
@@ -109,6 +110,7 @@
 			a.stepFollower(follow.VersionAnswered{
 				Attempt: eff.Attempt,
 				Version: out.Version,
+				Stale:   out.Stale,
 			})
 		})
 	})
--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -38,6 +38,8 @@
 		}
 	}
 	o.startSnapshot()
+	s := o.node.Status(o.host.now())
+	o.host.feed.SetStale(!s.Lease && (s.Leader == "" || s.Role == quorum.Leader))
 	if o.node.Applied() > 0 {
 		o.host.feed.Set(o.parts.Config(), o.parts.Deltas())
 	}
--- a/internal/origin/feed.go
+++ b/internal/origin/feed.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	state   *config.State
 	deltas  []follow.Delta
+	stale   bool
 	changed chan struct{}
 }
 
@@ -43,6 +44,24 @@
 	f.changed = make(chan struct{})
 }
 
+// SetStale sets whether this host has lost the leader, so that its state may not
+// be the newest.
+func (f *Feed) SetStale(stale bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if stale && !f.stale {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+	f.stale = stale
+}
+
+func (f *Feed) isStale() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stale
+}
+
 // current returns the current state, the deltas that led to it, and a channel that
 // is closed on the next change.
 func (f *Feed) current() (*config.State, []follow.Delta, <-chan struct{}) {
@@ -124,13 +143,19 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-		case <-heartbeat.C:
-			if state == nil {
+			if !f.isStale() {
 				continue
 			}
-			if err := send(&proto.Update{Version: state.Version}); err != nil {
-				return err
-			}
+		case <-heartbeat.C:
+		}
+		if state == nil {
+			continue
+		}
+		if err := send(&proto.Update{
+			Version: state.Version,
+			Stale:   f.isStale(),
+		}); err != nil {
+			return err
 		}
 	}
 }
@@ -158,6 +183,7 @@
 	}
 	return &proto.VersionAnswer{
 		Version: state.Version,
+		Stale:   f.isStale(),
 		Digest:  state.Digest,
 	}, nil
 }
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -39,8 +39,10 @@
 // Update is one message of a watch or pull stream. Without Deltas and Part it
 // is a heartbeat, which shows that the source is alive and at Version.
 type Update struct {
-	// Version is the newest version that the source has.
+	// Version is the newest version that the source has. Stale is set if it may not
+	// be the newest one of all.
 	Version ident.ConfigVersion `json:"Version"`
+	Stale   bool                `json:"Stale,omitempty"`
 	Deltas  []follow.Delta      `json:"Deltas,omitempty"`
 	Part    *CopyPart           `json:"Part,omitempty"`
 }
@@ -65,6 +67,7 @@
 // VersionAnswer is the version of the active configuration.
 type VersionAnswer struct {
 	Version ident.ConfigVersion `json:"Version"`
+	Stale   bool                `json:"Stale,omitempty"`
 	Digest  uint64              `json:"Digest"`
 }
 
--- a/pkg/follow/event.go
+++ b/pkg/follow/event.go
@@ -22,6 +22,9 @@
 	Deltas  []Delta             `json:"Deltas,omitempty"`
 	// Copy is an unverified full copy, or nil if the message completes none.
 	Copy *config.State `json:"Copy,omitempty"`
+	// Stale is set if the source has lost the leader, so that its version may not
+	// be the newest.
+	Stale bool `json:"Stale,omitempty"`
 	// Partial marks a message with a part of a full copy that is not complete
 	// yet.
 	Partial bool `json:"Partial,omitempty"`
@@ -37,6 +40,7 @@
 type VersionAnswered struct {
 	Attempt uint64              `json:"Try"`
 	Version ident.ConfigVersion `json:"Version"`
+	Stale   bool                `json:"Stale,omitempty"`
 }
 
 // VersionFailed reports that the AskVersion with the same Attempt failed or
--- a/pkg/follow/reducer.go
+++ b/pkg/follow/reducer.go
@@ -155,9 +155,13 @@
 		return
 	}
 	s.fullPending = s.fullPending && e.Copy == nil
-	if s == &r.watch {
-		s.source.failures = 0
-		r.trackBehind(now, e.Version)
+	if s != &r.watch {
+		return
+	}
+	s.source.failures = 0
+	r.trackBehind(now, e.Version)
+	if e.Stale && r.hasAlternative(now, s.source) {
+		r.closeStream(now, s, true)
 	}
 }
 
@@ -349,9 +353,8 @@
 	case r.failback.attempt:
 		src := r.find(r.failback.to)
 		r.failback = versionRequest{}
-		// A better source that is behind this host would be ejected again as
-		// stale.
-		if src != nil && r.watch.id != 0 && src.tier < r.watch.source.tier && !e.Version.Less(r.version()) {
+		// A better source that is stale or behind this host would be ejected again.
+		if src != nil && r.watch.id != 0 && src.tier < r.watch.source.tier && !e.Stale && !e.Version.Less(r.version()) {
 			r.emit(CloseStream{Stream: r.watch.id})
 			src.ejectedUntil = 0
 			r.openWatch(now, src, false)
--- a/pkg/follow/reducer_test.go
+++ b/pkg/follow/reducer_test.go
@@ -39,12 +39,13 @@
 	nodes        map[string]*node
 	hosts        []*node
 	disconnected map[string]bool // by node name
+	stale        map[string]bool // control hosts without a majority, by name
 	fault        func() string   // returns the fault of the next message, or ""
 	seats        int
 }
 
 func newSimulation(t interface{ Fatalf(string, ...any) }, hosts int, fault func() string) *simulation {
-	sim := &simulation{t: t, nodes: make(map[string]*node), disconnected: make(map[string]bool), fault: fault, seats: 1}
+	sim := &simulation{t: t, nodes: make(map[string]*node), disconnected: make(map[string]bool), stale: make(map[string]bool), fault: fault, seats: 1}
 	controls := []follow.Source{{Address: "c0", Domain: "d0"}, {Address: "c1", Domain: "d1"}}
 	for _, c := range controls {
 		sim.nodes[c.Address] = &node{name: c.Address, history: follow.NewHistory(4)}
@@ -132,7 +133,7 @@
 		sim.step(n, follow.VersionFailed{Attempt: ask.Attempt})
 		return
 	}
-	sim.step(n, follow.VersionAnswered{Attempt: ask.Attempt, Version: sim.nodes[ask.To].history.State().Version})
+	sim.step(n, follow.VersionAnswered{Attempt: ask.Attempt, Version: sim.nodes[ask.To].history.State().Version, Stale: sim.stale[ask.To]})
 }
 
 // deliver delivers one message on every stream of n.
@@ -146,7 +147,7 @@
 		deltas, full := h.Since(s.have, s.digest)
 		state := h.State()
 		s.have, s.digest = state.Version, state.Digest
-		sim.step(n, withFault(sim.fault(), follow.Received{Stream: id, Version: state.Version, Deltas: deltas, Copy: full}))
+		sim.step(n, withFault(sim.fault(), follow.Received{Stream: id, Version: state.Version, Deltas: deltas, Copy: full, Stale: sim.stale[s.to]}))
 		if _, open := n.streams[id]; open && s.isPull {
 			delete(n.streams, id)
 			sim.step(n, follow.StreamEnded{Stream: id})
@@ -267,3 +268,29 @@
 	is.Equal(sim.hosts[0].reducer.Watching(), "c0")
 	sim.requireConverged()
 }
+
+// Guards against a host without peers that keeps an old configuration because its
+// control host answers but has no majority, and against one that leaves it for
+// nothing while there is no other.
+func TestHostLeavesAControlHostWithoutMajority(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 1, func() string { return "" })
+	sim.step(sim.hosts[0], follow.PeersChanged{})
+	sim.run(time.Second)
+	is.Equal(sim.hosts[0].reducer.Watching(), "c0")
+	sim.stale["c0"] = true
+	sim.change("c1")
+	sim.run(time.Second)
+	is.Equal(sim.hosts[0].reducer.Watching(), "c1")
+	is.Equal(sim.hosts[0].reducer.State().Version, sim.nodes["c1"].history.State().Version)
+	sim.nodes["c0"].history.Advance(sim.nodes["c1"].history.State(), nil)
+	sim.run(10 * time.Second)
+	is.Equal(sim.hosts[0].reducer.Watching(), "c1") // c0 is still stale
+	delete(sim.stale, "c0")
+	sim.run(2 * time.Second)
+	is.Equal(sim.hosts[0].reducer.Watching(), "c0")
+	sim.stale["c0"], sim.disconnected["c1"] = true, true
+	sim.run(4 * time.Second)
+	sim.run(4 * time.Second)
+	is.Equal(sim.hosts[0].reducer.Watching(), "c0")
+}
--- a/pkg/follow/source.go
+++ b/pkg/follow/source.go
@@ -101,6 +101,11 @@
 	return candidates[l.rng.IntN(len(candidates))]
 }
 
+// hasAlternative reports whether another source is not ejected.
+func (l *sources) hasAlternative(now ident.Instant, to *source) bool {
+	return slices.ContainsFunc(l.list, func(s *source) bool { return s != to && s.ejectedUntil <= now })
+}
+
 // eject excludes a source for a backoff that doubles with every consecutive
 // failure.
 func (l *sources) eject(now ident.Instant, s *source) {
