Correct two tests that read while hosts change, and how tests pick ports

Cause: TestSeatsComeFromTheLeader waited for the leader's lease, which a majority gives, and then asked the third member who leads. It now waits until all members name the leader, and checks the same. Tests of control hosts took ports of the range from which outgoing connections get theirs; they now use internal/ports.

--- a/internal/agent/group_test.go
+++ b/internal/agent/group_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -14,6 +13,7 @@
 	"github.com/jujubethread/jujubethread/internal/agent"
 	"github.com/jujubethread/jujubethread/internal/ctrl"
 	"github.com/jujubethread/jujubethread/internal/host"
+	"github.com/jujubethread/jujubethread/internal/ports"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/follow"
@@ -31,10 +31,9 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Free()
 	is.New(t).NoErr(err)
-	defer lis.Close()
-	return lis.Addr().String()
+	return address
 }
 
 func newControlGroup(t *testing.T, size int) *controlGroup {
--- a/internal/ctrl/group_test.go
+++ b/internal/ctrl/group_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -13,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jujubethread/jujubethread/internal/ctrl"
+	"github.com/jujubethread/jujubethread/internal/ports"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
@@ -72,10 +72,9 @@
 
 func freePort(t testing.TB) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Free()
 	is.New(t).NoErr(err)
-	defer lis.Close()
-	return lis.Addr().String()
+	return address
 }
 
 func newGroup(t testing.TB, size int, n *network) *group {
--- a/internal/ctrl/restart_test.go
+++ b/internal/ctrl/restart_test.go
@@ -1,7 +1,9 @@
 package ctrl_test
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"testing"
@@ -16,17 +18,28 @@
 
 const segmentBytes = 1 << 20 // the default of internal/store
 
+// folderBytes returns the size of the files in a folder. If one is replaced
+// meanwhile, the folder is listed again.
 func folderBytes(t *testing.T, folder string) int64 {
 	t.Helper()
-	var sum int64
-	files, err := os.ReadDir(folder)
-	is.New(t).NoErr(err)
-	for _, f := range files {
-		info, err := f.Info()
-		is.New(t).NoErr(err)
-		sum += info.Size()
+	is := is.New(t)
+	for {
+		files, err := os.ReadDir(folder)
+		is.NoErr(err)
+		var sum int64
+		replaced := false
+		for _, f := range files {
+			info, err := f.Info()
+			if replaced = errors.Is(err, fs.ErrNotExist); replaced {
+				break
+			}
+			is.NoErr(err)
+			sum += info.Size()
+		}
+		if !replaced {
+			return sum
+		}
 	}
-	return sum
 }
 
 // changeAt returns the i-th of a series of changes that add 200 upstreams and
--- a/internal/ctrl/serve_test.go
+++ b/internal/ctrl/serve_test.go
@@ -194,6 +194,14 @@
 	is := is.New(t)
 	g := newGroup(t, 3, nil)
 	l, _ := g.leader(-1)
+	g.await(10*time.Second, "all members name the leader", func() bool {
+		for i := range g.hosts {
+			if g.status(i).Leader != g.hosts[l].ID() {
+				return false
+			}
+		}
+		return true
+	})
 	c := newClient(t)
 	beat := func(i int, host ident.HostID) proto.HeartbeatAnswer {
 		var a proto.HeartbeatAnswer
--- a/internal/tier/tier_test.go
+++ b/internal/tier/tier_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/core"
 	"github.com/jujubethread/jujubethread/internal/front"
+	"github.com/jujubethread/jujubethread/internal/ports"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/platform"
@@ -137,12 +138,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func freePort(t *testing.T) int {
