Refuse a trace that was cut off

Fix: Run and RunWith return a CutError. TestReplayAgreesWithTheRecord expected no error for a cut record and the field Ended unset; it now expects the error as well. TestCutTraceIsRefused cuts every trace in three places.

--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -74,6 +74,15 @@
 	Difference *Difference `json:"Difference,omitempty"`
 }
 
+// CutError reports a record that lacks its last lines. What it has was replayed
+// without a difference.
+type CutError struct{ Lines int }
+
+// Error names the last line and the remedy.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("record has no end after line %d, so lines are missing or the process was killed: copy the file whole or record it again", e.Lines)
+}
+
 // RunWith replays a record through the reducer that newReducer creates from the
 // header. It stops at the first difference. An error means that the record
 // cannot be read; it names the line and any unknown type or field. Expected
@@ -107,6 +116,9 @@
 	for {
 		var l line
 		err := in.Read(&l)
+		if errors.Is(err, io.EOF) && !rep.Ended {
+			return rep, &CutError{Lines: in.Line()}
+		}
 		if errors.Is(err, io.EOF) {
 			return rep, nil
 		}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -101,8 +101,9 @@
 	is.Equal(rep.Events, len(lines)-2)
 	is.True(strings.Contains(strings.Join(lines, ""), `"Outcome":"Done"`)) // the record has answers
 	rep, err = runLines(lines[:len(lines)-1])
-	is.NoErr(err)
-	is.Equal(rep.Ended, false) // truncated
+	var cut *replay.CutError
+	is.True(errors.As(err, &cut))
+	is.Equal(rep.Ended, false)
 }
 
 // Guards against an edit that is not detected because no effect depends on it,
--- a/internal/replay/tamper_test.go
+++ b/internal/replay/tamper_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -9,6 +10,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/jujubethread/jujubethread/internal/replay"
 	"github.com/jujubethread/jujubethread/pkg/config"
@@ -269,3 +271,25 @@
 		return []quorum.Effect{ef}
 	})
 }
+
+// Guards against a trace that was cut off and replays as if it were whole.
+func TestCutTraceIsRefused(t *testing.T) {
+	is := is.New(t)
+	traces, err := filepath.Glob("../../testdata/traces/*.jsonl")
+	is.NoErr(err)
+	is.True(len(traces) > 0)
+	for _, trace := range traces {
+		raw, err := os.ReadFile(trace)
+		is.NoErr(err)
+		lines := bytes.SplitAfter(bytes.TrimSuffix(raw, []byte("\n")), []byte("\n"))
+		for _, kept := range []int{len(lines) - 1, len(lines) / 2, 1} {
+			_, err := replay.Run(bytes.NewReader(bytes.Join(lines[:kept], nil)))
+			var cut *replay.CutError
+			if !errors.As(err, &cut) || cut.Lines != kept {
+				t.Errorf("%s with %d of %d lines: %v", trace, kept, len(lines), err)
+			}
+		}
+		_, err = replay.Run(bytes.NewReader(raw))
+		is.NoErr(err)
+	}
+}
