Plant faults of DRAIN, LOST, RECOVER, EXIT in the soak, and check GONE

GONE: over 3 calls that arrive 0.5 s after their caller has left, or over a quarter (8 or more) of the runs that go on, while no entry host had a fault.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -107,9 +107,7 @@
 			cl.history.recordCanceled(id)
 			return 0, 0
 		}
-		if h.faultFree(false) > time.Since(sent.sentAt)+settleTime && cl.history.hasRun(id) {
-			cl.history.violation(ruleLost, "request %s to %s ended without an answer although it had run: %v", id, h.name, err)
-		}
+		cl.checkLost(h, id, sent.sentAt, err)
 		return 0, 0
 	}
 	cl.history.checkAnswer(id, a)
@@ -122,6 +120,14 @@
 	return a.status, a.missing
 }
 
+// checkLost checks that a request without an answer has not run, unless its host
+// had a fault meanwhile. Planned work is no excuse.
+func (cl *cluster) checkLost(h *host, id string, sentAt time.Time, err error) {
+	if h.faultFree(false) > time.Since(sentAt)+settleTime && cl.history.hasRun(id) {
+		cl.history.violation(ruleLost, "request %s to %s ended without an answer although it had run: %v", id, h.name, err)
+	}
+}
+
 func (c *caller) do(req *http.Request) (a answer, err error) {
 	res, err := c.client.Do(req)
 	if err != nil {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -187,15 +187,20 @@
 // again.
 func (cl *cluster) restart(ctx context.Context, h *host, downtime time.Duration) {
 	h.recordFault(graceTime+downtime, true)
-	if !h.terminate(syscall.SIGTERM, graceTime) {
-		cl.history.violation(ruleExit, "%s did not end within %s of SIGTERM", h.name, graceTime)
-	}
+	cl.checkStop(h, graceTime)
 	pause(ctx, downtime)
 	h.writeSettings(false, 0)
 	h.start()
 	h.recordFault(time.Second, true)
 }
 
+// checkStop stops a host and checks that it ends in time.
+func (cl *cluster) checkStop(h *host, within time.Duration) {
+	if !h.terminate(syscall.SIGTERM, within) {
+		cl.history.violation(ruleExit, "%s did not end within %s of SIGTERM", h.name, within)
+	}
+}
+
 // failDisk makes the storage of one control host fail, or empties it. It does
 // nothing while any control host has had a recent fault, since the control
 // group tolerates one failed disk at a time (setting "lost 1").
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -33,6 +33,7 @@
 	ruleConfig   = "CONFIG"
 	ruleRecovery = "RECOVER"
 	ruleExit     = "EXIT"
+	ruleGone     = "GONE"
 )
 
 const (
@@ -44,6 +45,16 @@
 	// since an upstream can stop while a retry is being sent.
 	maxOverAttempted = 3
 
+	// goneTime is how long after its caller has left a request may still reach an
+	// upstream, or an upstream still work on it.
+	goneTime = 500 * time.Millisecond
+
+	// maxGoneCalls is the number of calls that may come later, and minGoneWork and
+	// maxGoneShare the number and the share of runs that may last longer.
+	maxGoneCalls = 3
+	minGoneWork  = 8
+	maxGoneShare = 0.25
+
 	// topRecords is the number of records in a search answer.
 	topRecords = 5
 
@@ -94,9 +105,24 @@
 	arrivals      map[string][]time.Time  // by service and request
 	sentTimes     map[string][]time.Time  // by service
 	overAttempted map[string]bool         // by request
+	calls         []arrival
+	works         []work
 	violations    []string
 }
 
+// arrival is the arrival of a request at an upstream while no host had a fault.
+type arrival struct {
+	id string
+	at time.Time
+}
+
+// work is one run while no host had a fault: when it ended, and when it would
+// have ended if nobody had stopped it.
+type work struct {
+	id          string
+	ended, full time.Time
+}
+
 func newHistory() *history {
 	return &history{
 		requests:      make(map[string]*sentRequest),
@@ -136,6 +162,60 @@
 	}
 }
 
+// recordCall records the arrival of a request for checkGone.
+func (h *history) recordCall(id string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.calls = append(h.calls, arrival{
+		id: id,
+		at: at,
+	})
+}
+
+// recordWork records the end of a run for checkGone.
+func (h *history) recordWork(w work) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.works = append(h.works, w)
+}
+
+// checkGone checks that work stops once its caller has left. It needs the full
+// history, since a caller's departure is recorded late.
+func (h *history) checkGone() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// over returns by how much a time is past what a request's caller allows.
+	over := func(id string, at time.Time) time.Duration {
+		sent := h.requests[id]
+		if sent == nil || sent.canceledAt.IsZero() {
+			return 0
+		}
+		return at.Sub(sent.canceledAt.Add(goneTime))
+	}
+	lateCalls := 0
+	for _, c := range h.calls {
+		if over(c.id, c.at) > 0 {
+			lateCalls++
+		}
+	}
+	if lateCalls > maxGoneCalls {
+		h.addViolation(ruleGone, "%d calls reached upstreams over %s after their callers had left", lateCalls, goneTime)
+	}
+	long, late := 0, 0
+	for _, w := range h.works {
+		if sent := h.requests[w.id]; sent == nil || sent.kind == file || over(w.id, w.full) <= 0 {
+			continue
+		}
+		long++
+		if over(w.id, w.ended) > 0 {
+			late++
+		}
+	}
+	if late >= minGoneWork && float64(late) > maxGoneShare*float64(long) {
+		h.addViolation(ruleGone, "%d of %d runs went on over %s after their callers had left", late, long, goneTime)
+	}
+}
+
 func (h *history) recordCanceled(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -40,6 +41,7 @@
 	ip      string // the proxy's address, used by other hosts
 	bound   string // the address on which the process listens
 	folder  string
+	program string // replaces the real program if set
 	proxy   *fault.Proxy
 
 	mu           sync.Mutex
@@ -126,7 +128,7 @@
 		return
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
-	cmd := exec.Command(binary, h.role, "-config", h.settingsFile())
+	cmd := exec.Command(cmp.Or(h.program, binary), h.role, "-config", h.settingsFile())
 	cmd.Stdout, cmd.Stderr = log, log
 	// The kernel kills the process if the test is killed.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -159,6 +161,16 @@
 	h.start()
 }
 
+// awaitLog waits until the process has written a text.
+func (h *host) awaitLog(text string) {
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if raw, err := os.ReadFile(h.logFile()); err == nil && strings.Contains(string(raw), text) {
+			return
+		}
+	}
+	h.cluster.t.Errorf("%s did not write %q", h.name, text)
+}
+
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/soak/leaf_test.go
+++ b/internal/soak/leaf_test.go
@@ -114,6 +114,9 @@
 	}
 	l.cluster.history.recordArrival(request, service, r.Method, r.RequestURI, string(body))
 	l.cluster.checkDrain(l, request)
+	if l.cluster.inTouch() {
+		l.cluster.history.recordCall(request, time.Now())
+	}
 	affected := rand.IntN(2) == 0
 	if b == shedding && affected {
 		h.Set("Not-Executed", "1")
@@ -137,17 +140,29 @@
 	}
 	stamp := fmt.Sprintf("%s.%s.%d", result.leaf, result.id, l.cluster.stampSeq.Add(1))
 	l.cluster.history.recordRun(stamp, result)
-	work := leafWork
+	workTime := leafWork
 	switch b {
 	case slow:
-		work *= 40
+		workTime *= 40
 	case hanging:
-		work = time.Hour
+		workTime = time.Hour
 	}
+	full := time.Now().Add(workTime)
+	stopped := false
 	select {
 	case <-r.Context().Done():
+		stopped = true
+	case <-time.After(workTime):
+	}
+	if l.cluster.inTouch() {
+		l.cluster.history.recordWork(work{
+			id:    result.id,
+			ended: time.Now(),
+			full:  full,
+		})
+	}
+	if stopped {
 		return
-	case <-time.After(work):
 	}
 	switch {
 	case b == resetting && affected:
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -1,7 +1,13 @@
 package soak_test
 
 import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -104,6 +110,33 @@
 			}
 			h.checkTotals(1, 100, time.Second)
 		}},
+		{"callers that leave", "", func(h *history) {
+			for _, id := range []string{"1", "2", "3", "4"} {
+				send(h, id, read)
+				h.recordCanceled(id)
+				h.recordCall(id, time.Now())
+			}
+			for range minGoneWork {
+				h.recordWork(work{id: "1", ended: time.Now(), full: time.Now().Add(time.Hour)})
+			}
+			h.checkGone()
+		}},
+		{"calls for callers that left", ruleGone, func(h *history) {
+			for _, id := range []string{"1", "2", "3", "4"} {
+				send(h, id, read)
+				h.recordCanceled(id)
+				h.recordCall(id, time.Now().Add(goneTime+time.Millisecond))
+			}
+			h.checkGone()
+		}},
+		{"work for callers that left", ruleGone, func(h *history) {
+			send(h, "1", read)
+			h.recordCanceled("1")
+			for range minGoneWork {
+				h.recordWork(work{id: "1", ended: time.Now().Add(goneTime + time.Second), full: time.Now().Add(time.Hour)})
+			}
+			h.checkGone()
+		}},
 		{"too many calls", ruleBudget, func(h *history) {
 			send(h, "1", read)
 			for range 5 {
@@ -159,3 +192,90 @@
 		})
 	}
 }
+
+// Guards against checks of the processes that find nothing: each row plants a
+// fault, or one that the rule allows.
+func TestPlantedProcessFaultsAreFound(t *testing.T) {
+	const within = 200 * time.Millisecond
+	hung := errors.New("no answer")
+	drainingLeaf := func(cl *cluster) *leaf { return &leaf{cluster: cl, draining: time.Now().Add(-drainTime - time.Second)} }
+	// script replaces the program of a host.
+	script := func(h *host, text string) {
+		h.cluster.t.Helper()
+		h.program = filepath.Join(h.folder, "program")
+		if err := os.WriteFile(h.program, []byte("#!/bin/sh\n"+text+"\n"), 0o700); err != nil {
+			h.cluster.t.Fatal(err)
+		}
+		h.start()
+	}
+	for _, row := range []struct {
+		name  string
+		rule  string
+		plant func(cl *cluster, h *host)
+	}{
+		{"call to a draining upstream", ruleDrain, func(cl *cluster, _ *host) { cl.checkDrain(drainingLeaf(cl), "1") }},
+		{"call to a draining upstream after a fault", "", func(cl *cluster, h *host) {
+			h.recordFault(0, false)
+			cl.checkDrain(drainingLeaf(cl), "1")
+		}},
+		{"call to an upstream that began to drain", "", func(cl *cluster, _ *host) {
+			cl.checkDrain(&leaf{cluster: cl, draining: time.Now()}, "1")
+		}},
+		{"request that ran and was not answered", ruleLost, func(cl *cluster, h *host) {
+			cl.history.recordRun("s", execution{id: "1", service: "desk"})
+			cl.checkLost(h, "1", time.Now(), hung)
+		}},
+		{"request that ran at a host that stops", ruleLost, func(cl *cluster, h *host) {
+			h.recordFault(time.Minute, true)
+			cl.history.recordRun("s", execution{id: "1", service: "desk"})
+			cl.checkLost(h, "1", time.Now(), hung)
+		}},
+		{"request that ran at a host that was killed", "", func(cl *cluster, h *host) {
+			h.recordFault(0, false)
+			cl.history.recordRun("s", execution{id: "1", service: "desk"})
+			cl.checkLost(h, "1", time.Now(), hung)
+		}},
+		{"request that did not run", "", func(cl *cluster, h *host) { cl.checkLost(h, "1", time.Now(), hung) }},
+		{"host that does not serve again", ruleRecovery, func(cl *cluster, _ *host) {
+			cl.awaitHealthy(cl.newCaller(0), rand.New(rand.NewPCG(1, 1)), within)
+		}},
+		{"configuration that cannot be read again", ruleRecovery, func(cl *cluster, h *host) {
+			cl.entries, cl.controls = nil, []*host{h}
+			cl.awaitHealthy(cl.newCaller(0), rand.New(rand.NewPCG(1, 1)), within)
+		}},
+		{"host that exits by itself", ruleExit, func(cl *cluster, h *host) {
+			script(h, "exit 3")
+			for end := time.Now().Add(startLimit); len(cl.history.allViolations()) == 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+		}},
+		{"host that ignores SIGTERM", ruleExit, func(cl *cluster, h *host) {
+			script(h, "trap '' TERM; echo ready; while :; do sleep 0.05; done")
+			h.awaitLog("ready")
+			cl.checkStop(h, within)
+		}},
+		{"host that ends on SIGTERM", "", func(cl *cluster, h *host) {
+			script(h, "trap 'exit 0' TERM; echo ready; while :; do sleep 0.01; done")
+			h.awaitLog("ready")
+			cl.checkStop(h, graceTime)
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			cl := &cluster{t: t, ctx: ctx, seed: 1, dir: t.TempDir(), history: newHistory()}
+			cl.operator = newOperator(cl.history)
+			h := &host{cluster: cl, name: "entry-a-1", bound: "127.0.0.1", folder: t.TempDir()}
+			cl.entries = []*host{h}
+			row.plant(cl, h)
+			cancel()
+			h.terminate(syscall.SIGKILL, graceTime)
+			violations := cl.history.allViolations()
+			switch {
+			case row.rule == "" && len(violations) > 0:
+				t.Fatal(violations)
+			case row.rule != "" && (len(violations) == 0 || !strings.HasPrefix(violations[0], row.rule+":")):
+				t.Fatalf("planted a violation of %s, found %v", row.rule, violations)
+			}
+		})
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -156,6 +156,16 @@
 	return shortest
 }
 
+// inTouch reports whether no entry host had a recent fault.
+func (cl *cluster) inTouch() bool {
+	for _, e := range cl.entries {
+		if e.faultFree(true) < settleTime {
+			return false
+		}
+	}
+	return true
+}
+
 // checkDrain checks that a draining leaf receives no new requests. The rule
 // applies only while no host has had a recent fault and the instance list has
 // been available for long enough to show the change.
@@ -231,6 +241,7 @@
 	group.Wait()
 	cl.restartAll(prober, rng)
 	cl.history.checkTotals(extraRatio, extraSlack, extraWindow)
+	cl.history.checkGone()
 	cl.report(t)
 }
 
