--- a/internal/story/table_test.go
+++ b/internal/story/table_test.go
@@ -51,3 +51,40 @@
 		}
 	}
 }
+
+// Guards against a rule whose test or day no longer exists.
+func TestPagesNameTestsAndDaysThatExist(t *testing.T) {
+	is := is.New(t)
+	const root = "../.."
+	exists := make(map[string]bool)
+	declared := regexp.MustCompile(`(?m)^func (Test[A-Za-z0-9]+)\(`)
+	is.NoErr(filepath.WalkDir(root, func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		for _, m := range declared.FindAllStringSubmatch(string(source), -1) {
+			exists[m[1]] = true
+		}
+		return err
+	}))
+	named := regexp.MustCompile("`(Test[A-Za-z0-9]+)`")
+	for _, page := range []string{"README.md", "docs/platform.md"} {
+		text, err := os.ReadFile(filepath.Join(root, page))
+		is.NoErr(err)
+		for _, m := range named.FindAllStringSubmatch(string(text), -1) {
+			if !exists[m[1]] {
+				t.Errorf("%s names %s, which does not exist", page, m[1])
+			}
+		}
+	}
+	page, err := os.ReadFile(filepath.Join(root, "docs/platform.md"))
+	is.NoErr(err)
+	days, err := filepath.Glob(filepath.Join(root, "deploy/days/*.toml"))
+	is.NoErr(err)
+	for _, day := range days {
+		if name := strings.TrimSuffix(filepath.Base(day), ".toml"); !strings.Contains(string(page), name) {
+			t.Errorf("day %s is not in the table of docs/platform.md", name)
+		}
+	}
+}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -462,3 +462,32 @@
 		}
 	}
 }
+
+// Guards against a split whose parts get other shares than their weights.
+func TestSplitFollowsItsWeights(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1)
+	d := document(1)
+	d.Version++
+	for i := range d.Routes {
+		if d.Routes[i].Name == "read" {
+			d.Routes[i].Backends = []rules.Backend{
+				{Service: "desk", Weight: 3},
+				{Service: "shard-0", Weight: 1},
+			}
+		}
+	}
+	is.NoErr(d.Check())
+	h.step(relay.Install{Table: rules.NewTable(d)})
+	const requests = 400
+	got := make(map[ident.Service]int)
+	for id := ident.QueryID(1); id <= requests; id++ {
+		h.now += 20 * ms
+		for _, c := range calls(h.arrive(id, "/read/x")) {
+			got[c.Upstream.Service]++
+			h.end(c, relay.Good)
+		}
+	}
+	is.True(got["desk"] >= requests*3/4-1 && got["desk"] <= requests*3/4+1)
+	is.Equal(got["desk"]+got["shard-0"], requests)
+}
