Say which service has no upstream when a query is refused for it

Change: the reason names the service and how many others, the details the parts (None). TestRefusalNamesTheServiceWithoutUpstreams.

--- a/pkg/relay/detail.go
+++ b/pkg/relay/detail.go
@@ -24,6 +24,8 @@
 	// the part was waiting for a free connection.
 	Skipped bool `json:"Skipped,omitempty"`
 	Waiting bool `json:"Waiting,omitempty"`
+	// None is set if no upstream may be called.
+	None bool `json:"None,omitempty"`
 	// HandedTo is the domain of the host that the part was delegated to. Helper
 	// is that host, if it belongs to this domain.
 	HandedTo ident.Domain `json:"HandedTo,omitempty"`
@@ -62,7 +64,7 @@
 		LateMicros: e.now.Sub(q.target).Microseconds(),
 	}
 	for _, p := range q.parts {
-		started := len(p.attempts) > 0 || p.skipped || q.mayHaveRun
+		started := len(p.attempts) > 0 || p.skipped || q.mayHaveRun || p.unavailable()
 		if p.success != nil && len(p.attempts) == 1 || p.success == nil && p.answered() || !started {
 			continue
 		}
@@ -71,6 +73,7 @@
 			Good:       p.success != nil,
 			Skipped:    p.skipped,
 			Waiting:    p.waits(),
+			None:       p.unavailable(),
 			Arrivals:   p.arrivals,
 			BudgetLeft: e.window(p.service).Remaining(e.now, e.share(q)),
 		}
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -37,8 +38,12 @@
 
 func (e *Engine) refuse(q *query, timeout bool) {
 	sent := q.mayHaveRun
+	var without []ident.Service
 	for _, p := range q.parts {
 		sent = sent || p.inFlight() > 0 || p.delegated()
+		if p.unavailable() {
+			without = append(without, p.service)
+		}
 	}
 	r := Refuse{
 		Query:  q.id,
@@ -53,6 +58,8 @@
 		r.Status, r.Reason = TimedOut, "the time ended before an answer came"
 	case sent:
 		r.Status, r.Reason = Failed, "upstreams failed"
+	case len(without) > 0:
+		r.Reason = fmt.Sprintf("no upstream of %s may be called, nor of %d other services", without[0], len(without)-1)
 	}
 	e.emit(r)
 }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -491,3 +491,19 @@
 	is.True(got["desk"] >= requests*3/4-1 && got["desk"] <= requests*3/4+1)
 	is.Equal(got["desk"]+got["shard-0"], requests)
 }
+
+// Guards against a refusal that does not say which service has no upstream.
+func TestRefusalNamesTheServiceWithoutUpstreams(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1)
+	h.step(relay.Listed{})
+	for _, e := range h.arrive(1, "/read/x") {
+		if r, ok := e.(relay.Refuse); ok {
+			is.Equal(r.Status, relay.NotNow)
+			is.Equal(r.Reason, "no upstream of desk may be called, nor of 0 other services")
+			is.True(r.Detail.Parts[0].None)
+			return
+		}
+	}
+	is.Fail() // no refusal
+}
