Take a list of upstreams that was read before the host started

The reading time of the list is counted on the host's own clock, which starts at 0; a list read before that has a negative time and lost against the time of no list, 0. The host polled in a loop until the leader had read the list again. Others delegated queries to it meanwhile. Evidence: TestFreshEntryHostTakesAnOlderList failed before. Fix: a host without a list takes any; one without a list accepts no queries of other hosts.

--- a/internal/front/ping.go
+++ b/internal/front/ping.go
@@ -107,7 +107,7 @@
 }
 
 func (f *Front) pingFlags() (flags byte) {
-	if !f.draining.Load() && f.table.Load() != nil {
+	if !f.draining.Load() && f.table.Load() != nil && f.hasList.Load() {
 		flags |= flagAccepting
 	}
 	if f.peers.isolated(f.now()) {
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -249,7 +249,7 @@
 // than the one in use.
 func (w *watcher) applyList(r *board.Reply, p *poll) {
 	readAt, read := r.ListReadAt(p.sentAt)
-	if !read || readAt.Add(board.ReadTolerance).Before(w.listReadAt) {
+	if !read || w.front.hasList.Load() && readAt.Add(board.ReadTolerance).Before(w.listReadAt) {
 		return
 	}
 	if r.List == nil && r.ListDelta == nil {
--- a/internal/front/watch_test.go
+++ b/internal/front/watch_test.go
@@ -19,7 +19,9 @@
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/relay"
 	"github.com/jujubethread/jujubethread/pkg/rules"
+	"github.com/jujubethread/jujubethread/platform"
 )
 
 // applyTimeout is how long a confirmed change may take to be in force.
@@ -95,9 +97,9 @@
 	}
 }
 
-// startEntryHost runs an entry host of domain a and returns a function that
-// reports whether it has a route for a path.
-func startEntryHost(t *testing.T, seeds ...string) (hasRoute func(path string) bool) {
+// startEntryHost runs an entry host of domain a and returns functions that report
+// whether it has a route for a path, and whether it is ready.
+func startEntryHost(t *testing.T, seeds ...string) (hasRoute func(path string) bool, isReady func() bool) {
 	t.Helper()
 	is := is.New(t)
 	free := func() string {
@@ -105,12 +107,12 @@
 		is.NoErr(err)
 		return address
 	}
-	address := free()
+	address, ready := free(), free()
 	f, err := front.New(front.Config{
 		Name:   "entry",
 		Domain: "a",
 		Front:  address,
-		Ready:  free(),
+		Ready:  ready,
 		Link:   free(),
 		Seeds:  seeds,
 		Extra: budget.Config{
@@ -123,7 +125,15 @@
 	})
 	is.NoErr(err)
 	run(t, f.Run)
-	return func(path string) bool {
+	isReady = func() bool {
+		res, err := http.Get("http://" + ready + platform.PathReady)
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	}
+	hasRoute = func(path string) bool {
 		req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
 		is.NoErr(err)
 		req.Host = "a.example"
@@ -135,6 +145,7 @@
 		_ = res.Body.Close()
 		return res.StatusCode != http.StatusNotFound
 	}
+	return hasRoute, isReady
 }
 
 func waitFor(t *testing.T, limit time.Duration, cond func() bool) bool {
@@ -157,9 +168,25 @@
 		c.SetRoster(roster)
 		c.SetDocument(document(t, 1, "/old/"))
 	}
-	hasRoute := startEntryHost(t, cutOff.host.Link)
+	hasRoute, _ := startEntryHost(t, cutOff.host.Link)
 	is.True(waitFor(t, applyTimeout, func() bool { return hasRoute("/old/") && !hasRoute("/new/") }))
 	cutOff.lostLeader.Store(true)
 	other.SetDocument(document(t, 2, "/new/"))
 	is.True(waitFor(t, applyTimeout, func() bool { return hasRoute("/new/") }))
 }
+
+// Guards against an entry host that starts and refuses the list of upstreams
+// since that was read before its start.
+func TestFreshEntryHostTakesAnOlderList(t *testing.T) {
+	is := is.New(t)
+	c := startControlHost(t, "a")
+	c.SetDocument(document(t, 1, "/x/"))
+	c.SetList(board.NewList([]relay.Upstream{{
+		ID:      "u",
+		Service: "s",
+		Address: "127.0.0.1:1",
+		Slots:   1,
+	}}), c.Now().Add(-10*time.Second))
+	_, isReady := startEntryHost(t, c.host.Link)
+	is.True(waitFor(t, applyTimeout, isReady))
+}
