--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -77,7 +77,9 @@
 
 // unavailable reports whether no upstream of the part may be called: none is
 // listed, or all are draining or ejected.
-func (p *part) unavailable() bool { return p.exhausted && p.arrivals == 0 && len(p.attempts) == 0 }
+func (p *part) unavailable() bool {
+	return p.exhausted && !p.skipped && p.arrivals == 0 && len(p.attempts) == 0
+}
 
 func (p *part) inFlight() int {
 	n := 0
