--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -37,7 +37,7 @@
 
 var (
 	firstSeed        = flag.Uint64("soak.seed", 1, "the first seed")
-	seedCount        = flag.Int("soak.seeds", 1, "how many seeds to run, one after the other")
+	seedCount        = flag.Int("soak.seeds", 4, "how many seeds to run, one after the other")
 	faultTime        = flag.Duration("soak.for", 12*time.Second, "how long to inject faults, for each seed")
 	entriesPerDomain = flag.Int("soak.entries", 3, "entry hosts in each of two domains")
 	controlCount     = flag.Int("soak.controls", 4, "control hosts")
