--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -38,8 +38,10 @@
 	// maxIdle is the longest time an idle connection stays usable.
 	maxIdle = 30 * time.Second
 
-	// MaxHead bounds the head of an answer in bytes, MaxAnswer its body.
-	MaxHead   = 64 << 10
+	// MaxHead bounds the head of an answer in bytes.
+	MaxHead = 64 << 10
+
+	// MaxAnswer bounds the body of an answer in bytes.
 	MaxAnswer = 1 << 20
 
 	// maxHeld bounds the bytes of all unfinished large bodies of a pool.
