Wait for the restarts of a soak's processes before its test ends

Fix: the watcher of a process belongs to the cluster's goroutines, which the test waits for, and restarts nothing once the test has ended.

--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -141,7 +141,7 @@
 	done := make(chan struct{})
 	h.cmd, h.done, h.exitExpected = cmd, done, false
 	h.cluster.operator.forget(h.name)
-	go h.watchExit(cmd, done)
+	h.cluster.group.Go(func() { h.watchExit(cmd, done) })
 }
 
 // watchExit records an unexpected exit of the process as a violation and
@@ -157,8 +157,10 @@
 	}
 	text, _ := os.ReadFile(h.logFile())
 	h.cluster.history.violation(ruleExit, "%s exited unexpectedly: %v\n%s", h.name, err, text[max(0, len(text)-2000):])
-	time.Sleep(restartDelay)
-	h.start()
+	pause(h.cluster.ctx, restartDelay)
+	if h.cluster.ctx.Err() == nil {
+		h.start()
+	}
 }
 
 // awaitLog waits until the process has written a text.
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -269,6 +269,7 @@
 			row.plant(cl, h)
 			cancel()
 			h.terminate(syscall.SIGKILL, graceTime)
+			cl.group.Wait()
 			violations := cl.history.allViolations()
 			switch {
 			case row.rule == "" && len(violations) > 0:
