--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -79,14 +79,6 @@
 	s.board.Confirm(v, at)
 }
 
-// Age returns the time since the document was known to be the newest, or false
-// if it never was.
-func (s *State) Age() (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.board.Age(s.Now())
-}
-
 // Document returns the newest document, with version 0 if there is none.
 func (s *State) Document() board.Document {
 	s.mu.Lock()
--- a/pkg/follow/const.go
+++ b/pkg/follow/const.go
@@ -39,10 +39,9 @@
 	// ejected.
 	retryInterval = 500 * time.Millisecond
 
-	// StaleAge is the age of a control host's copy past which others look for a
-	// fresher one. Control hosts confirm their copies each PollWait of theirs, so
-	// two confirmations may be lost. A change must be in force within 3 s, also if
-	// the polled control host is cut off just before it.
+	// StaleAge is the age of a control host's copy past which other hosts look for
+	// a fresher one. A control host confirms its copy every 0.5 s, and a change must
+	// be in force within 3 s even if the polled control host is cut off just before.
 	StaleAge = 1200 * time.Millisecond
 
 	// pollRetryInterval is the time between polls while every source is ejected.
