Spare upstreams that leave or ask for a pause

Cause: nothing read the header by which an upstream says in its answers that it leaves, nor the pause that one names when it turns a request away. Hosts called a leaving upstream until the list showed it, and a pausing one again after 8 ms. Change: pkg/notice keeps both. A departure belongs to one incarnation, outlives lists that still show it as ready, is told to all hosts by gossip unless the list tells them, and is taken back only by a success without it to a later call; after 1 s as the last choice the upstream gets nothing, and its idle connections are closed. A pause holds for the host that was asked: no calls until its end, then one at a time until one succeeds, at a moment of each host's own. Shards whose upstreams all pause are skipped where the route allows it; where not, the query is refused before any call with the time at which enough of them are back. An answer cut off at any byte of its head or body is lost, as before.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -111,7 +111,7 @@
 	closing  atomic.Bool
 	// The values of the gauges; listReadAt, and confirmedAt of the configuration,
 	// are in Unix nanoseconds.
-	requestsRunning, upstreams, hosts, limited, suspects, listReadAt, confirmedAt atomic.Int64
+	requestsRunning, upstreams, hosts, limited, suspects, leaving, paused, listReadAt, confirmedAt atomic.Int64
 	// lastUnreadyReason is the reason at the last readiness check, empty if ready.
 	lastUnreadyReason atomic.Pointer[string]
 	// isolated is set while no other domain is reachable, localCoverage while
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -57,6 +57,8 @@
 			f.stepEngine(relay.Tick{Now: f.now()})
 			f.limited.Store(int64(f.engine.Limited()))
 			f.suspects.Store(int64(f.engine.Suspects()))
+			f.leaving.Store(int64(f.engine.Leaving()))
+			f.paused.Store(int64(f.engine.Paused()))
 		}
 		f.sendGossip()
 		wait := tickInterval
@@ -165,6 +167,8 @@
 		Crashed: o.Crashed,
 		Load:    o.Answer.Load,
 		Limit:   o.Answer.Limit,
+		Leaving: o.Answer.Leaving,
+		Pause:   o.Answer.Pause,
 	})
 	if f.queries[c.query] == nil {
 		delete(f.calls, in.attempt)
@@ -192,6 +196,10 @@
 			f.sendReport(e)
 		case relay.Limit:
 			f.reportLimit(e)
+		case relay.Departure:
+			f.reportDeparture(e)
+		case relay.Pause:
+			f.reportPause(e)
 		case relay.Tell:
 			f.gossip.Spread(f.now(), e.Fact)
 		case relay.Suspicion:
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -59,7 +59,7 @@
 		f.gauge.Request(outcome, took)
 		f.log.Info("query ends", "Request", string(q.id), "Outcome", outcome, "Reason", e.Reason, "Sub", q.shardSubset,
 			"TookMicros", took.Microseconds(), "Calls", calls, "Groups", groups, "Detail", e.Detail)
-	case relay.Call, relay.Stop, relay.Delegate, relay.Eject, relay.Report, relay.Limit, relay.Withheld, relay.Tell, relay.Suspicion:
+	case relay.Call, relay.Stop, relay.Delegate, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Tell, relay.Suspicion:
 	}
 }
 
@@ -74,6 +74,20 @@
 		"Refused", e.Refused, "Learned", e.Learned, "Upstream", string(e.Upstream), "Service", string(e.Service))
 }
 
+// reportDeparture logs that an upstream leaves, and closes the idle connections to
+// it.
+func (f *Front) reportDeparture(e relay.Departure) {
+	f.log.Info("departure of an upstream changed", "Upstream", string(e.Upstream), "Service", string(e.Service), "Leaves", !e.Stays, "Learned", e.Learned)
+	if !e.Stays {
+		f.pool.CloseInstance(string(e.Upstream))
+	}
+}
+
+func (f *Front) reportPause(e relay.Pause) {
+	f.gauge.Pauses.Inc(1)
+	f.log.Info("upstream asks for a pause", "Upstream", string(e.Upstream), "Service", string(e.Service), "ForMillis", e.For.Milliseconds())
+}
+
 // serveMetrics serves the metrics and updates the gauges until ctx ends. If the
 // port is in use, the host runs without metrics.
 func (f *Front) serveMetrics(ctx context.Context) error {
@@ -119,6 +133,8 @@
 		f.gauge.Upstreams.Update(float64(f.upstreams.Load()))
 		f.gauge.Limited.Update(float64(f.limited.Load()))
 		f.gauge.Suspects.Update(float64(f.suspects.Load()))
+		f.gauge.Leaving.Update(float64(f.leaving.Load()))
+		f.gauge.Paused.Update(float64(f.paused.Load()))
 		f.gauge.Hosts.Update(float64(f.hosts.Load()))
 		f.gauge.VersionAge.Update(time.Since(time.Unix(0, f.confirmedAt.Load())).Seconds())
 		f.gauge.ListAge.Update(time.Since(time.Unix(0, f.listReadAt.Load())).Seconds())
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -22,6 +22,9 @@
 //	|                   |           |             | since they crash upstreams                    |
 //	| suspects          | gauge     |             | requests under which an upstream crashed      |
 //	| limited_upstreams | gauge     |             | upstreams that name a limit for all hosts     |
+//	| leaving_upstreams | gauge     |             | upstreams that have said that they leave      |
+//	| paused_upstreams  | gauge     |             | upstreams that want no calls from this host   |
+//	| pauses            | counter   |             | answers that asked for such a pause           |
 //	| connections       | gauge     |             | connections opened to upstreams since the     |
 //	|                   |           |             | process started                               |
 //	| requests_running  | gauge     |             | callers' and delegated requests in progress   |
@@ -85,9 +88,13 @@
 	callSeconds    tally.Histogram
 	delegated      map[string]tally.Counter
 
-	// Ejected, Withheld and Crashers are incremented; the others are set to the current value.
+	// Ejected, Withheld, Crashers and Pauses are incremented; the others are set to
+	// the current value.
 	Ejected     tally.Counter
 	Withheld    tally.Counter
+	Pauses      tally.Counter
+	Leaving     tally.Gauge
+	Paused      tally.Gauge
 	Limited     tally.Gauge
 	Crashers    tally.Counter
 	Suspects    tally.Gauge
@@ -124,6 +131,9 @@
 		Ejected:        scope.Counter("shunned"),
 		Withheld:       scope.Counter("calls_withheld"),
 		Crashers:       scope.Counter("crashers"),
+		Pauses:         scope.Counter("pauses"),
+		Leaving:        scope.Gauge("leaving_upstreams"),
+		Paused:         scope.Gauge("paused_upstreams"),
 		Suspects:       scope.Gauge("suspects"),
 		Limited:        scope.Gauge("limited_upstreams"),
 		Connections:    scope.Gauge("connections"),
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -217,7 +217,7 @@
 		c.idleTimeout = idleTimeoutOf(res.Header)
 		// An upstream may reject a request before it compares its own name.
 		c.verified = c.verified || o.Result == relay.Good
-		return o, !res.Close && c.idleTimeout > 0 && !answer.Moved, nil
+		return o, !res.Close && c.idleTimeout > 0 && !answer.Moved && !answer.Leaving, nil
 	}
 	return o, false, errors.Wrap(bound.ErrEndless, "too many interim answers or answers to other requests")
 }
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -300,12 +300,21 @@
 	}
 }
 
+// CloseInstance closes the idle connections to an instance.
+func (p *Pool) CloseInstance(instance string) {
+	p.closeIdle(func(other string) bool { return other == instance })
+}
+
 // CloseExcept closes the idle connections to all instances that are not in inUse.
 func (p *Pool) CloseExcept(inUse map[string]bool) {
+	p.closeIdle(func(instance string) bool { return !inUse[instance] })
+}
+
+func (p *Pool) closeIdle(chosen func(instance string) bool) {
 	p.mu.Lock()
 	var closed []*conn
 	for key, list := range p.idle {
-		if instance, _, _ := strings.Cut(key, "@"); !inUse[instance] {
+		if instance, _, _ := strings.Cut(key, "@"); chosen(instance) {
 			closed = append(closed, list...)
 			delete(p.idle, key)
 		}
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -23,6 +23,8 @@
 	"list of upstreams is in use":         true,
 	"suspicion against a request changed": true,
 	"limit of an upstream changed":        true,
+	"departure of an upstream changed":    true,
+	"upstream asks for a pause":           true,
 	"control host is unreachable":         true,
 	"control host is reachable again":     true,
 	"control host changed":                true,
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -1,9 +1,10 @@
 // Package swarm runs many entry hosts of the platform path in virtual time: their
 // reducers for forwarding, for the limits of upstreams and for what they tell each
-// other, against emulated upstreams that name limits and crash under one request.
-// Hosts are cut off from each other and restart. It checks the two rules on
-// that: an upstream gets no more than its limit tolerates, and a request that has
-// crashed three upstreams is sent to no other one.
+// other, against emulated upstreams that name limits, crash under one request,
+// leave, and ask for pauses. Hosts are cut off from each other and restart. It
+// checks the rules on that: an upstream gets no more than its limit tolerates, a
+// request that has crashed three upstreams is sent to no other one, and an upstream
+// is not called by a host that it has told that it leaves or wants a pause.
 package swarm
 
 import (
@@ -45,6 +46,12 @@
 	// per second for all hosts together.
 	Limit         float64
 	LimitedShards int
+	// LeavingShards is the number of shards of which one upstream leaves, at some
+	// time. The list goes on showing it as ready.
+	LeavingShards int
+	// PausingShards is the number of shards whose upstreams turn away most calls, and
+	// ask for pauses, for half of the run.
+	PausingShards int
 	// CrashersPerSecond is the rate of the request that crashes upstreams.
 	CrashersPerSecond float64
 	// Loss is the share of lost datagrams.
@@ -63,6 +70,12 @@
 	// again after retryTime.
 	Answered, Asked, Blamed int
 	Crashes                 int
+	// Refused counts requests that were refused as not run, and Failed the others
+	// that got no answer.
+	Refused, Failed int
+	// Untold counts the calls to leaving upstreams, from drainTime after they first
+	// said so, by hosts that they had not told.
+	Untold int
 	// Calls counts the calls to upstreams with a limit, from touchTime after it was
 	// named.
 	Calls int
@@ -144,6 +157,7 @@
 	for _, h := range s.hosts {
 		h.start()
 	}
+	s.planNotices(total)
 	s.send(setup.PerSecond, blame.Print{}, total)
 	s.send(setup.CrashersPerSecond, crasher, total)
 	for range setup.Faults {
@@ -233,8 +247,9 @@
 			u := &upstream{
 				swarm:  s,
 				toldAt: make(map[*host]ident.Instant),
+				told:   make(map[*host]told),
 				entry: relay.Upstream{
-					ID:      ident.Upstream(fmt.Sprintf("%s-%d", name, j)),
+					ID:      upstreamID(i, j),
 					Service: name,
 					Address: fmt.Sprintf("%s-%d:1", name, j),
 					Domain:  domainOf(j),
@@ -251,6 +266,10 @@
 	return rules.NewTable(d)
 }
 
+func upstreamID(shard, replica int) ident.Upstream {
+	return ident.Upstream(fmt.Sprintf("shard-%d-%d", shard, replica))
+}
+
 func domainOf(i int) ident.Domain { return ident.Domain(rune('a' + i%2)) }
 
 func (s *Swarm) extra() budget.Config {
@@ -323,7 +342,7 @@
 	var list []relay.Upstream
 	for i := range s.setup.Shards {
 		for j := range 2 {
-			list = append(list, s.upstreams[ident.Upstream(fmt.Sprintf("shard-%d-%d", i, j))].entry)
+			list = append(list, s.upstreams[upstreamID(i, j)].entry)
 		}
 	}
 	h.step(relay.Listed{
@@ -380,6 +399,10 @@
 		case relay.Refuse:
 			if p := h.prints[f.Query]; p != crasher && f.Reason == relay.CrasherReason {
 				s.retry(p)
+			} else if p != crasher && f.Status == relay.NotNow {
+				s.out.Refused++
+			} else if p != crasher {
+				s.out.Failed++
 			}
 			delete(h.prints, f.Query)
 		case relay.Report:
@@ -387,7 +410,7 @@
 		case relay.Tell:
 			h.gossip.Spread(s.now, f.Fact)
 			h.sendGossip()
-		case relay.Pass, relay.Stop, relay.Delegate, relay.Eject, relay.Limit, relay.Withheld, relay.Suspicion:
+		case relay.Pass, relay.Stop, relay.Delegate, relay.Eject, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Suspicion:
 		}
 	}
 	if next, ok := h.engine.Next(); ok && (h.wakeAt <= s.now || next < h.wakeAt) {
--- a/internal/swarm/upstream.go
+++ b/internal/swarm/upstream.go
@@ -34,6 +34,11 @@
 	// downUntil is when it is back after a crash; boots counts the crashes.
 	downUntil ident.Instant
 	boots     int
+	// leaveAt is when it begins to leave, 0 for never. It turns calls away between
+	// busyFrom and busyUntil.
+	leaveAt             ident.Instant
+	busyFrom, busyUntil ident.Instant
+	told                map[*host]told
 }
 
 // serve runs one call. done gets its end.
@@ -44,6 +49,10 @@
 		return
 	}
 	u.count(h)
+	u.checkNotices(h)
+	if u.turnsAway(h, done) {
+		return
+	}
 	boot := u.boots
 	if print == crasher {
 		if n := len(s.crashes); n >= maxCrashes && s.now > s.crashes[maxCrashes-1].Add(touchTime) && h.inTouch() {
@@ -67,12 +76,13 @@
 		}
 		u.name(h)
 		ev := relay.Ended{
-			Result: relay.Good,
-			Status: 200,
-			Limit:  u.limit,
+			Result:  relay.Good,
+			Status:  200,
+			Limit:   u.limit,
+			Leaving: u.leaves(h),
 		}
 		if s.setup.Deaf {
-			ev.Limit = 0
+			ev.Limit, ev.Leaving = 0, false
 		}
 		done(ev)
 	})
--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -141,13 +141,17 @@
 	// service. The platform still lists a crashed upstream for some seconds.
 	movedTime = 5 * time.Second
 
-	// drainCost ranks a draining upstream behind those that are not draining.
+	// drainCost ranks a leaving upstream behind those that stay.
 	drainCost = 5 * time.Second
 
-	// drainGrace is how long a draining upstream is still used if there is no
+	// drainGrace is how long a leaving upstream is still used if there is no
 	// other.
 	drainGrace = time.Second
 
+	// maxPauseTold bounds how long a host leaves out a shard, after another host
+	// has said that the upstreams there want no calls from it, before it asks again.
+	maxPauseTold = time.Second
+
 	// coldFactor is how much slower an upstream is just after its start.
 	coldFactor = 1.6
 
--- a/pkg/relay/detail.go
+++ b/pkg/relay/detail.go
@@ -26,6 +26,8 @@
 	Waiting bool `json:"Waiting,omitempty"`
 	// Limited is set if the limits of all upstreams were used up.
 	Limited bool `json:"Limited,omitempty"`
+	// Paused is set if the upstreams want no calls for a while.
+	Paused bool `json:"Paused,omitempty"`
 	// None is set if no upstream may be called.
 	None bool `json:"None,omitempty"`
 	// HandedTo is the domain of the host that the part was delegated to. Helper
@@ -66,7 +68,7 @@
 		LateMicros: e.now.Sub(q.target).Microseconds(),
 	}
 	for _, p := range q.parts {
-		started := len(p.attempts) > 0 || p.skipped || p.limited || q.mayHaveRun || p.unavailable()
+		started := len(p.attempts) > 0 || p.skipped || p.limited || p.paused || q.mayHaveRun || p.unavailable()
 		if p.success != nil && len(p.attempts) == 1 || p.success == nil && p.answered() || !started {
 			continue
 		}
@@ -76,6 +78,7 @@
 			Skipped:    p.skipped,
 			Waiting:    p.waits(),
 			Limited:    p.limited,
+			Paused:     p.paused,
 			None:       p.unavailable(),
 			Arrivals:   p.arrivals,
 			BudgetLeft: e.window(p.service).Remaining(e.now, e.share(q)),
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -14,6 +14,7 @@
 	"github.com/jujubethread/jujubethread/pkg/blame"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/notice"
 	"github.com/jujubethread/jujubethread/pkg/quota"
 	"github.com/jujubethread/jujubethread/pkg/rules"
 )
@@ -73,6 +74,10 @@
 	quota *quota.Share
 	byKey map[quota.Key]*upstream
 
+	// departures and pauses hold which upstreams leave, and which want no calls.
+	departures *notice.Departures
+	pauses     *notice.Pauses
+
 	// blame holds which requests crashed upstreams.
 	blame *blame.Table
 
@@ -98,6 +103,8 @@
 		budgets:         make(map[ident.Service]*budget.Window),
 		routes:          make(map[string]*routeStats),
 		quota:           quota.NewShare(),
+		departures:      notice.NewDepartures(),
+		pauses:          notice.NewPauses(cfg.Seed),
 		blame:           blame.NewTable(),
 		overloadedUntil: make(map[ident.Service]ident.Instant),
 		queries:         make(map[ident.QueryID]*query),
@@ -229,6 +236,7 @@
 			u.drainingSince = e.now
 		}
 		u.Upstream = entry
+		e.setNotices(u)
 		u.coldUntil = e.now.Add(entry.Cold)
 		next[entry.ID] = u
 		services[entry.Service] = append(services[entry.Service], u)
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -103,6 +103,9 @@
 	Skipped bool
 	// Crashed is set if an upstream crashed under one of the calls.
 	Crashed bool
+	// Pause is how long the upstreams of a skipped shard want no calls from the
+	// host; 0 if they were skipped for another reason.
+	Pause time.Duration
 }
 
 // Ended reports the end of a call to an upstream.
@@ -123,6 +126,11 @@
 	// Limit is the limit for all hosts together, in calls per second, that the
 	// answer states; 0 if it states none, or UnreadableLimit.
 	Limit float64
+	// Leaving is set if the answer states that the upstream leaves.
+	Leaving bool
+	// Pause is how long the upstream wants no calls from this host; 0 if it does
+	// not say.
+	Pause time.Duration
 }
 
 // Granted is an owner's answer to a Report.
@@ -216,6 +224,23 @@
 	Learned bool
 }
 
+// Departure reports that an upstream has said that it leaves or, if Stays is set,
+// that it has taken that back.
+type Departure struct {
+	Upstream ident.Upstream
+	Service  ident.Service
+	Stays    bool
+	// Learned is set if another host told of it.
+	Learned bool
+}
+
+// Pause reports that an upstream wants no calls from this host for a while.
+type Pause struct {
+	Upstream ident.Upstream
+	Service  ident.Service
+	For      time.Duration
+}
+
 // Withheld reports that a call was not sent since the limits of all upstreams of
 // the service are used up.
 type Withheld struct{ Service ident.Service }
@@ -297,6 +322,8 @@
 func (Eject) isEffect()     {}
 func (Report) isEffect()    {}
 func (Limit) isEffect()     {}
+func (Departure) isEffect() {}
+func (Pause) isEffect()     {}
 func (Withheld) isEffect()  {}
 func (Suspicion) isEffect() {}
 func (Pass) isEffect()      {}
@@ -379,4 +406,9 @@
 	// Limit is the number of calls per second that the upstream takes from all
 	// hosts together, 0 if it states none, or UnreadableLimit.
 	Limit float64
+	// Leaving is set if the upstream states that it leaves.
+	Leaving bool
+	// Pause is how long the upstream wants no calls from this host; 0 if it does
+	// not say.
+	Pause time.Duration
 }
--- a/pkg/relay/fact.go
+++ b/pkg/relay/fact.go
@@ -13,8 +13,9 @@
 
 // The topics of facts that hosts tell each other.
 const (
-	topicLimit = gossip.Topic(1)
-	topicCrash = blame.Topic
+	topicLimit     = gossip.Topic(1)
+	topicCrash     = blame.Topic
+	topicDeparture = gossip.Topic(3)
 )
 
 // limitFactTime is how long other hosts keep a limit that they were told of.
@@ -42,6 +43,8 @@
 			news, pass.Urgent = e.toldLimit(f), true
 		case topicCrash:
 			pass, news = e.toldCrash(f)
+		case topicDeparture:
+			news = e.toldDeparture(f)
 		}
 		if news {
 			e.emit(Tell{Fact: pass})
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -39,12 +39,15 @@
 func (e *Engine) refuse(q *query, timeout bool) {
 	sent := q.mayHaveRun
 	var without []ident.Service
-	var limited *part
+	var limited, paused *part
 	for _, p := range q.parts {
 		sent = sent || p.inFlight() > 0 || p.delegated()
 		if p.limited && limited == nil {
 			limited = p
 		}
+		if p.paused && !p.skipped && paused == nil {
+			paused = p
+		}
 		if p.unavailable() {
 			without = append(without, p.service)
 		}
@@ -54,7 +57,7 @@
 		Status: NotNow,
 		After:  retryAfter,
 		Reason: "no upstream took the request",
-		Tried:  q.tried(),
+		Tried:  e.tried(q),
 		Detail: e.detail(q),
 	}
 	switch {
@@ -69,6 +72,10 @@
 	case limited != nil:
 		r.After = e.limitWait(limited)
 		r.Reason = fmt.Sprintf("the limits of the upstreams of %s are used up", limited.service)
+	case paused != nil:
+		wait, _ := e.pause(paused.service)
+		r.After = max(wait, retryAfter)
+		r.Reason = fmt.Sprintf("the upstreams of %s want no calls for a while", paused.service)
 	case len(without) > 0:
 		r.Reason = fmt.Sprintf("no upstream of %s may be called, nor of %d other services", without[0], len(without)-1)
 	}
@@ -123,7 +130,7 @@
 		Missing:  len(q.parts) - answered,
 		Top:      q.route.TopK,
 		Shards:   make([]int, 0, answered),
-		Tried:    q.tried(),
+		Tried:    e.tried(q),
 	}
 	if m.Missing > 0 || e.now >= q.target {
 		m.Detail = e.detail(q)
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -192,7 +192,7 @@
 	for _, t := range ev.Tried {
 		if t.Shard == p.shard && t.Skipped {
 			p.skipped = true
-			e.overloadedUntil[p.service] = e.after(overloadTime)
+			e.overloadedUntil[p.service] = e.after(max(overloadTime, min(t.Pause, maxPauseTold)))
 			return
 		}
 		if t.Shard == p.shard {
@@ -211,7 +211,7 @@
 
 // tried lists the calls for the parts that the answer to another host's query
 // lacks. It is nil for a query of a caller.
-func (q *query) tried() []Tried {
+func (e *Engine) tried(q *query) []Tried {
 	if !q.sub {
 		return nil
 	}
@@ -227,6 +227,9 @@
 			Skipped:  p.skipped || p.limited && len(p.attempts) == 0 && p.arrivals == 0,
 			Crashed:  p.crashed,
 		}
+		if p.skipped && p.paused {
+			t.Pause, _ = e.pause(p.service)
+		}
 		if p.delegated() {
 			// The calls of the other host are unknown: assume the maximum.
 			t.Arrivals, t.Runs = maxArrivals, q.route.Attempts
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -25,7 +25,15 @@
 	downUntil ident.Instant
 	// excludedUntil is when the upstream may be chosen again.
 	excludedUntil ident.Instant
+	// drainingSince is when the list began to show the upstream as draining.
 	drainingSince ident.Instant
+	// leaving is set if the list or the upstream says that it leaves, since
+	// leavingSince.
+	leaving      bool
+	leavingSince ident.Instant
+	// pausedUntil is when the upstream may be called again after it asked for a
+	// pause.
+	pausedUntil ident.Instant
 
 	// otherLoad is the number of calls of other hosts there, running or queued,
 	// as reported at loadAt.
@@ -108,10 +116,10 @@
 	start := e.rand.IntN(len(ups))
 	for i := range ups {
 		u := ups[(start+i)%len(ups)]
-		if p.triedOn(u) || slices.Contains(without, u) || e.now < u.excludedUntil || u.Draining && e.now >= u.drainingSince.Add(drainGrace) {
+		if p.triedOn(u) || slices.Contains(without, u) || !e.callable(u) || e.now < u.pausedUntil {
 			continue
 		}
-		if len(u.inFlight) >= e.connections(q, u) {
+		if len(u.inFlight) >= e.connections(q, u) || len(u.inFlight) > 0 && e.pauses.Returning(e.now, u.key) {
 			busy = true
 			continue
 		}
@@ -174,7 +182,7 @@
 	if e.now < u.downUntil {
 		c += float64(downCost)
 	}
-	if u.Draining {
+	if u.leaving {
 		c += float64(drainCost)
 	}
 	if u.suspectAt(q) {
@@ -207,6 +215,7 @@
 	switch ev.Result {
 	case Good:
 		failed = 0
+		e.pauses.Succeeded(e.now, u.key)
 		u.slowdown += ewmaWeight * (min(maxSlowdown, max(minSlowdown, float64(took)/a.baseLatency)) - u.slowdown)
 		if a.queue == 0 {
 			s.observe(float64(took))
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -78,6 +78,9 @@
 	exhausted bool
 	// skipped is set if no upstream is expected to answer in time.
 	skipped bool
+	// paused is set if the part was skipped or given up because its upstreams want
+	// no calls for a while.
+	paused bool
 	// admitted is the upstream chosen for the first call before any call of the
 	// query is sent.
 	admitted *upstream
@@ -117,7 +120,7 @@
 // unavailable reports whether no upstream of the part may be called: none is
 // listed, or all are draining or ejected.
 func (p *part) unavailable() bool {
-	return p.exhausted && !p.skipped && !p.limited && p.arrivals == 0 && len(p.attempts) == 0
+	return p.exhausted && !p.skipped && !p.limited && !p.paused && p.arrivals == 0 && len(p.attempts) == 0
 }
 
 // inFlight returns the number of calls in flight and of delegated groups that
@@ -191,7 +194,7 @@
 func (e *Engine) begin(q *query) {
 	if q.route.Gathers() {
 		e.delegateShards(q)
-		if !e.skipOverloaded(q) {
+		if !e.skipHopeless(q) {
 			return
 		}
 	}
@@ -337,6 +340,12 @@
 	if p.admitted = nil; u == nil {
 		u, busy = e.admit(q, p, false)
 	}
+	if u == nil && !busy {
+		if wait, paused := e.pause(p.service); paused && wait > rejectPause {
+			p.exhausted, p.paused = true, true
+			return
+		}
+	}
 	if u == nil && !busy && len(p.attempts) > 0 && p.runs == 0 {
 		// All upstreams were full or unreachable: call them again after a
 		// backoff.
@@ -400,6 +409,8 @@
 		e.recordResult(a, ev)
 	}
 	e.heard(a, ev)
+	e.heardDeparture(a, ev)
+	e.heardPause(a, ev)
 	p, q := a.part, a.query
 	switch ev.Result {
 	case Good:
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -7,31 +7,48 @@
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
-// skipOverloaded skips the shards of a query that no upstream is expected to
-// answer in time, which sheds load only from the overloaded shards. If more are
-// skipped than the route allows, it refuses the query before any call is made
-// and returns false. A query that has already missed its target skips no shards.
-func (e *Engine) skipOverloaded(q *query) bool {
+// skipHopeless skips the shards of a query that no upstream is expected to answer
+// in time, or whose upstreams want no calls, which sheds load only from those
+// shards. If more are skipped than the route allows, it refuses the query before
+// any call is made and returns false. A query that has already missed its target
+// skips no overloaded shards.
+func (e *Engine) skipHopeless(q *query) bool {
 	remaining := float64(q.target.Sub(e.now)) * skipShare
-	if remaining <= 0 {
-		return true
+	if remaining > 0 {
+		e.countWaiting(q)
 	}
-	e.countWaiting(q)
-	var late []*part
+	var waits []time.Duration
+	probed := 0
 	for _, p := range q.parts {
-		if !p.answered() && e.overloaded(q, p, remaining) {
-			late = append(late, p)
+		if p.answered() {
+			continue
+		}
+		wait := retryAfter
+		if p.group == nil {
+			if left, paused := e.pause(p.service); paused {
+				p.paused, wait = true, max(wait, left)
+			}
+		}
+		if p.skipped = p.paused || remaining > 0 && e.overloaded(q, p, remaining); p.skipped {
+			waits = append(waits, wait)
+		} else if p.group == nil && e.probed(p.service) {
+			probed++
 		}
 	}
-	for _, p := range late {
-		p.skipped = true
-	}
-	if !q.sub && len(late) > len(q.parts)-q.route.MinParts() {
-		e.refuseEarly(q, retryAfter, "too many shards are overloaded")
+	if most := len(q.parts) - q.route.MinParts(); !q.sub && len(waits)+probed > most {
+		waits = append(waits, slices.Repeat([]time.Duration{retryAfter}, probed)...)
+		slices.Sort(waits)
+		e.refuseEarly(q, waits[len(waits)-most-1], "too many shards are overloaded or want no calls")
 		return false
 	}
-	for _, p := range late {
-		if g := p.group; g != nil {
+	q.dropSkipped()
+	return true
+}
+
+// dropSkipped removes the skipped shards from the delegated groups.
+func (q *query) dropSkipped() {
+	for _, p := range q.parts {
+		if g := p.group; p.skipped && g != nil {
 			g.parts = slices.DeleteFunc(g.parts, func(o *part) bool { return o == p })
 			p.group = nil
 		}
@@ -40,7 +57,6 @@
 	for i, g := range q.groups {
 		g.id = i
 	}
-	return true
 }
 
 // admitAll chooses the upstreams for the first calls of a query. If the limits
@@ -97,7 +113,7 @@
 	}
 	found := false
 	for _, u := range e.services[p.service] {
-		if u.Draining || e.now < u.excludedUntil || e.now < u.downUntil {
+		if u.leaving || e.now < u.excludedUntil || e.now < u.downUntil {
 			continue
 		}
 		found = true
