Ask for the rest of a query instead of failing it

Cause: a host that answers another one answers at the target, and its calls in flight were lost with that. With up to two attempts used, the shards could not be called again, so a query that lacked more shards than its route allows failed with 502 at its target, and its caller sent all of it again. Change: the answering host says which shards are pending and keeps their calls; the asking host delegates them once more if the query would fail without, until half of the caller's time is used. A sub-query without any answer now ends at its target too.

--- a/internal/front/delegate.go
+++ b/internal/front/delegate.go
@@ -50,6 +50,9 @@
 	// Direct is set if the receiver must call the upstreams itself instead of
 	// delegating further.
 	Direct bool `cbor:",omitempty"`
+	// Rest is set if the shards are those that an earlier reply left out since their
+	// calls were in flight.
+	Rest bool `cbor:",omitempty"`
 }
 
 // delegateReply is the answer to a delegated query.
@@ -172,7 +175,7 @@
 	}
 	in := q.delegateRequest(e.Version, e.Limit)
 	in.Shards, in.TargetMicros = e.Shards, e.Target.Microseconds()
-	in.Cleared, in.Draw = e.Cleared, e.Draw
+	in.Cleared, in.Draw, in.Rest = e.Cleared, e.Draw, e.Rest
 	to, ok := f.peers.helper(e.Helper)
 	if in.Direct = e.Helper != ""; !in.Direct {
 		to, ok = f.peers.choose(e.Domain, q.id)
@@ -236,6 +239,7 @@
 		Print:   in.Print,
 		Cleared: in.Cleared,
 		Draw:    in.Draw,
+		Rest:    in.Rest,
 	})
 	if !ok {
 		return nil, ctx.Err()
@@ -259,7 +263,7 @@
 			AfterMicros: e.After.Microseconds(),
 			Reason:      e.Reason,
 		}, nil
-	case relay.Pass, relay.Call, relay.Stop, relay.Delegate, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Tell, relay.Suspicion:
+	case relay.Pass, relay.Call, relay.Stop, relay.Delegate, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Tell, relay.Suspicion:
 	}
 	return &delegateReply{Declined: true}, nil
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -41,6 +41,8 @@
 	started ident.Instant
 	stop    func()
 	outcome pipe.Outcome
+	// kept is set while the outcome is kept although the query has ended.
+	kept bool
 }
 
 // loop runs the engine until ctx ends.
@@ -170,8 +172,38 @@
 		Leaving: o.Answer.Leaving,
 		Pause:   o.Answer.Pause,
 	})
-	if f.queries[c.query] == nil {
-		delete(f.calls, in.attempt)
+	f.forget(in.attempt)
+}
+
+// forget removes a call that has ended, unless its outcome may still be used.
+func (f *Front) forget(id ident.AttemptID) {
+	if c := f.calls[id]; c != nil && c.outcome.Result != 0 && !c.kept && f.queries[c.query] == nil {
+		delete(f.calls, id)
+	}
+}
+
+// keep keeps the outcomes of calls for a query that may come, or gives them to one
+// that has come.
+func (f *Front) keep(e relay.Keep) {
+	q := f.queries[e.Query]
+	for _, id := range e.Attempts {
+		c := f.calls[id]
+		if c == nil {
+			continue
+		}
+		if c.kept = q == nil; q != nil {
+			c.query = e.Query
+			q.calls = append(q.calls, id)
+		}
+	}
+}
+
+func (f *Front) drop(e relay.Drop) {
+	for _, id := range e.Attempts {
+		if c := f.calls[id]; c != nil {
+			c.kept = false
+			f.forget(id)
+		}
 	}
 }
 
@@ -189,6 +221,10 @@
 			f.endQuery(e.Query, e, e.Attempt)
 		case relay.Delegate:
 			f.startDelegate(e)
+		case relay.Keep:
+			f.keep(e)
+		case relay.Drop:
+			f.drop(e)
 		case relay.Eject:
 			f.gauge.Ejected.Inc(1)
 			f.log.Info("upstream is ejected", "Upstream", string(e.Upstream), "Service", string(e.Service), "ForMillis", e.For.Milliseconds(), "Reason", e.Reason)
@@ -264,8 +300,6 @@
 	go f.observe(q, effect, len(q.calls), len(q.groups))
 	delete(f.queries, id)
 	for _, a := range q.calls {
-		if c := f.calls[a]; c != nil && c.outcome.Result != 0 {
-			delete(f.calls, a)
-		}
+		f.forget(a)
 	}
 }
--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -83,6 +83,14 @@
 	// shards but is already late still waits for the missing ones.
 	lateGrace = 0.5
 
+	// restShare is the part of a caller's time limit within which the rest of the
+	// shards is waited for. What is left lets the caller try again.
+	restShare = 0.5
+
+	// maxPartial bounds the ended queries whose calls in flight other hosts may
+	// still ask for.
+	maxPartial = 1024
+
 	// minRemainingShare is the part of the target that must be left for an
 	// answer of another host to be expected in time.
 	minRemainingShare = 0.25
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -81,10 +81,14 @@
 	// blame holds which requests crashed upstreams.
 	blame *blame.Table
 
-	queries  map[ident.QueryID]*query
-	order    []*query // queries by arrival
-	attempts map[ident.AttemptID]*attempt
-	lastID   ident.AttemptID
+	queries map[ident.QueryID]*query
+	order   []*query // queries by arrival
+	// partial are ended queries of other hosts that may ask for the rest, by the
+	// caller's request; partialOrder holds them by their end.
+	partial      map[ident.RequestID][]*query
+	partialOrder []*query
+	attempts     map[ident.AttemptID]*attempt
+	lastID       ident.AttemptID
 
 	effects []Effect
 }
@@ -108,6 +112,7 @@
 		blame:           blame.NewTable(),
 		overloadedUntil: make(map[ident.Service]ident.Instant),
 		queries:         make(map[ident.QueryID]*query),
+		partial:         make(map[ident.RequestID][]*query),
 		attempts:        make(map[ident.AttemptID]*attempt),
 	}
 }
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -65,6 +65,9 @@
 	// Direct is set if this host acts as a helper: it must call the upstreams
 	// itself and may not delegate.
 	Direct bool
+	// Rest is set if the shards are those that an earlier answer of this host to
+	// the same request left out since their calls were in flight.
+	Rest bool
 }
 
 // Gatherers updates the other domains that have a gatherer for this host, and
@@ -106,6 +109,8 @@
 	// Pause is how long the upstreams of a skipped shard want no calls from the
 	// host; 0 if they were skipped for another reason.
 	Pause time.Duration
+	// Pending is set if calls are still in flight, whose answers can be asked for.
+	Pending bool
 }
 
 // Ended reports the end of a call to an upstream.
@@ -198,8 +203,22 @@
 	Cleared bool
 	// Draw is to be used by the other host as well.
 	Draw quota.Draw
+	// Rest asks for the shards that an earlier answer of that host left out since
+	// their calls were in flight.
+	Rest bool
 }
 
+// Keep requests that the outcomes of calls be kept although their query ends, as
+// the other host may ask for the rest. With a Query they belong to that one from
+// now on.
+type Keep struct {
+	Attempts []ident.AttemptID
+	Query    ident.QueryID
+}
+
+// Drop ends a Keep without a Query.
+type Drop struct{ Attempts []ident.AttemptID }
+
 // Eject reports that an upstream is excluded, or ranked last, for a while.
 type Eject struct {
 	Upstream ident.Upstream
@@ -319,6 +338,8 @@
 func (Call) isEffect()      {}
 func (Stop) isEffect()      {}
 func (Delegate) isEffect()  {}
+func (Keep) isEffect()      {}
+func (Drop) isEffect()      {}
 func (Eject) isEffect()     {}
 func (Report) isEffect()    {}
 func (Limit) isEffect()     {}
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -100,12 +100,18 @@
 	switch {
 	case enough && (pending == 0 || timeout || q.sub && e.now >= q.target || e.timely(q)):
 		e.merge(q, answered)
+	case !timeout && !q.sub && answered+pending < minParts && e.askForRest(q, minParts-answered-pending):
+		return
 	case timeout || answered+pending < minParts || pending == 0 || q.sub && e.now >= q.target:
 		e.refuse(q, timeout)
 	default:
+		if q.sub {
+			q.wakeAt(q.target)
+		}
 		return
 	}
 	e.end(q)
+	e.keepPartial(q)
 }
 
 // timely reports whether an answer with enough parts should be sent now: at the
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -20,6 +20,10 @@
 	ended    bool
 	// due is when the other host should answer with the shards received so far.
 	due ident.Instant
+	// rest is set if the group consists of shards that an earlier one left out.
+	rest bool
+	// sent is set once the group has been delegated.
+	sent bool
 }
 
 // usesHelpers reports whether shards of a query are delegated to helpers.
@@ -118,6 +122,10 @@
 // sendGroups delegates the groups of a query.
 func (e *Engine) sendGroups(q *query) {
 	for _, g := range q.groups {
+		if g.sent {
+			continue
+		}
+		g.sent = true
 		d := Delegate{
 			Query:   q.id,
 			Group:   g.id,
@@ -129,6 +137,7 @@
 			Target:  e.delegateTarget(q),
 			Cleared: q.answeredOnce,
 			Draw:    q.draw,
+			Rest:    g.rest,
 		}
 		g.due = e.after(d.Target)
 		for _, p := range g.parts {
@@ -160,7 +169,7 @@
 		return
 	}
 	g.ended = true
-	if !ev.Lost && len(ev.Tried) > 0 {
+	if !ev.Lost && !g.rest && len(ev.Tried) > 0 {
 		e.delegateLag.Learn(e.now.Sub(g.due))
 	}
 	for _, p := range g.parts {
@@ -196,6 +205,9 @@
 			return
 		}
 		if t.Shard == p.shard {
+			if t.Pending {
+				p.pendingAt = p.group
+			}
 			// The other host has counted the request in its budget.
 			p.arrivals, p.runs = t.Arrivals, t.Runs
 			if t.Crashed && !q.answeredOnce && !e.blame.Trusts(e.now, q.print) {
@@ -206,7 +218,9 @@
 			return
 		}
 	}
-	e.window(p.service).CountRequest(e.now)
+	if !p.group.rest {
+		e.window(p.service).CountRequest(e.now)
+	}
 }
 
 // tried lists the calls for the parts that the answer to another host's query
@@ -226,6 +240,7 @@
 			Runs:     p.runs + p.inFlight(),
 			Skipped:  p.skipped || p.limited && len(p.attempts) == 0 && p.arrivals == 0,
 			Crashed:  p.crashed,
+			Pending:  !q.suspect && (p.inFlight() > 0 || p.pendingAt != nil),
 		}
 		if p.skipped && p.paused {
 			t.Pause, _ = e.pause(p.service)
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -51,6 +51,8 @@
 	held bool
 	// condemned is set once the request is refused.
 	condemned bool
+	// kept are the calls in flight whose outcomes are kept after the end.
+	kept []ident.AttemptID
 }
 
 // part is what one service contributes to a query.
@@ -81,6 +83,10 @@
 	// paused is set if the part was skipped or given up because its upstreams want
 	// no calls for a while.
 	paused bool
+	// sent is set if the part was in an answer to another host.
+	sent bool
+	// pendingAt is the group whose host still has calls for the part in flight.
+	pendingAt *group
 	// admitted is the upstream chosen for the first call before any call of the
 	// query is sent.
 	admitted *upstream
@@ -153,6 +159,10 @@
 }
 
 func (e *Engine) arrive(ev Arrive) {
+	if ev.Rest {
+		e.resume(ev)
+		return
+	}
 	table := e.tableOf(ev.Version)
 	if table == nil {
 		e.emit(Refuse{
--- /dev/null
+++ b/pkg/relay/rest.go
@@ -0,0 +1,173 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+// A host that answers another one with the shards received by the target may still
+// have calls in flight for the others. If the query lacks too many shards without
+// them, the other host asks for the rest: a late answer serves the caller, while a
+// failure makes it send the whole query again. The calls, retries included, stay
+// within the attempts of the first delegation.
+
+// askForRest delegates the shards whose calls are in flight at other hosts once
+// more, if these can bring the parts that are missing. It returns false if not, or
+// if the caller should rather try again.
+func (e *Engine) askForRest(q *query, missing int) bool {
+	limit := float64(q.deadline.Sub(q.arrived))
+	if e.now >= q.arrived.Add(time.Duration(restShare*limit)) {
+		return false
+	}
+	type source struct {
+		domain ident.Domain
+		helper ident.HostID
+	}
+	var sources []source
+	byHost := make(map[source][]*part)
+	pending := 0
+	for _, p := range q.parts {
+		if g := p.pendingAt; g != nil && !p.answered() && len(p.attempts) == 0 {
+			s := source{
+				domain: g.domain,
+				helper: g.helper,
+			}
+			if byHost[s] == nil {
+				sources = append(sources, s)
+			}
+			byHost[s] = append(byHost[s], p)
+			pending++
+		}
+	}
+	if pending < missing {
+		return false
+	}
+	for _, s := range sources {
+		for _, p := range byHost[s] {
+			p.pendingAt, p.exhausted = nil, false
+		}
+		q.addGroup(group{
+			domain: s.domain,
+			helper: s.helper,
+			rest:   true,
+		}, byHost[s])
+	}
+	e.sendGroups(q)
+	return true
+}
+
+// keepPartial keeps an ended query of another host whose calls are in flight.
+func (e *Engine) keepPartial(q *query) {
+	for len(e.partialOrder) > 0 && (e.now >= e.partialOrder[0].deadline || len(e.partialOrder) >= maxPartial) {
+		e.dropPartial(e.partialOrder[0])
+	}
+	if !q.sub || q.suspect || q.condemned {
+		return
+	}
+	k := Keep{}
+	kept := false
+	for _, p := range q.parts {
+		if p.sent = p.answered(); p.sent {
+			continue
+		}
+		kept = kept || p.pendingAt != nil
+		for _, a := range p.attempts {
+			if !a.ended {
+				k.Attempts = append(k.Attempts, a.id)
+			}
+		}
+	}
+	if !kept && len(k.Attempts) == 0 {
+		return
+	}
+	q.kept = k.Attempts
+	e.partial[q.request] = append(e.partial[q.request], q)
+	e.partialOrder = append(e.partialOrder, q)
+	e.emit(k)
+}
+
+// dropPartial forgets a query whose rest nobody has asked for.
+func (e *Engine) dropPartial(q *query) {
+	e.removePartial(q)
+	e.emit(Drop{Attempts: q.kept})
+}
+
+func (e *Engine) removePartial(q *query) {
+	same := func(o *query) bool { return o == q }
+	e.partialOrder = slices.DeleteFunc(e.partialOrder, same)
+	e.partial[q.request] = slices.DeleteFunc(e.partial[q.request], same)
+	if len(e.partial[q.request]) == 0 {
+		delete(e.partial, q.request)
+	}
+}
+
+// resume continues a query that was answered without some shards, for just these.
+func (e *Engine) resume(ev Arrive) {
+	var old *query
+	for _, o := range e.partial[ev.Request] {
+		if o.table.Version() == ev.Version && o.has(ev.Shards) {
+			old = o
+		}
+	}
+	if old == nil {
+		e.emit(Refuse{
+			Query:  ev.Query,
+			Status: Failed,
+			Reason: "the calls of the query are no longer in flight here",
+		})
+		return
+	}
+	e.removePartial(old)
+	q := &query{
+		id:         ev.Query,
+		route:      old.route,
+		table:      old.table,
+		stats:      old.stats,
+		target:     e.after(ev.Target),
+		deadline:   min(old.deadline, e.after(max(0, ev.Limit-deadlineMargin))),
+		arrived:    e.now,
+		sub:        true,
+		direct:     old.direct,
+		mayHaveRun: true,
+		request:    old.request,
+		print:      old.print,
+		draw:       old.draw,
+
+		answeredOnce: old.answeredOnce,
+	}
+	adopted, dropped := Keep{Query: q.id}, Drop{}
+	for _, p := range old.parts {
+		asked := slices.Contains(ev.Shards, p.shard)
+		if asked {
+			q.parts = append(q.parts, p)
+		}
+		for _, a := range p.attempts {
+			switch kept := slices.Contains(old.kept, a.id); {
+			case asked && kept:
+				a.query = q
+				adopted.Attempts = append(adopted.Attempts, a.id)
+			case kept:
+				dropped.Attempts = append(dropped.Attempts, a.id)
+			}
+		}
+	}
+	e.queries[q.id] = q
+	e.order = append(e.order, q)
+	e.emit(adopted)
+	e.emit(dropped)
+	e.askForRest(q, 0)
+	e.advance(q)
+}
+
+// has reports whether a query has all the shards, each without an answer that was
+// already sent.
+func (q *query) has(shards []int) bool {
+	for _, s := range shards {
+		if !slices.ContainsFunc(q.parts, func(p *part) bool { return p.shard == s && !p.sent }) {
+			return false
+		}
+	}
+	return len(shards) > 0
+}
