Let the leaves of the soak leave, ask for pauses, and list odd entries

Change: a leaf of the soak that drains says so in its answers, one that sheds load asks for a pause with half of its rejections, and the first page of the list has an entry nested 20,000 levels deep and entries whose numbers or port are out of range.

--- a/internal/soak/leaf_test.go
+++ b/internal/soak/leaf_test.go
@@ -35,7 +35,7 @@
 	hanging            // reads requests and never replies
 	resetting          // runs all requests, and resets the connection for half of them
 	garbled            // sends invalid bytes, or the answer to another request
-	shedding           // rejects half of the requests
+	shedding           // rejects half of the requests, and asks for a pause with some
 	behaviorCount
 )
 
@@ -107,6 +107,13 @@
 	}
 }
 
+// leaves reports whether the leaf says in its answers that it leaves.
+func (l *leaf) leaves() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.draining.IsZero()
+}
+
 func (l *leaf) state() (id, service string, b behavior) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -192,6 +199,9 @@
 		return
 	}
 	l.applyLimit(h)
+	if l.leaves() {
+		h.Set("Server-Leaving", "1")
+	}
 	l.cluster.history.recordArrival(request, service, r.Method, r.RequestURI, string(body))
 	l.cluster.checkDrain(l, request)
 	if l.cluster.inTouch() {
@@ -205,6 +215,9 @@
 	affected := rand.IntN(2) == 0
 	if b == shedding && affected {
 		h.Set("Not-Executed", "1")
+		if rand.IntN(2) == 0 {
+			h.Set("Retry-After", strconv.FormatFloat(0.2+rand.Float64(), 'f', 3, 64))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -290,6 +303,15 @@
 	return out
 }
 
+// oddEntries are entries of another writer: one that is nested very deeply, and
+// ones with a number that is too large and with a port that does not exist.
+var oddEntries = []string{
+	strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+	`{"Id":"i-odd-1","Service":"shard-0","Address":"127.0.0.1:9","Zone":"a","Slots":1e400,"State":"ready"}`,
+	`{"Id":"i-odd-2","Service":"shard-0","Address":"127.0.0.1:9","Zone":"a","Slots":2,"State":"ready","ColdRemainingMs":1e300}`,
+	`{"Id":"i-odd-3","Service":"shard-0","Address":"127.0.0.1:99999","Zone":"a","Slots":2,"State":"ready"}`,
+}
+
 // serveInstances serves the instance list as the platform does, in pages of 50.
 // The first page also has malformed entries, which hosts must skip.
 func (cl *cluster) serveInstances(rw http.ResponseWriter, r *http.Request) {
@@ -323,12 +345,20 @@
 	if first == 0 {
 		entries = append(entries, map[string]any{"Id": 7, "Service": []int{1}}, "noise")
 	}
-	var next any
+	var list []string
+	for _, e := range entries {
+		raw, err := json.Marshal(e)
+		if err != nil {
+			continue
+		}
+		list = append(list, string(raw))
+	}
+	if first == 0 {
+		list = append(list, oddEntries...)
+	}
+	next := "null"
 	if end < len(cl.leaves) {
-		next = fmt.Sprintf("p-%d", end)
+		next = fmt.Sprintf("%q", fmt.Sprintf("p-%d", end))
 	}
-	_ = json.NewEncoder(rw).Encode(map[string]any{
-		"Instances":     entries,
-		"NextPageToken": next,
-	})
+	_, _ = fmt.Fprintf(rw, `{"Instances":[%s],"NextPageToken":%s}`, strings.Join(list, ","), next)
 }
