Hear a departure again after an earlier statement has lapsed

Evidence: TestStatementIsHeardAgainAfterItLapsed failed before. Change: a lapsed statement counts as none. Result: tests of pkg/notice, pkg/relay and internal/swarm pass.

--- a/pkg/notice/departure.go
+++ b/pkg/notice/departure.go
@@ -57,7 +57,7 @@
 // Heard records an answer that says that an upstream leaves. It reports whether
 // that is news.
 func (d *Departures) Heard(now ident.Instant, k quota.Key) (news bool) {
-	if d.known[k].leaving {
+	if _, leaving := d.Since(now, k); leaving {
 		return false
 	}
 	d.set(now, k, departure{
@@ -79,7 +79,11 @@
 
 // Told records what another host heard at at. It reports whether that is news.
 func (d *Departures) Told(now, at ident.Instant, k quota.Key, leaving bool) (news bool) {
+	if now >= at.Add(DepartureTime) {
+		return false // lapsed
+	}
 	old, known := d.known[k]
+	known = known && now < old.at.Add(DepartureTime)
 	if known && (old.leaving == leaving || at <= old.at.Add(toldTolerance)) || !known && !leaving {
 		return false
 	}
--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -137,3 +137,24 @@
 	}
 	is.True(p.Len(at(0)) <= 4096)
 }
+
+// Guards against a statement that is not heard again once an earlier one has
+// lapsed, and against another host's copy that has lapsed and hides a new one.
+func TestStatementIsHeardAgainAfterItLapsed(t *testing.T) {
+	is := is.New(t)
+	d := notice.NewDepartures()
+	d.Heard(at(0), key)
+	later := at(notice.DepartureTime + time.Second)
+	is.True(d.Heard(later, key))
+	since, leaving := d.Since(later, key)
+	is.True(leaving)
+	is.Equal(since, later)
+
+	d = notice.NewDepartures()
+	is.True(!d.Told(later, at(0), key, true))
+	is.True(d.Heard(later, key))
+
+	d = notice.NewDepartures()
+	d.Heard(at(0), key)
+	is.True(d.Told(later, later, key, true))
+}
