--- a/review/standin/latecopy_test.go
+++ b/review/standin/latecopy_test.go
@@ -12,18 +12,22 @@
 func init() { cases["late-copy"] = lateCopy }
 
 // lateCopy sends requests that may run once at most to a service whose leafs are
-// full for a moment, as all callers send at the same time. With the trouble, leafs send a second copy of a few answers late,
-// when the next answer on the connection is expected.
+// full for a moment, as all callers send at the same time. With the trouble, one of
+// the two leafs sends, in spells, a second copy of a few of its answers late, when the
+// next answer on the connection is expected.
 func lateCopy(c *cluster) (broken []string, err error) {
 	const (
 		hosts    = 9 // with one caller each
 		bursts   = 900
 		interval = 100 * time.Millisecond
 		deadline = 5 * time.Second
-		share    = 0.03 // of the answers of one of the two leafs
+		share    = 0.04 // of the answers of one of the two leafs
+		spell    = 5 * time.Second
+		period   = 6 * time.Second // from the start of one spell to the next
 		work     = 3 * time.Millisecond
 	)
-	late := func() bool { return rand.Float64() < share }
+	start := time.Now()
+	late := func() bool { return time.Since(start)%period < spell && rand.Float64() < share }
 	if !c.trouble {
 		late = nil
 	}
