--- a/review/standin/cluster_test.go
+++ b/review/standin/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -39,6 +40,7 @@
 	trouble bool
 	dir     string
 	net     int // second byte of all addresses
+	zones   int
 
 	frontPort, readyPort, controlPort, linkPort int
 
@@ -77,6 +79,7 @@
 		rec:     rec,
 		trouble: trouble,
 		dir:     dir,
+		zones:   3,
 	}
 	if err := c.choosePorts(); err != nil {
 		return nil, err
@@ -101,7 +104,7 @@
 		c.linkPort = 15000 + 20*rand.IntN(800)
 		c.frontPort, c.readyPort, c.controlPort = c.linkPort+16, c.linkPort+17, c.linkPort+18
 		free := true
-		for _, group := range []int{1, 2, 3} {
+		for _, group := range []int{1, 2, 3, 4} {
 			for port := c.linkPort; port < c.linkPort+19; port++ {
 				lis, err := net.Listen("tcp", fmt.Sprintf("%s:%d", c.ip(group, 1), port))
 				if err != nil {
@@ -185,15 +188,18 @@
 	return nil
 }
 
+// zones are the names of zones; a cluster uses the first ones.
+var zones = []string{"zone-a", "zone-b", "zone-c", "zone-d"}
+
 // start starts three control hosts and the entry hosts, one in each zone in turn,
 // and waits until all are ready under the first configuration.
 func (c *cluster) start(entries int, document string) error {
-	zones := []string{"zone-a", "zone-b", "zone-c"}
 	for i := range 3 {
 		c.controls = append(c.controls, c.newMachine("control", zones[i], i+1, 1))
 	}
 	for i := range entries {
-		c.entries = append(c.entries, c.newMachine("entry", zones[i%3], i%3+1, 2+i/3))
+		zone := i % c.zones
+		c.entries = append(c.entries, c.newMachine("entry", zones[zone], zone+1, 2+i/c.zones))
 	}
 	for _, m := range append(append([]*machine{}, c.controls...), c.entries...) {
 		if err := m.start(true); err != nil {
@@ -385,8 +391,10 @@
 	kind    string
 	service string
 	shards  []string
-	timeout int // milliseconds
-	target  int // milliseconds
+	// attempts is the number of leafs that a request may be sent to, 2 if not set.
+	attempts int
+	timeout  int // milliseconds
+	target   int // milliseconds
 }
 
 // routeHost is the host name of all routes.
@@ -405,7 +413,7 @@
 			"TimeoutMs":       r.timeout,
 			"TargetLatencyMs": r.target,
 			"Priority":        1,
-			"MaxAttempts":     2,
+			"MaxAttempts":     cmp.Or(r.attempts, 2),
 		}
 		names := r.shards
 		if r.service != "" {
--- a/review/standin/leaf_test.go
+++ b/review/standin/leaf_test.go
@@ -45,6 +45,8 @@
 	downTime time.Duration
 	arrived  func(id string)
 	crashed  func()
+	// worked, if set, is told of each run, when it ends.
+	worked func(id string, start, end time.Time)
 
 	mu sync.Mutex
 	// lis is nil while the leaf is down, conns are its connections.
@@ -215,6 +217,7 @@
 		l.arrived(id)
 	}
 	l.cluster.rec.write("%s runs %s %s %s", l.id, id, req.Method, req.URL.Path)
+	started := time.Now()
 	t := time.NewTimer(l.work(id))
 	defer t.Stop()
 	closed := false
@@ -223,6 +226,9 @@
 	case <-gone.closed:
 		closed = true
 	}
+	if l.worked != nil {
+		l.worked(id, started, time.Now())
+	}
 	l.mu.Lock()
 	l.running--
 	l.mu.Unlock()
