--- a/review/standin/cluster_test.go
+++ b/review/standin/cluster_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -44,8 +45,9 @@
 
 	frontPort, readyPort, controlPort, linkPort int
 
-	list     net.Listener
-	listDown bool
+	list net.Listener
+	// oddEntry, if set, is an entry of another writer in the platform's list.
+	oddEntry string
 	controls []*machine
 	entries  []*machine
 
@@ -145,11 +147,7 @@
 		_, _ = fmt.Sscanf(r.URL.Query().Get("PageToken"), "p-%d", &first)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.listDown {
-			w.WriteHeader(http.StatusTooManyRequests)
-			return
-		}
-		var page []map[string]any
+		var page []string
 		var next any
 		n := 0
 		for _, l := range c.leafs {
@@ -167,7 +165,7 @@
 			if l.draining {
 				state = "draining"
 			}
-			page = append(page, map[string]any{
+			raw, _ := json.Marshal(map[string]any{
 				"Id":              l.id,
 				"Service":         l.service,
 				"Address":         l.address,
@@ -178,12 +176,14 @@
 				"ColdRemainingMs": 0,
 				"born":            l.born,
 			})
+			page = append(page, string(raw))
+		}
+		if c.oddEntry != "" && first == 0 {
+			page = slices.Insert(page, 1, c.oddEntry)
 		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(map[string]any{
-			"Instances":     page,
-			"NextPageToken": next,
-		})
+		nextPage, _ := json.Marshal(next)
+		fmt.Fprintf(w, `{"Instances":[%s],"NextPageToken":%s}`, strings.Join(page, ","), nextPage)
 	}))
 	return nil
 }
--- a/review/standin/leaf_test.go
+++ b/review/standin/leaf_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,8 +29,11 @@
 	queue   int
 	born    int64
 
+	// listed and draining are what the platform's list shows; the cluster's mutex
+	// guards them. A leaf that leaves says so in its answers.
 	listed   bool
 	draining bool
+	leaving  atomic.Bool
 
 	// work returns how long a request takes.
 	work func(id string) time.Duration
@@ -279,6 +283,9 @@
 		b.WriteString("Request-Id: " + id + "\r\n")
 	}
 	b.WriteString(headers)
+	if l.leaving.Load() {
+		b.WriteString("Server-Leaving: 1\r\n")
+	}
 	b.WriteString("Server-Load: " + load + "\r\nKeep-Alive: timeout=" + strconv.Itoa(keepAlive) + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
 	b.Write(body)
 	return b.Bytes()
