review case 1: a planned stop cuts requests that wait for room (LOST)

Rule: around planned work a request that was read gets an answer or a refusal.

Evidence: a host that stops closes all connections 5.6 s after SIGTERM and does not refuse the queries that still wait for a connection to a leaf.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,7 +6,7 @@
 	echo "build first: the build line of deploy/system.toml, then review/build.sh" >&2
 	exit 2
 fi
-timeout 118 target/review/standin late-copy review/1
+timeout 118 target/review/standin queued-at-stop review/1
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
