--- a/review/standin/queued_test.go
+++ b/review/standin/queued_test.go
@@ -16,7 +16,7 @@
 // must get an answer, be it a refusal.
 func queuedAtStop(c *cluster) (broken []string, err error) {
 	const (
-		hosts    = 12
+		hosts    = 20
 		requests = 30
 		work     = 1300 * time.Millisecond
 		deadline = 15 * time.Second
@@ -30,15 +30,14 @@
 			service: "desk",
 			zone:    zone,
 			slots:   2,
-			queue:   12,
+			queue:   8,
 			size:    1500,
 			work:    func(string) time.Duration { return work },
 		}); err != nil {
 			return nil, err
 		}
 	}
-	c.zones = 4
-	if err := c.start(hosts, document(1, 50, route{
+	if err := c.start(hosts, document(1, 82, route{
 		prefix:  "/file/",
 		kind:    "unsafe",
 		service: "desk",
