Answer or refuse every request before a stopping host ends

Cause: only the HTTP server knew the end of the grace time. Deadlines, queues and the choice whether to send a call went by the caller's time.

Change: relay.Stopping gives the engine the time of the last answer. A query that waits is refused as not run as soon as no answer is expected by then; a request that may run once only is begun only if it can end; what is in flight then gets 504. Whole queries that are delegated get no more time than is left, or are not delegated; a gatherer that stops declines what it cannot answer; a stopped control host refuses commands at once. On the product's own protocol nothing ends a drain, and no fault was found.

--- a/internal/ctrl/request.go
+++ b/internal/ctrl/request.go
@@ -61,6 +61,10 @@
 			pause.Stop()
 			h.meters.countRequest(r, a.Kind)
 			return a
+		case <-h.stopped:
+			pause.Stop()
+			h.meters.countRequest(r, a.Kind)
+			return a
 		case <-pause.C:
 		}
 	}
--- a/internal/ctrl/single_test.go
+++ b/internal/ctrl/single_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -125,3 +126,23 @@
 		is.True(bytes.Contains([]byte(out.Remedy), []byte(named))) // the refusal names the invalid part
 	}
 }
+
+// Guards against a command that comes while its host stops and is answered only at
+// its own time limit, when the operator has long given up on the host.
+func TestStoppedHostRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	h, stop := start(t, ctrl.Config{
+		Folder:   t.TempDir(),
+		Listen:   "127.0.0.1:0",
+		Address:  "127.0.0.1:1",
+		NewGroup: true,
+	})
+	stop()
+	started := time.Now()
+	out := h.Command(context.Background(), config.Command{
+		ID:     "c1",
+		Change: config.SwitchPreset{Name: preset.Peak},
+	})
+	is.Equal(out.Kind, config.NotRun)
+	is.True(time.Since(started) < time.Second) // its time limit is 3 s
+}
--- a/internal/front/delegate.go
+++ b/internal/front/delegate.go
@@ -91,11 +91,27 @@
 	return s.Serve(ctx, lis)
 }
 
+// limitUntilEnd shortens the time limit of a query that is delegated as a whole to what
+// a stopping host has left. It returns false if that is less than the route's target:
+// the engine decides then whether an answer can still be expected.
+func (f *Front) limitUntilEnd(limit time.Duration, route *rules.Route) (time.Duration, bool) {
+	end := ident.Instant(f.endsAt.Load())
+	if end == 0 {
+		return limit, true
+	}
+	left := end.Sub(f.now())
+	return min(limit, left), limit <= left || left >= route.Target
+}
+
 // delegate sends a query to a gatherer of this domain. It returns nil if this
 // host must serve the query itself. If the gatherer does not answer, the query
 // fails instead of starting again here: its calls may have run, and a retry by
 // the caller gets its full number of attempts.
 func (f *Front) delegate(ctx context.Context, q *request, v rules.Version, route *rules.Route, limit time.Duration) *delegateReply {
+	limit, ok := f.limitUntilEnd(limit, route)
+	if !ok {
+		return nil
+	}
 	to, ok := f.peers.choose(f.cfg.Domain, q.id)
 	if !ok {
 		return nil
@@ -103,6 +119,9 @@
 	in := q.delegateRequest(v, limit)
 	in.TripMicros = q.roundTrip.Microseconds()
 	in.SpentMicros = (f.now().Sub(q.started) + f.returnLag.margin()).Microseconds()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(f.serving, cancel)()
 	out, err := f.callGatherer(ctx, to, in)
 	if err == nil && out.Missing > 0 {
 		f.returnLag.learn(f.now().Sub(q.started) - (route.Target - relay.CallerMargin(route.Target, q.roundTrip)) + f.returnLag.margin())
@@ -113,6 +132,11 @@
 	switch {
 	case link.NotRun(err) || err == nil && out.Declined:
 		return nil
+	case err != nil && f.serving.Err() != nil:
+		return &delegateReply{
+			Refusal: relay.TimedOut,
+			Reason:  "this host stopped before the gatherer " + string(to.ID) + " answered",
+		}
 	case err != nil:
 		return &delegateReply{
 			Refusal: relay.Failed,
@@ -257,7 +281,7 @@
 		return out, nil
 	case relay.Refuse:
 		return &delegateReply{
-			Declined:    e.Status == relay.NoVersion,
+			Declined:    e.Status == relay.NoVersion || e.Stopping,
 			Refusal:     e.Status,
 			Tried:       e.Tried,
 			AfterMicros: e.After.Microseconds(),
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -41,6 +41,10 @@
 	// graceMargin is how long before SIGKILL the remaining connections are closed.
 	graceMargin = 400 * time.Millisecond
 
+	// answerMargin is how long before that all requests are answered, for writing
+	// the answers.
+	answerMargin = 150 * time.Millisecond
+
 	// inputQueueSize bounds the inputs queued for the engine.
 	inputQueueSize = 1024
 
@@ -109,6 +113,13 @@
 	hasList  atomic.Bool
 	draining atomic.Bool
 	closing  atomic.Bool
+	// serving is cancelled once a stopping host gives up what other hosts have not
+	// answered.
+	serving    context.Context //nolint:containedctx // it belongs to the host, not to a call
+	endServing context.CancelFunc
+	// endsAt is the ident.Instant by which a stopping host must have answered, 0 before
+	// it stops.
+	endsAt atomic.Int64
 	// The values of the gauges; listReadAt, and confirmedAt of the configuration,
 	// are in Unix nanoseconds.
 	requestsRunning, upstreams, hosts, limited, suspects, leaving, paused, listReadAt, confirmedAt atomic.Int64
@@ -133,6 +144,7 @@
 		return nil, err
 	}
 	cfg.Bind = cmp.Or(cfg.Bind, cfg.Link)
+	serving, endServing := context.WithCancel(context.Background())
 	return &Front{
 		cfg:    cfg,
 		log:    cfg.Log,
@@ -160,6 +172,9 @@
 		queries: make(map[ident.QueryID]*request),
 		calls:   make(map[ident.AttemptID]*callState),
 		seeds:   make(chan []string, 1),
+
+		serving:    serving,
+		endServing: endServing,
 	}, nil
 }
 
@@ -231,11 +246,17 @@
 }
 
 // stop waits until the load balancer has removed this host, then closes the
-// connections of callers as their requests are answered.
+// connections of callers as their requests are answered. Requests that cannot be
+// answered in the grace time are refused, and all others answered, before its end.
 func (f *Front) stop(srv *http.Server, lis *accept.Listener) {
 	started := time.Now()
-	f.log.Info("entry host drains")
+	serveTime := max(0, f.cfg.Grace-graceMargin-answerMargin)
+	f.log.Info("entry host drains", "AnswersWithinMillis", serveTime.Milliseconds())
 	f.draining.Store(true)
+	end := f.now().Add(serveTime)
+	f.endsAt.Store(int64(end))
+	f.inputs <- input{event: relay.Stopping{End: end}}
+	defer time.AfterFunc(serveTime, f.endServing).Stop()
 	srv.SetKeepAlivesEnabled(false)
 	time.Sleep(min(drainTime, f.cfg.Grace/2))
 	f.closing.Store(true)
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -111,6 +111,9 @@
 		f.stepEngine(ev)
 		f.pruneConnections(ev.Upstreams)
 		f.localCoverage.Store(f.engine.Local())
+	case relay.Stopping:
+		ev.Now = f.now()
+		f.stepEngine(ev)
 	case relay.Hosts:
 		ev.Now = f.now()
 		f.stepEngine(ev)
--- a/internal/tier/tier_test.go
+++ b/internal/tier/tier_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,35 +35,65 @@
 	// entries are addresses for callers, controls those for operators.
 	entries  []string
 	controls []string
+	// port is the one at which all hosts listen for other hosts.
+	port int
 	// stop and ended have one element per daemon, control hosts first.
-	stop  []context.CancelFunc
-	ended []chan struct{}
+	stop []context.CancelFunc
+	// atWork is the number of calls that upstreams run.
+	atWork atomic.Int64
+	ended  []chan struct{}
 }
 
-// startUpstream starts a fake upstream that answers with one record of its own
-// and returns its address.
-func startUpstream(t *testing.T, name string) string {
+// largePath is a query that all shards but shard-3 answer at once, with largeSize
+// bytes.
+const (
+	largePath = "/x/large"
+	largeSize = 128 << 10
+)
+
+// startUpstream starts a fake upstream that answers with one record of its own after
+// some work, unless its caller leaves, and returns its address.
+func (s *system) startUpstream(name string, work time.Duration) string {
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.atWork.Add(1)
+		defer s.atWork.Add(-1)
+		duration := work
+		if r.URL.Path == largePath && !strings.HasPrefix(name, "shard-3") {
+			duration = 0
+		}
+		select {
+		case <-time.After(duration):
+		case <-r.Context().Done():
+			return
+		}
 		id := r.Header.Get("Request-Id")
 		w.Header().Set("Request-Id", id)
 		w.Header().Set("Server-Stamp", name+"."+id)
+		if r.URL.Path == largePath {
+			_, _ = w.Write(make([]byte, largeSize))
+			return
+		}
 		_, _ = fmt.Fprintf(w, "%-16s", name[:len(name)-2])
 	}))
-	t.Cleanup(srv.Close)
+	s.t.Cleanup(srv.Close)
 	return srv.Listener.Addr().String()
 }
 
-func newSystem(t *testing.T) *system {
+func newSystem(t *testing.T, work time.Duration) *system { return newSystemIn(t, work, "a", "a", "b") }
+
+// newSystemIn starts a system with one entry host in each of some domains. Upstreams
+// are in domains a and b.
+func newSystemIn(t *testing.T, work time.Duration, entryDomains ...ident.Domain) *system {
+	s := &system{t: t}
 	var entries []json.RawMessage
 	for shard := range 4 {
 		for _, domain := range []string{"a", "b"} {
 			name := fmt.Sprintf("shard-%d-%s", shard, domain)
 			entries = append(entries, json.RawMessage(fmt.Sprintf(
 				`{"Id":%q,"Service":"shard-%d","Address":%q,"Zone":%q,"Slots":2,"State":"ready","ColdRemainingMs":0}`,
-				name, shard, startUpstream(t, name), domain)))
+				name, shard, s.startUpstream(name, work), domain)))
 		}
 	}
-	s := &system{t: t}
 	s.list = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(map[string]any{
 			"Instances":     entries,
@@ -72,6 +103,7 @@
 	t.Cleanup(s.list.Close)
 	log := slog.New(slog.DiscardHandler)
 	port := freePort(t)
+	s.port = port
 	link := func(n int) string { return fmt.Sprintf("127.0.9.%d:%d", n, port) }
 	seeds := []string{link(1), link(2), link(3)}
 	for n := 1; n <= 3; n++ {
@@ -94,7 +126,7 @@
 		s.controls = append(s.controls, operator)
 		s.run(c.Run)
 	}
-	for n, domain := range []ident.Domain{"a", "a", "b"} {
+	for n, domain := range entryDomains {
 		address := freeAddress(t)
 		f, err := front.New(front.Config{
 			Name:   ident.HostID(fmt.Sprint("front-", n)),
@@ -218,7 +250,7 @@
 // answers of the listed upstreams, also after a control host has stopped.
 func TestWholePathOnLoopback(t *testing.T) {
 	is := is.New(t)
-	s := newSystem(t)
+	s := newSystem(t, 0)
 	is.Equal(s.putDocument(s.controls[1], document(5, "/x/")), http.StatusOK)
 	is.Equal(s.putDocument(s.controls[2], document(5, "/x/")[:200]), http.StatusBadRequest)
 	for _, entry := range s.entries {
--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -108,6 +108,17 @@
 	// retryAfter is the delay that a refused caller is told to wait.
 	retryAfter = 50 * time.Millisecond
 
+	// stopRetry is the delay that a caller is told to wait that a stopping host
+	// refuses: other hosts can take the request at once.
+	stopRetry = 10 * time.Millisecond
+
+	// stopMargin is how many times the longest recent answer must fit before this
+	// host ends for a request that may run once only to be sent.
+	stopMargin = 2
+
+	// longestDecay is the factor by which one answer reduces the longest recent one.
+	longestDecay = 0.99
+
 	// earlyCrashes is how many upstreams have to crash under calls that were sent
 	// side by side, before any answer, for the other hosts to be told before the
 	// other calls have ended. One connection breaks now and then.
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -81,6 +81,10 @@
 	// blame holds which requests crashed upstreams.
 	blame *blame.Table
 
+	// stopping is set once this host stops; it ends at endsAt.
+	stopping bool
+	endsAt   ident.Instant
+
 	queries map[ident.QueryID]*query
 	order   []*query // queries by arrival
 	// partial are ended queries of other hosts that may ask for the rest, by the
@@ -165,6 +169,9 @@
 	case Disconnected:
 		e.now = ev.Now
 		e.disconnected(ev.Query)
+	case Stopping:
+		e.now = ev.Now
+		e.stop(ev)
 	case Tick:
 		e.now = ev.Now
 		e.advanceAll()
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -153,6 +153,13 @@
 	Query ident.QueryID
 }
 
+// Stopping reports that this host stops. End is when the last answer must be sent;
+// no query is in progress after it.
+type Stopping struct {
+	Now ident.Instant
+	End ident.Instant
+}
+
 // Tick advances the engine's clock and handles what is due; see Engine.Next.
 type Tick struct{ Now ident.Instant }
 
@@ -165,6 +172,7 @@
 func (Ended) isEvent()         {}
 func (Granted) isEvent()       {}
 func (Disconnected) isEvent()  {}
+func (Stopping) isEvent()      {}
 func (Tick) isEvent()          {}
 
 // Effect is an output of Engine.Step.
@@ -309,6 +317,9 @@
 	// that guarantee that the request has not run.
 	After  time.Duration
 	Reason string
+	// Stopping is set if the query has not run only since this host stops, so that
+	// another host may serve it.
+	Stopping bool
 	// Tried lists the calls for each shard of a query that was delegated to this
 	// host.
 	Tried []Tried
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -40,6 +40,7 @@
 	sent := q.mayHaveRun
 	var without []ident.Service
 	var limited, paused *part
+	tooLate := timeout && q.endsWithHost
 	for _, p := range q.parts {
 		sent = sent || p.inFlight() > 0 || p.delegated()
 		if p.limited && limited == nil {
@@ -48,6 +49,7 @@
 		if p.paused && !p.skipped && paused == nil {
 			paused = p
 		}
+		tooLate = tooLate || p.tooLate
 		if p.unavailable() {
 			without = append(without, p.service)
 		}
@@ -65,10 +67,14 @@
 		r.Status, r.Reason = Failed, CrasherReason
 	case q.condemned:
 		r.After, r.Reason = crasherRetry, CrasherReason
+	case sent && timeout && q.endsWithHost:
+		r.Status, r.Reason = TimedOut, "this host stopped before an answer came"
 	case sent && timeout:
 		r.Status, r.Reason = TimedOut, "the time ended before an answer came"
 	case sent:
 		r.Status, r.Reason = Failed, "upstreams failed"
+	case tooLate:
+		r.After, r.Reason, r.Stopping = stopRetry, stopReason, true
 	case limited != nil:
 		r.After = e.limitWait(limited)
 		r.Reason = fmt.Sprintf("the limits of the upstreams of %s are used up", limited.service)
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -49,6 +49,10 @@
 	// first attempt.
 	firstLimit time.Duration
 	credit     map[ident.Service]float64
+	// mean is the EWMA of the time to a good answer, longest the longest such time
+	// of late; both are 0 before the first answer.
+	mean    time.Duration
+	longest time.Duration
 }
 
 func newRouteStats(r *rules.Route) *routeStats {
@@ -69,6 +73,15 @@
 	}
 }
 
+// observeAnswer records the time to a good answer, queueing included.
+func (s *routeStats) observeAnswer(took time.Duration) {
+	if s.mean == 0 {
+		s.mean = took
+	}
+	s.mean += time.Duration(ewmaWeight * float64(took-s.mean))
+	s.longest = max(took, time.Duration(longestDecay*float64(s.longest)))
+}
+
 // hedgeDelay returns how long after a call a hedge is sent, given the time
 // remaining until the target. It is sent only when the answer would otherwise
 // come after the target: there is no benefit in an earlier answer, and most
@@ -221,6 +234,7 @@
 			s.observe(float64(took))
 		}
 		s.delay.Observe(took)
+		s.observeAnswer(took)
 		u.downUntil = 0
 	case Unsent:
 		if e.now >= u.downUntil {
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -30,6 +30,8 @@
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
 	done       bool
+	// endsWithHost is set if the deadline is the end of this host, which stops.
+	endsWithHost bool
 
 	request ident.RequestID
 	print   blame.Print
@@ -83,6 +85,8 @@
 	// paused is set if the part was skipped or given up because its upstreams want
 	// no calls for a while.
 	paused bool
+	// tooLate is set if no answer is expected before this host ends.
+	tooLate bool
 	// sent is set if the part was in an answer to another host.
 	sent bool
 	// pendingAt is the group whose host still has calls for the part in flight.
@@ -163,6 +167,16 @@
 		e.resume(ev)
 		return
 	}
+	if e.stopping && e.now >= e.endsAt {
+		e.emit(Refuse{
+			Query:    ev.Query,
+			Status:   NotNow,
+			After:    stopRetry,
+			Reason:   stopReason,
+			Stopping: true,
+		})
+		return
+	}
 	table := e.tableOf(ev.Version)
 	if table == nil {
 		e.emit(Refuse{
@@ -203,6 +217,14 @@
 // begin sends a query to the upstreams of all its parts, or delegates them.
 func (e *Engine) begin(q *query) {
 	if q.route.Gathers() {
+		if q.endsWithHost && e.now > e.endsAt.Add(-q.stats.timeNeeded(q.route)) {
+			e.refuseEarly(q, Refuse{
+				After:    stopRetry,
+				Reason:   stopReason,
+				Stopping: true,
+			})
+			return
+		}
 		e.delegateShards(q)
 		if !e.skipHopeless(q) {
 			return
@@ -247,6 +269,7 @@
 		print:   ev.Print,
 		draw:    ev.Draw,
 	}
+	e.endWithHost(q)
 	if q.draw == 0 {
 		q.draw = quota.Draw(e.rand.Uint64())
 	}
@@ -347,6 +370,13 @@
 		return
 	}
 	u, busy := p.admitted, false
+	if u == nil && q.endsWithHost {
+		// Checked before a limit admits the call.
+		free, _ := e.pick(q, p, nil)
+		if e.tooLate(q, p, free == nil) {
+			return
+		}
+	}
 	if p.admitted = nil; u == nil {
 		u, busy = e.admit(q, p, false)
 	}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -110,6 +110,9 @@
 	case relay.Listed:
 		e.Now = h.now
 		ev = e
+	case relay.Stopping:
+		e.Now = h.now
+		ev = e
 	case relay.Arrive:
 		e.Now = h.now
 		ev = e
--- a/pkg/relay/rest.go
+++ b/pkg/relay/rest.go
@@ -137,6 +137,7 @@
 
 		answeredOnce: old.answeredOnce,
 	}
+	e.endWithHost(q)
 	adopted, dropped := Keep{Query: q.id}, Drop{}
 	for _, p := range old.parts {
 		asked := slices.Contains(ev.Shards, p.shard)
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -38,7 +38,10 @@
 	if most := len(q.parts) - q.route.MinParts(); !q.sub && len(waits)+probed > most {
 		waits = append(waits, slices.Repeat([]time.Duration{retryAfter}, probed)...)
 		slices.Sort(waits)
-		e.refuseEarly(q, waits[len(waits)-most-1], "too many shards are overloaded or want no calls")
+		e.refuseEarly(q, Refuse{
+			After:  waits[len(waits)-most-1],
+			Reason: "too many shards are overloaded or want no calls",
+		})
 		return false
 	}
 	q.dropSkipped()
@@ -83,24 +86,21 @@
 			e.quota.Return(e.now, p.admitted.key)
 		}
 	}
-	e.refuseEarly(q, wait, "the limits of too many shards are used up")
+	e.refuseEarly(q, Refuse{
+		After:  wait,
+		Reason: "the limits of too many shards are used up",
+	})
 	return false
 }
 
 // refuseEarly refuses a query before its shards are called. The trial of a
 // suspect has run.
-func (e *Engine) refuseEarly(q *query, after time.Duration, reason string) {
-	status := NotNow
+func (e *Engine) refuseEarly(q *query, r Refuse) {
+	r.Query, r.Status, r.Detail = q.id, NotNow, e.detail(q)
 	if q.mayHaveRun {
-		status = Failed
+		r.Status, r.Stopping = Failed, false
 	}
-	e.emit(Refuse{
-		Query:  q.id,
-		Status: status,
-		After:  after,
-		Reason: reason,
-		Detail: e.detail(q),
-	})
+	e.emit(r)
 	e.end(q)
 }
 
