Catch SIGHUP until the process ends

An entry host that drained after SIGTERM ended at once when it got SIGHUP, as in a release that also changes the settings.

Cause: followSettings called signal.Stop when SIGTERM came, which restores the default action of SIGHUP. Control hosts share the function; the daemons of the product's own protocol never had a handler; and SIGHUP before followSettings started ended the process as well.

Change: both programs catch SIGHUP first and until they end. Settings are followed until the host has drained. The product's daemons, whose settings are flags, log that they ignore it. A log line after the log was closed no longer panics. The soak stops one entry host after the other, sends further signals during every second stop and requires status 0. The tests catch SIGHUP themselves, so that daemons do not inherit an ignored one.

--- a/internal/launch/control.go
+++ b/internal/launch/control.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		return err
 	}
+	go j.logHangups(log)
 	cfg := ctrl.Config{
 		Folder:       o.Data,
 		Listen:       o.Listen,
--- a/internal/launch/entry.go
+++ b/internal/launch/entry.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	go j.logHangups(log)
 	controlAgent, err := agent.New(agent.Config{
 		Host:      o.Host,
 		Domain:    o.Domain,
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -7,8 +7,10 @@
 	"flag"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/jujubethread/jujubethread/internal/admin"
@@ -26,6 +28,9 @@
 	exitUnmet    = 6
 )
 
+// daemons are the commands that serve until SIGTERM or an interrupt.
+var daemons = []option.Command{option.Entry, option.Control}
+
 // job is one execution of a subcommand.
 type job struct {
 	opt    *option.Options
@@ -33,11 +38,20 @@
 	errOut io.Writer
 	// client is set for the operator commands only.
 	client *admin.Client
+	// hangups receives SIGHUP; it is nil for commands that SIGHUP ends.
+	hangups chan os.Signal
 }
 
 // Main runs the program with the arguments after its name and returns the
 // exit status.
 func Main(args []string, out, errOut io.Writer) int {
+	// The daemons catch SIGHUP first and until the process ends: without a handler
+	// it would end the process at once, also while it drains.
+	var hangups chan os.Signal
+	if len(args) > 0 && slices.Contains(daemons, option.Command(args[0])) {
+		hangups = make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
+	}
 	opt, err := option.Parse(args)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
@@ -53,6 +67,8 @@
 		opt:    opt,
 		out:    out,
 		errOut: errOut,
+
+		hangups: hangups,
 	}
 	err = j.run(ctx)
 	if err != nil {
@@ -121,6 +137,13 @@
 // Error names the remedy.
 func (e *exitError) Error() string { return e.text }
 
+// logHangups logs that SIGHUP changes nothing, until the process ends.
+func (j *job) logHangups(log *slog.Logger) {
+	for range j.hangups {
+		log.Info("SIGHUP is ignored: settings are flags, restart the host to change them")
+	}
+}
+
 func exitStatus(err error) int {
 	var usage *usageError
 	var exit *exitError
--- a/internal/logs/queue.go
+++ b/internal/logs/queue.go
@@ -29,6 +29,7 @@
 	total   atomic.Int64
 
 	mu       sync.Mutex
+	closed   bool
 	tokens   float64
 	refilled time.Time
 }
@@ -48,7 +49,9 @@
 
 // Write implements io.Writer; each call has one complete line. It never fails.
 func (q *Queue) Write(line []byte) (int, error) {
-	if !q.takeToken() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed || !q.takeToken() {
 		q.drop()
 		return len(line), nil
 	}
@@ -68,9 +71,8 @@
 // Dropped returns the number of lines dropped since the queue was created.
 func (q *Queue) Dropped() int64 { return q.total.Load() }
 
+// takeToken takes a token of the rate limit. The caller must hold the lock.
 func (q *Queue) takeToken() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	now := time.Now()
 	q.tokens = min(burstLines, q.tokens+now.Sub(q.refilled).Seconds()*linesPerSecond)
 	q.refilled = now
@@ -95,9 +97,13 @@
 	}
 }
 
-// Close waits at most the given time until all queued lines are written.
+// Close waits at most the given time until all queued lines are written. Later ones
+// are dropped: goroutines that are still ending may log.
 func (q *Queue) Close(timeout time.Duration) {
+	q.mu.Lock()
+	q.closed = true
 	close(q.lines)
+	q.mu.Unlock()
 	select {
 	case <-q.done:
 	case <-time.After(timeout):
--- a/internal/logs/queue_test.go
+++ b/internal/logs/queue_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,3 +58,24 @@
 	}
 	q.Close(time.Second)
 }
+
+// Guards against a process that panics at the end of its planned stop, since a
+// goroutine that is still ending logs after the queue was closed.
+func TestLineAfterCloseIsDropped(t *testing.T) {
+	is := is.New(t)
+	q := logs.NewQueue(io.Discard)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 100 {
+				_, err := q.Write([]byte("line\n"))
+				is.NoErr(err)
+			}
+		})
+	}
+	q.Close(time.Second)
+	writers.Wait()
+	_, err := q.Write([]byte("line\n"))
+	is.NoErr(err)
+	is.True(q.Dropped() > 0)
+}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -26,6 +26,7 @@
 func (cl *cluster) injectFaults(ctx context.Context, rng *rand.Rand) {
 	var group sync.WaitGroup
 	defer group.Wait()
+	group.Go(func() { cl.rollEntries(ctx, rand.New(rand.NewPCG(cl.seed, 5))) })
 	for ctx.Err() == nil {
 		pause(ctx, time.Duration(100+rng.IntN(1500))*time.Millisecond)
 		if ctx.Err() != nil {
@@ -49,6 +50,23 @@
 	}
 }
 
+// rollEntries stops and starts entry hosts one after the other until ctx ends, as a
+// release does.
+func (cl *cluster) rollEntries(ctx context.Context, rng *rand.Rand) {
+	for {
+		pause(ctx, randomDuration(rng, 2*time.Second, 6*time.Second))
+		cl.signalMu.Lock()
+		if ctx.Err() == nil {
+			h := cl.entries[rng.IntN(len(cl.entries))]
+			cl.restart(ctx, h, randomDuration(rng, 50*time.Millisecond, time.Second))
+		}
+		cl.signalMu.Unlock()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 func randomDuration(rng *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(rng.Int64N(int64(most-least)))
 }
@@ -176,6 +194,7 @@
 		h.writeSettings(false, rng.IntN(3))
 		h.recordFault(time.Second, true)
 		if rng.IntN(2) == 0 {
+			h.awaitHandlers()
 			h.signal(syscall.SIGHUP)
 		}
 	case 7: // about half of all hosts killed at once
@@ -210,10 +229,21 @@
 	h.recordFault(time.Second, true)
 }
 
-// checkStop stops a host and checks that it ends in time.
+// checkStop stops a host and checks that it ends in time, and by itself. During every
+// second stop, the first one included, further signals come.
 func (cl *cluster) checkStop(h *host, within time.Duration) {
+	if cl.stops.Add(1)%2 == 1 {
+		h.awaitHandlers()
+		h.signal(syscall.SIGHUP)
+		for i, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+			timer := time.AfterFunc(time.Duration(i+1)*100*time.Millisecond, func() { h.signal(s) })
+			defer timer.Stop()
+		}
+	}
 	if !h.terminate(syscall.SIGTERM, within) {
 		cl.history.violation(ruleExit, "%s did not end within %s of SIGTERM", h.name, within)
+	} else if err := h.exitError(); err != nil {
+		cl.history.violation(ruleExit, "%s was ended by something else than its planned stop, %s after its start: %v", h.name, h.age(), err)
 	}
 }
 
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -27,6 +29,10 @@
 
 	graceTime = 6 * time.Second
 
+	// handlerDelay is how long a process that has just started may be without
+	// handlers of signals.
+	handlerDelay = time.Second
+
 	// restartDelay is how long after an unexpected exit a process is restarted.
 	restartDelay = 300 * time.Millisecond
 )
@@ -48,6 +54,9 @@
 	cmd          *exec.Cmd
 	done         chan struct{}
 	exitExpected bool // set if the test stops the process
+	startedAt    time.Time
+	logStart     int64 // how long the log was when the process started
+	exitErr      error // how the process ended, nil for status 0
 	// faultEnd is when the last fault of this host ends; plannedEnd is the same
 	// for planned work: SIGTERM, SIGHUP and changed settings.
 	faultEnd   time.Time
@@ -128,6 +137,11 @@
 		return
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
+	written, err := log.Seek(0, io.SeekEnd)
+	if err != nil {
+		h.cluster.t.Error(err)
+		return
+	}
 	cmd := exec.Command(cmp.Or(h.program, binary), h.role, "-config", h.settingsFile())
 	cmd.Stdout, cmd.Stderr = log, log
 	// The kernel kills the process if the test is killed.
@@ -139,7 +153,8 @@
 		return
 	}
 	done := make(chan struct{})
-	h.cmd, h.done, h.exitExpected = cmd, done, false
+	h.cmd, h.done, h.exitExpected, h.startedAt, h.exitErr = cmd, done, false, time.Now(), nil
+	h.logStart = written
 	h.cluster.operator.forget(h.name)
 	h.cluster.group.Go(func() { h.watchExit(cmd, done) })
 }
@@ -150,6 +165,7 @@
 	err := cmd.Wait()
 	h.mu.Lock()
 	exitExpected := h.exitExpected
+	h.exitErr = err
 	close(done)
 	h.mu.Unlock()
 	if exitExpected || h.cluster.ctx.Err() != nil {
@@ -163,6 +179,46 @@
 	}
 }
 
+// exitError returns how the process ended; it is nil for status 0, and for a process
+// that SIGTERM ended before it could handle signals.
+func (h *host) exitError() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var exit *exec.ExitError
+	if errors.As(h.exitErr, &exit) && time.Since(h.startedAt) < handlerDelay {
+		if status, ok := exit.Sys().(syscall.WaitStatus); ok && status.Signal() == syscall.SIGTERM {
+			return nil
+		}
+	}
+	return h.exitErr
+}
+
+// awaitHandlers waits until the process has written a log line, or has ended, but no
+// longer than handlerDelay after its start. The daemons catch SIGHUP before they write.
+// Earlier it ends every Go program, at whatever time its main function asks for it.
+func (h *host) awaitHandlers() {
+	h.mu.Lock()
+	logStart, limit, done := h.logStart, h.startedAt.Add(handlerDelay), h.done
+	h.mu.Unlock()
+	for time.Now().Before(limit) {
+		if info, err := os.Stat(h.logFile()); err == nil && info.Size() > logStart {
+			return
+		}
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// age returns how long ago the process started.
+func (h *host) age() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.startedAt).Round(time.Millisecond)
+}
+
 // awaitLog waits until the process has written a text.
 func (h *host) awaitLog(text string) {
 	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(time.Millisecond) {
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -263,8 +263,18 @@
 			h.awaitLog("ready")
 			cl.checkStop(h, within)
 		}},
+		{"host that SIGHUP ends while it stops", ruleExit, func(cl *cluster, h *host) {
+			script(h, "trap 'trap - HUP' HUP; trap '' TERM; echo ready; while :; do sleep 0.05; done")
+			h.awaitLog("ready")
+			cl.checkStop(h, graceTime)
+		}},
+		// Guards against SIGHUP sent to a process that no program could catch yet.
+		{"host that is stopped as it starts", "", func(cl *cluster, h *host) {
+			script(h, "sleep 0.2; trap '' HUP; trap 'exit 0' TERM; echo ready; while :; do sleep 0.01; done")
+			cl.checkStop(h, graceTime)
+		}},
 		{"host that ends on SIGTERM", "", func(cl *cluster, h *host) {
-			script(h, "trap 'exit 0' TERM; echo ready; while :; do sleep 0.01; done")
+			script(h, "trap '' HUP; trap 'exit 0' TERM; echo ready; while :; do sleep 0.01; done")
 			h.awaitLog("ready")
 			cl.checkStop(h, graceTime)
 		}},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -65,6 +66,8 @@
 	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/tier").CombinedOutput(); err != nil {
 		panic("the program does not build: " + string(out))
 	}
+	// Daemons would inherit an ignored SIGHUP, as under nohup, and none could end of it.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	code := m.Run()
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
@@ -87,6 +90,7 @@
 	listDown atomic.Bool
 	listUpAt atomic.Int64 // Unix time in nanoseconds at which the list last recovered
 	stampSeq atomic.Int64
+	stops    atomic.Int64
 	group    sync.WaitGroup
 
 	// moveMu is locked while a leaf is replaced, signalMu while processes are
--- a/internal/system/harness_test.go
+++ b/internal/system/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -43,6 +44,8 @@
 	if err != nil {
 		panic("the program does not build: " + string(out))
 	}
+	// Daemons would inherit an ignored SIGHUP, as under nohup, and none could end of it.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	code := m.Run()
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -65,6 +65,28 @@
 	is.Equal(s.entries[0].wait(), 0) // exit status
 }
 
+// Guards against SIGHUP, as sent when a terminal closes or to reload settings, that
+// ends a daemon at once instead of being ignored, also while it stops.
+func TestHangupEndsNoDaemon(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t)
+	for _, p := range []*process{s.entries[0], s.controls[0]} {
+		p.signal(syscall.SIGHUP)
+		time.Sleep(100 * time.Millisecond)
+		p.signal(syscall.SIGTERM)
+		ended := make(chan int, 1)
+		go func() { ended <- p.wait() }()
+		for status := -2; status == -2; {
+			select {
+			case status = <-ended:
+				is.Equal(status, 0)
+			case <-time.After(time.Millisecond):
+				p.signal(syscall.SIGHUP)
+			}
+		}
+	}
+}
+
 func healthy(address string) bool {
 	res, err := httpClient.Get("http://" + address + wire.PathHealth)
 	if err != nil {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -58,6 +59,10 @@
 		fmt.Fprint(errOut, usage)
 		return exitUsage
 	}
+	// SIGHUP is caught first and until the process ends: at any time without a
+	// handler, and so while the host drains, it would end the process at once.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	o, err := Parse(args[0], args[1:], errOut)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
@@ -68,7 +73,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, args, o, out); err != nil {
+	if err := run(ctx, args, o, hup, out); err != nil {
 		fmt.Fprintln(errOut, "tier:", err)
 		return exitFailed
 	}
@@ -103,7 +108,7 @@
 	return log.Window(out, start, end)
 }
 
-func run(ctx context.Context, args []string, o *Options, out io.Writer) error {
+func run(ctx context.Context, args []string, o *Options, hup <-chan os.Signal, out io.Writer) error {
 	queue := logs.NewQueue(out)
 	defer queue.Close(logFlushTimeout)
 	log, err := logs.New(queue, logs.Config{
@@ -118,7 +123,13 @@
 	if err != nil {
 		return err
 	}
-	go followSettings(ctx, args, o, d, log)
+	// Settings are followed until the host has drained, but no longer than the log
+	// is open.
+	serving, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	var following sync.WaitGroup
+	following.Go(func() { followSettings(serving, args, o, hup, d, log) })
+	defer following.Wait()
+	defer stopFollowing()
 	return d.Run(ctx)
 }
 
@@ -157,11 +168,9 @@
 }
 
 // followSettings rereads the settings on SIGHUP and when the file has changed.
-// Only the seeds are applied; other changes need a restart.
-func followSettings(ctx context.Context, args []string, o *Options, d daemon, log *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// Only the seeds are applied; other changes need a restart. It goes on while the
+// host drains.
+func followSettings(ctx context.Context, args []string, o *Options, hup <-chan os.Signal, d daemon, log *slog.Logger) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
 	seeds, lastModified := o.Seeds, modTime(o.SettingsFile)
