Tell a late copy of a rejection from the next answer

Cause: answers were matched by request id, but an id was not unique on a connection. After all upstreams have rejected a request, it is sent to the same ones again, on the connection that was used last; a second copy of the rejection that comes late then fits. On the product's own protocol error answers named no call at all, so a copy fitted any next one.

Change: a connection remembers which requests it has seen rejected, and the last 64 of any outcome, and does not carry them again. wire.LeafError names the call; an error answer that names another counts as Malformed, and after one that names none the connection is not used again. Answers between entry hosts are matched by the number of the call and are not concerned.

--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -90,6 +90,10 @@
 			answer, err = wire.DecodeAnswer(r)
 			return err
 		},
+		call: wire.LeafError{
+			Request: s.Request,
+			Attempt: s.Attempt,
+		},
 	})
 	if failure != nil {
 		c.fail(a, failure)
@@ -161,8 +165,13 @@
 	onConnected func()
 	// decode reads the body of a response with status 200.
 	decode func(io.Reader) error
+	// call names the request in the error answers of upstreams.
+	call wire.LeafError
 }
 
+// errOtherCall is the cause of a Failure by an error answer to an earlier request.
+var errOtherCall = errors.New("the upstream answered an earlier request a second time")
+
 func (c *Client) call(ctx context.Context, p *pool, ex *exchange) *Failure {
 	guard := &writeGuard{
 		sendBefore:  ex.sendBefore,
@@ -182,9 +191,16 @@
 		}
 		return failure
 	}
+	if resp.StatusCode != http.StatusOK {
+		// The transport may reuse the connection once the body has been read.
+		guard.withhold()
+	}
 	answer := c.budget.Message(resp.Body)
-	failure := readResponse(ctx, resp.StatusCode, answer, ex.decode)
+	failure, reuse := readResponse(ctx, resp.StatusCode, answer, ex)
 	answer.Done()
+	if resp.StatusCode != http.StatusOK {
+		guard.restore(reuse)
+	}
 	_ = resp.Body.Close()
 	p.closeExcessIdle()
 	return failure
@@ -228,24 +244,29 @@
 
 // readResponse decodes a response. An error response counts as NotRun only if
 // its kind says so; with any other kind the upstream may have executed the
-// request, so the failure is Malformed.
-func readResponse(ctx context.Context, status int, body io.Reader, decode func(io.Reader) error) *Failure {
+// request, so the failure is Malformed. reuse is set if the connection can be used
+// again: no copy of the answer can be taken for the answer to the next request.
+func readResponse(ctx context.Context, status int, body io.Reader, ex *exchange) (failure *Failure, reuse bool) {
 	if status == http.StatusOK {
-		return bodyFailure(ctx, decode(body))
+		return bodyFailure(ctx, ex.decode(body)), true
 	}
 	leafErr, err := wire.DecodeLeafError(body)
 	if err != nil {
-		return bodyFailure(ctx, errors.Wrapf(err, "status %d", status))
+		return bodyFailure(ctx, errors.Wrapf(err, "status %d", status)), false
 	}
-	failure := &Failure{
+	failure = &Failure{
 		Kind: leafErr.Kind,
 		Held: leafErr.Held,
 		Err:  errors.Errorf("status %d: %s", status, leafErr.Remedy),
 	}
-	if !failure.NotRun() {
+	named, other := leafErr.Names(), !leafErr.SameCall(ex.call)
+	switch {
+	case named && other:
+		failure.Kind, failure.Held, failure.Err = engine.Malformed, nil, errOtherCall
+	case !failure.NotRun():
 		failure.Kind = engine.Malformed
 	}
-	return failure
+	return failure, named && !other
 }
 
 // bodyFailure distinguishes an invalid body (Malformed) from one that did not
--- a/internal/dial/conn.go
+++ b/internal/dial/conn.go
@@ -14,12 +14,19 @@
 	net.Conn
 	pool   *pool
 	closed atomic.Bool
+	// withheld is set while it is not known whether the connection can be used
+	// again. The transport sends a request that it has given to it on another one.
+	withheld atomic.Bool
 	// guard belongs to the request that uses the connection.
 	guard atomic.Pointer[writeGuard]
 }
 
-// Write fails without sending anything if the guard of the request denies it.
+// Write fails without sending anything if the connection is withheld, or if the
+// guard of the request denies it.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.withheld.Load() {
+		return 0, errWithheld
+	}
 	if g := c.guard.Load(); g != nil && !g.allow() {
 		return 0, errWriteDenied
 	}
--- a/internal/dial/guard.go
+++ b/internal/dial/guard.go
@@ -16,6 +16,8 @@
 	writeDenied          // no byte was sent and none will be
 )
 
+var errWithheld = errors.New("the connection may carry a second copy of an earlier answer; using another connection")
+
 var errWriteDenied = errors.New("request was abandoned before any byte of it was sent")
 
 // writeGuard decides whether one request may be written to its connection, and
@@ -28,6 +30,8 @@
 	sendBefore time.Time // latest time for the first byte; zero means no limit
 	// onConnected is called when the request has its connection. Optional.
 	onConnected func()
+	// conn is the connection of the request.
+	conn atomic.Pointer[conn]
 }
 
 // withTrace returns a context that makes the transport attach the guard to the
@@ -39,12 +43,32 @@
 func (g *writeGuard) gotConn(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*conn); ok {
 		c.guard.Store(g)
+		g.conn.Store(c)
 	}
 	if g.onConnected != nil {
 		g.onConnected()
 	}
 }
 
+// withhold keeps other requests off the connection of the request.
+func (g *writeGuard) withhold() {
+	if c := g.conn.Load(); c != nil {
+		c.withheld.Store(true)
+	}
+}
+
+// restore ends withhold, or closes the connection for good.
+func (g *writeGuard) restore(reuse bool) {
+	c := g.conn.Load()
+	switch {
+	case c == nil:
+	case reuse:
+		c.withheld.Store(false)
+	default:
+		_ = c.Close() // the transport may have closed it
+	}
+}
+
 // allow reports whether bytes of the request may be written. Once it has
 // returned true, deny returns false.
 func (g *writeGuard) allow() bool {
--- a/internal/dial/probe.go
+++ b/internal/dial/probe.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/engine"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -65,7 +67,14 @@
 // File sends a filing at most once. After a Failure whose NotRun is true it
 // provably did not run; after any other failure its outcome is unknown. If no
 // connection is available before sendBefore, nothing is sent.
-func (c *Client) File(ctx context.Context, id ident.Upstream, body []byte, sendBefore time.Time, traceparent string) (filed wire.LeafFiled, failure *Failure) {
+func (c *Client) File(ctx context.Context, id ident.Upstream, filing wire.LeafFile, sendBefore time.Time, traceparent string) (filed wire.LeafFiled, failure *Failure) {
+	body, err := wire.Encode(filing)
+	if err != nil {
+		return filed, &Failure{
+			Kind: engine.Refused,
+			Err:  errors.Wrap(err, "filing cannot be encoded: report this as a bug"),
+		}
+	}
 	p := c.activePool(id)
 	if p == nil || !c.startWork() {
 		return filed, &Failure{
@@ -83,6 +92,10 @@
 			filed, err = wire.DecodeLeafFiled(r)
 			return err
 		},
+		call: wire.LeafError{
+			Request: filing.Request,
+			Fence:   filing.Fence,
+		},
 	})
 	return filed, failure
 }
--- a/internal/dial/stress_test.go
+++ b/internal/dial/stress_test.go
@@ -132,7 +132,7 @@
 	sendBefore := time.Now().Add(20 * time.Millisecond)
 	done := make(chan *dial.Failure)
 	go func() {
-		_, failure := r.client.File(context.Background(), "u", []byte(`{"Body":"d"}`), sendBefore, "")
+		_, failure := r.client.File(context.Background(), "u", wire.LeafFile{Body: "d"}, sendBefore, "")
 		done <- failure
 	}()
 	<-time.After(time.Until(sendBefore) + 20*time.Millisecond) // the connection is still in use
--- a/internal/host/filing.go
+++ b/internal/host/filing.go
@@ -78,17 +78,6 @@
 		return "", engine.Refused
 	}
 	target := targets[permit.Earlier%len(targets)]
-	body, err := wire.Encode(wire.LeafFile{
-		Request:         c.id,
-		Fence:           permit.Fence,
-		Shard:           shard,
-		Body:            req.Body,
-		RemainingMicros: max(0, time.Until(permit.Deadline)).Microseconds(),
-	})
-	if err != nil {
-		h.config.Log.Error("filing cannot be encoded: report this as a bug", "RequestID", string(c.id), "Error", err.Error())
-		return "", engine.Refused
-	}
 	ctx, cancel := context.WithDeadline(ctx, permit.Deadline)
 	defer cancel()
 	attemptSpan := c.span.StartAttempt(&engine.Send{
@@ -100,7 +89,13 @@
 	if attemptSpan != nil {
 		traceparent = attemptSpan.Traceparent()
 	}
-	filed, failure := h.client.File(ctx, target.ID, body, permit.Until, traceparent)
+	filed, failure := h.client.File(ctx, target.ID, wire.LeafFile{
+		Request:         c.id,
+		Fence:           permit.Fence,
+		Shard:           shard,
+		Body:            req.Body,
+		RemainingMicros: max(0, time.Until(permit.Deadline)).Microseconds(),
+	}, permit.Until, traceparent)
 	kind := engine.FailKind("")
 	switch {
 	case failure != nil:
--- a/internal/leaf/serve.go
+++ b/internal/leaf/serve.go
@@ -20,14 +20,18 @@
 		return
 	}
 	l.countArrival(false)
+	call := wire.LeafError{
+		Request: req.Request,
+		Attempt: req.Attempt,
+	}
 	ctx, cancel := withDeadline(r.Context(), req.RemainingMicros)
 	defer cancel()
 	if kind := l.admitSearch(req.Shard, req.Version); kind != "" {
-		l.reject(w, kind)
+		l.reject(w, kind, call)
 		return
 	}
 	if kind := l.slots.acquire(ctx, remaining(req.RemainingMicros)); kind != "" {
-		l.abort(w, r, kind)
+		l.abort(w, r, kind, call)
 		return
 	}
 	// A search that has started is answered even if its version is dropped
@@ -42,7 +46,7 @@
 	completed := l.simulateWork(ctx)
 	l.slots.release(time.Since(start))
 	if !completed {
-		l.abort(w, r, engine.TimedOut)
+		l.abort(w, r, engine.TimedOut, call)
 		return
 	}
 	l.answer(w, r, req)
@@ -55,14 +59,18 @@
 		return
 	}
 	l.countArrival(true)
+	call := wire.LeafError{
+		Request: req.Request,
+		Fence:   req.Fence,
+	}
 	ctx, cancel := withDeadline(r.Context(), req.RemainingMicros)
 	defer cancel()
 	if kind := l.admitFiling(req.Shard); kind != "" {
-		l.reject(w, kind)
+		l.reject(w, kind, call)
 		return
 	}
 	if kind := l.slots.acquire(ctx, remaining(req.RemainingMicros)); kind != "" {
-		l.abort(w, r, kind)
+		l.abort(w, r, kind, call)
 		return
 	}
 	// From here on the filing counts as run. It completes even if its sender
@@ -165,17 +173,19 @@
 
 // abort ends a request that was shed, was cancelled or exceeded its deadline. A
 // cancelled request gets no answer, since its sender disconnected.
-func (l *Leaf) abort(w http.ResponseWriter, r *http.Request, kind engine.FailKind) {
+func (l *Leaf) abort(w http.ResponseWriter, r *http.Request, kind engine.FailKind, call wire.LeafError) {
 	if kind == engine.TimedOut && errors.Is(r.Context().Err(), context.Canceled) {
 		l.count(func(s *Stats) { s.Cancelled++ })
 		panic(http.ErrAbortHandler)
 	}
-	l.reject(w, kind)
+	l.reject(w, kind, call)
 }
 
-func (l *Leaf) reject(w http.ResponseWriter, kind engine.FailKind) {
+// reject answers a request that did not run; call names it.
+func (l *Leaf) reject(w http.ResponseWriter, kind engine.FailKind, call wire.LeafError) {
 	l.countFailure(kind)
-	body := wire.LeafError{Kind: kind}
+	body := call
+	body.Kind = kind
 	status := http.StatusServiceUnavailable
 	switch kind {
 	case engine.Shed:
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -29,6 +29,10 @@
 	idleDeadline time.Time
 	idleTimeout  time.Duration
 
+	// carried is owned by the call that uses the connection, and guarded by the
+	// pool's mutex while it is idle.
+	carried carried
+
 	// verified is set once the upstream has run a request that names it as the
 	// expected instance.
 	verified bool
@@ -157,6 +161,9 @@
 			c.failCall(true, err)
 			return
 		}
+		if o.Result == relay.Rejected {
+			c.carried.addRejected(hashOf(c.pool.seed, r.ID))
+		}
 		if len(r.Body) <= smallBody {
 			// The whole request is in the socket buffer, and send only has to
 			// set requestWritten.
@@ -164,7 +171,7 @@
 			c.writeMu.Unlock() //nolint:staticcheck // waits for the writer
 		}
 		c.mu.Lock()
-		reuse = reuse && !c.closed && c.reader.Buffered() == 0
+		reuse = reuse && !c.closed && c.reader.Buffered() == 0 && !c.carried.full()
 		c.call = nil
 		requestWritten := c.requestWritten
 		c.answeredEarly = reuse && !requestWritten
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -7,9 +7,11 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -99,6 +101,7 @@
 
 // Pool holds the idle connections of one process. It is safe for concurrent use.
 type Pool struct {
+	seed  maphash.Seed
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	dials int64
@@ -109,6 +112,7 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
+		seed:   maphash.MakeSeed(),
 		idle:   make(map[string][]*conn),
 		budget: bound.NewBudget(maxHeld),
 	}
@@ -153,7 +157,8 @@
 func (r *activeCall) key() string { return r.Instance + "@" + r.Address }
 
 func (r *activeCall) run() {
-	c := r.pool.takeIdle(r.key())
+	id := hashOf(r.pool.seed, r.ID)
+	c := r.pool.takeIdle(r.key(), id)
 	if c == nil {
 		var err error
 		if c, err = r.pool.dial(r.Address, r.key(), min(dialTimeout, r.Limit)); err != nil {
@@ -171,6 +176,7 @@
 		r.finish(Outcome{Result: relay.Unsent})
 		return
 	}
+	c.carried.add(id)
 	r.conn = c
 	r.timer = time.AfterFunc(r.Limit-time.Since(r.started)+answerGrace, r.expire)
 	r.mu.Unlock()
@@ -231,18 +237,30 @@
 	}
 }
 
-func (p *Pool) takeIdle(key string) *conn {
+// takeIdle returns the connection that was used last among those that have not
+// carried a request with this id, or nil. If there are only others, it closes one,
+// so that the connection opened instead is not one more at the upstream.
+func (p *Pool) takeIdle(key string, id idHash) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[key]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.idle[key] = list
-		if time.Now().Before(c.idleDeadline) {
+	now := time.Now()
+	list := slices.DeleteFunc(p.idle[key], func(c *conn) bool {
+		expired := !now.Before(c.idleDeadline)
+		if expired {
+			c.close()
+		}
+		return expired
+	})
+	p.idle[key] = list
+	for i, c := range slices.Backward(list) {
+		if !c.carried.has(id) {
+			p.idle[key] = slices.Delete(list, i, i+1)
 			return c
 		}
-		c.close()
+	}
+	if last := len(list) - 1; last >= 0 {
+		list[last].close()
+		p.idle[key] = list[:last]
 	}
 	return nil
 }
--- a/internal/pipe/pipe_test.go
+++ b/internal/pipe/pipe_test.go
@@ -19,6 +19,13 @@
 
 // serve accepts connections and answers each request with what answer returns.
 func serve(t *testing.T, answer func(conn, request int, r *http.Request) string) string {
+	t.Helper()
+	return serveCounted(t, answer, func(int) {})
+}
+
+// serveCounted is serve with a function that gets 1 for each connection that is
+// opened and -1 for each that is closed.
+func serveCounted(t *testing.T, answer func(conn, request int, r *http.Request) string, count func(int)) string {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -31,7 +38,9 @@
 			if err != nil {
 				return
 			}
+			count(1)
 			go func() {
+				defer count(-1)
 				defer func() { _ = c.Close() }()
 				in := bufio.NewReader(c)
 				for i := 0; ; i++ {
@@ -63,6 +72,11 @@
 
 // call makes one call and waits for its outcome.
 func call(t *testing.T, p *pipe.Pool, address, instance, id string) pipe.Outcome {
+	t.Helper()
+	return callWithin(t, p, address, instance, id, 2*time.Second)
+}
+
+func callWithin(t *testing.T, p *pipe.Pool, address, instance, id string, limit time.Duration) pipe.Outcome {
 	t.Helper()
 	done := make(chan pipe.Outcome, 1)
 	p.Start(pipe.Call{
@@ -70,7 +84,7 @@
 		Instance: instance,
 		ID:       ident.RequestID(id),
 		Method:   http.MethodGet,
-		Limit:    2 * time.Second,
+		Limit:    limit,
 		Head: func(verify bool) []byte {
 			head := []byte("GET /x HTTP/1.1\r\nHost: a.example\r\n")
 			named := ident.Upstream("")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -77,6 +77,22 @@
 	Kind   engine.FailKind `json:"Kind"`
 	Remedy string          `json:"Remedy"`
 	Held   []engine.Held   `json:"Held,omitempty"`
+
+	// Request and, for a search, Attempt or, for a filing, Fence are those of the
+	// call that is answered. Without them the connection is not used again, since a
+	// second copy that arrives late could not be told from the answer to the next
+	// call.
+	Request ident.RequestID `json:"Request,omitempty"`
+	Attempt ident.AttemptID `json:"Attempt,omitempty"`
+	Fence   uint64          `json:"Fence,omitempty"`
+}
+
+// Names reports whether the error names the call that it answers.
+func (e LeafError) Names() bool { return e.Request != "" }
+
+// SameCall reports whether two errors name the same call.
+func (e LeafError) SameCall(o LeafError) bool {
+	return e.Request == o.Request && e.Attempt == o.Attempt && e.Fence == o.Fence
 }
 
 // SearchRequest is a caller's search. Class and DeadlineMillis may be given in
