Test control hosts whose disks are full one after another

Operators of similar systems report that disks which were full in turn left changes refused long after the last one had room again.

--- a/internal/ctrl/group_test.go
+++ b/internal/ctrl/group_test.go
@@ -77,7 +77,8 @@
 	return address
 }
 
-func newGroup(t testing.TB, size int, n *network) *group {
+// newGroup starts a group; settings change the settings of its members.
+func newGroup(t testing.TB, size int, n *network, settings ...func(i int, cfg *ctrl.Config)) *group {
 	t.Helper()
 	g := &group{
 		t:   t,
@@ -89,6 +90,9 @@
 	}
 	for i := range g.configs {
 		g.configs[i].Bootstrap = members
+		for _, set := range settings {
+			set(i, &g.configs[i])
+		}
 		g.start(i)
 	}
 	return g
--- a/internal/ctrl/serve_test.go
+++ b/internal/ctrl/serve_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -127,34 +126,6 @@
 	is.Equal(len(list), 0)
 }
 
-// fullDisk is a Disk whose writes fail with ENOSPC while full is set.
-type fullDisk struct {
-	store.Disk
-	full *atomic.Bool
-}
-
-type fullFile struct {
-	store.File
-	full *atomic.Bool
-}
-
-func (d fullDisk) Create(name string) (store.File, error) {
-	f, err := d.Disk.Create(name)
-	return fullFile{f, d.full}, err
-}
-
-func (d fullDisk) OpenTruncated(name string, size int64) (store.File, error) {
-	f, err := d.Disk.OpenTruncated(name, size)
-	return fullFile{f, d.full}, err
-}
-
-func (f fullFile) Write(p []byte) (int, error) {
-	if f.full.Load() {
-		return 0, syscall.ENOSPC
-	}
-	return f.File.Write(p)
-}
-
 // Guards against a full disk that stops the process, is not reported, or still
 // requires a restart after space was freed.
 func TestFullDiskIsReportedAndRecovers(t *testing.T) {
@@ -165,7 +136,10 @@
 		Listen:   "127.0.0.1:0",
 		Address:  "127.0.0.1:0",
 		NewGroup: true,
-		FS:       fullDisk{full: full},
+		FS: sizedDisk{
+			full: full,
+			mode: failWrites,
+		},
 	})
 	command := config.Command{
 		ID:     "c1",
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -258,6 +258,23 @@
 	}
 }
 
+// fillDisk makes every write beyond the first byte of a file fail, as on a full disk,
+// or ends that. The process is expected to run on.
+func (h *host) fillDisk(full bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	limit := unix.Rlimit{
+		Cur: unix.RLIM_INFINITY,
+		Max: unix.RLIM_INFINITY,
+	}
+	if full {
+		limit.Cur = 1
+	}
+	if err := unix.Prlimit(h.cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil); err != nil {
+		h.cluster.t.Error(err)
+	}
+}
+
 // limitFileSize makes every write beyond the first byte of a file fail, as on a
 // full disk, until the process starts again.
 func (h *host) limitFileSize() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -108,6 +108,10 @@
 }
 
 func newCluster(t *testing.T, seed uint64) *cluster {
+	return newSizedCluster(t, seed, *controlCount)
+}
+
+func newSizedCluster(t *testing.T, seed uint64, controls int) *cluster {
 	ctx, cancel := context.WithCancel(context.Background())
 	cl := &cluster{
 		t:       t,
@@ -137,7 +141,7 @@
 	}
 	cl.list = httptest.NewServer(http.HandlerFunc(cl.serveInstances))
 	t.Cleanup(cl.list.Close)
-	for i := range *controlCount {
+	for i := range controls {
 		cl.controls = append(cl.controls, cl.newHost("control", []string{"a", "b"}[i%2], 10, i+1))
 	}
 	for i := range 2 * *entriesPerDomain {
@@ -216,18 +220,26 @@
 	return true
 }
 
-func runSeed(t *testing.T, seed uint64) {
-	cl := newCluster(t, seed)
-	rng := rand.New(rand.NewPCG(seed, 1))
+// awaitFirstConfig sends the first configuration and waits until all hosts serve it.
+// It returns the caller with which it has tried them.
+func (cl *cluster) awaitFirstConfig(rng *rand.Rand) *caller {
+	cl.t.Helper()
 	cl.operator.recordSent(1, 0, configDocument(1, 0))
 	if cl.putConfig(cl.ctx, rng, configDocument(1, 0), startLimit) != http.StatusOK {
-		t.Fatal("the first configuration was not acknowledged")
+		cl.t.Fatal("the first configuration was not acknowledged")
 	}
 	cl.operator.recordAck(time.Now(), 1)
 	prober := cl.newCaller(0)
 	if !cl.awaitHealthy(prober, rng, startLimit) {
-		t.Fatal("not served before the first fault: ", cl.history.allViolations())
+		cl.t.Fatal("not served before the first fault: ", cl.history.allViolations())
 	}
+	return prober
+}
+
+func runSeed(t *testing.T, seed uint64) {
+	cl := newCluster(t, seed)
+	rng := rand.New(rand.NewPCG(seed, 1))
+	prober := cl.awaitFirstConfig(rng)
 	faultCtx, end := context.WithTimeout(cl.ctx, *faultTime)
 	defer end()
 	trafficCtx, stop := context.WithCancel(cl.ctx)
