Count an upstream that crashes in the middle of its answer

Cause: a broken connection counted as a crash only before the first byte of the answer, since an upstream in trouble may break off answers and serve on.

Change: on both protocols an upstream that breaks off an answer is asked for a new connection, for 100 ms at most. If nothing listens there any more, it has crashed; otherwise the new connection takes the place of the broken one.

--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -85,6 +85,8 @@
 	Left int
 	// Exceeded is set once more was wanted.
 	Exceeded bool
+	// Err is the error with which From ended.
+	Err error
 }
 
 // Read implements io.Reader.
@@ -95,5 +97,8 @@
 	}
 	n, err := r.From.Read(p[:min(len(p), r.Left)])
 	r.Left -= n
+	if err != nil {
+		r.Err = err
+	}
 	return n, err
 }
--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -202,6 +202,9 @@
 		guard.restore(reuse)
 	}
 	_ = resp.Body.Close()
+	if failure != nil && failure.Kind == engine.Broken && ctx.Err() == nil && endedByPeer(failure.Err) && p.refused() {
+		failure.Kind = engine.Crashed
+	}
 	p.closeExcessIdle()
 	return failure
 }
--- a/internal/dial/const.go
+++ b/internal/dial/const.go
@@ -16,6 +16,10 @@
 	// the connection for the next request.
 	connWaitTimeout = 3 * time.Second
 
+	// goneTimeout bounds the check whether an upstream that broke off an answer still
+	// accepts connections.
+	goneTimeout = 100 * time.Millisecond
+
 	// maxResponseHeader bounds the header of a response.
 	maxResponseHeader = 16 << 10 // bytes
 
--- a/internal/dial/dial_test.go
+++ b/internal/dial/dial_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -259,6 +260,35 @@
 	}
 }
 
+// Guards against an upstream that ends in the middle of its answer and is not counted
+// as crashed: the search that ended it would be sent to one after the other.
+func TestUpstreamThatEndsInAnAnswerHasCrashed(t *testing.T) {
+	var r *rig
+	r = newRig(t, func(w http.ResponseWriter, req *http.Request) {
+		_, _ = wire.DecodeLeafSearch(req.Body)
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte(`{"Shard":`))
+		_ = http.NewResponseController(w).Flush()
+		_ = r.server.Listener.Close()
+		r.mu.Lock()
+		accepted := slices.Clone(r.accepted)
+		r.mu.Unlock()
+		for _, c := range accepted {
+			_ = c.Close()
+		}
+	})
+	r.warm(2)
+	r.eventually(func() bool {
+		open, _ := r.connections()
+		return open == 2
+	})
+	r.send(1, waitLimit)
+	r.is.Equal(r.event(), engine.AttemptFailed{
+		Attempt: 1,
+		Kind:    engine.Crashed,
+	})
+}
+
 // Guards against an attempt that may have run being reported as Refused, and
 // against one without a connection being reported as any other kind.
 func TestRefusedWithoutConnection(t *testing.T) {
--- a/internal/dial/pool.go
+++ b/internal/dial/pool.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -165,6 +166,31 @@
 	}
 }
 
+// refused reports whether nothing listens at the upstream's address any more, and the
+// pool has no live connection ahead of use.
+func (p *pool) refused() bool {
+	if !p.client.startWork() {
+		return false
+	}
+	result := make(chan bool, 1)
+	go func() {
+		defer p.client.work.Done()
+		ctx, cancel := context.WithTimeout(p.client.baseCtx, goneTimeout)
+		defer cancel()
+		conn, err := p.dialContext(ctx, "", "")
+		if err == nil {
+			p.addSpare(conn)
+		}
+		result <- errors.Is(err, syscall.ECONNREFUSED)
+	}()
+	select {
+	case refused := <-result:
+		return refused
+	case <-time.After(goneTimeout):
+		return false
+	}
+}
+
 // acquire returns a live spare connection, or a channel to wait on while the
 // pool is at its target size, or neither if it has reserved a slot for a new
 // connection.
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -90,12 +90,14 @@
 	if r == nil {
 		return
 	}
-	result, crashed := relay.Lost, sent && r.crashed(err)
-	if !sent {
+	result, crashed := relay.Lost, false
+	switch {
+	case !sent:
 		result = relay.Unsent
-	}
-	if r.endless() {
+	case r.endless():
 		err = errors.Wrapf(bound.ErrEndless, "not whole after %s", r.Limit)
+	default:
+		crashed = r.crashed(err)
 	}
 	r.finish(Outcome{
 		Result:  result,
@@ -197,6 +199,8 @@
 		switch {
 		case c.bounded.Exceeded:
 			return o, false, errors.Wrapf(bound.ErrEndless, "its head exceeds %d bytes", MaxHead)
+		case err != nil && c.bounded.Err != nil:
+			return o, false, errors.Wrap(c.bounded.Err, "upstream ended the connection in the head of its answer")
 		case err != nil:
 			return o, false, errors.Wrap(err, "upstream's answer is not valid HTTP/1.1")
 		}
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -29,6 +29,10 @@
 	// a longer timeout below that does not help.
 	dialTimeout = 400 * time.Millisecond
 
+	// goneTimeout bounds the check whether an upstream that broke off an answer still
+	// accepts connections.
+	goneTimeout = 100 * time.Millisecond
+
 	// answerGrace is how long past its limit a call is still waited for, since
 	// upstreams may answer just at the limit.
 	answerGrace = 200 * time.Millisecond
@@ -87,8 +91,9 @@
 }
 
 // Outcome is the result of a call. Answer, Header and Body are set if an answer
-// was read, Err if not. Endless is set if the answer exceeded a bound, Crashed if
-// the upstream ended the connection before the answer began.
+// was read, Err if not. Endless is set if the answer exceeded a bound. Crashed is set
+// if the upstream ended the connection before the answer began, or in the middle of
+// the answer and no longer accepts connections.
 type Outcome struct {
 	Result  relay.Result
 	Answer  relay.Answer
@@ -198,12 +203,24 @@
 	r.receiving = true
 }
 
-// crashed reports whether an error shows that the upstream ended the connection
-// without an answer.
+// crashed reports whether an error shows that the upstream's process has ended. An
+// upstream that only breaks off an answer still accepts connections.
 func (r *activeCall) crashed(err error) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.stopped && !r.receiving && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
+	stopped, receiving := r.stopped, r.receiving
+	r.mu.Unlock()
+	switch {
+	case stopped || !endedByPeer(err):
+		return false
+	case receiving:
+		return r.pool.refused(r.Address, r.key())
+	}
+	return true
+}
+
+// endedByPeer reports whether an error shows that the other side ended the connection.
+func endedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // endless reports whether the call reached its limit while it read the answer.
@@ -292,6 +309,16 @@
 	return c, nil
 }
 
+// refused reports whether nothing listens at an address any more. A connection that
+// is accepted takes the place of the broken one.
+func (p *Pool) refused(address, key string) bool {
+	c, err := p.dial(address, key, goneTimeout)
+	if err == nil {
+		c.release()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/soak/leaf_test.go
+++ b/internal/soak/leaf_test.go
@@ -154,10 +154,20 @@
 // deadlyMark is in the paths of requests that crash each leaf that runs them.
 const deadlyMark = "deadly="
 
-// crash ends the leaf: it closes all its connections, and is back at the same
-// address after a second.
+// crash ends the leaf, in half of all cases in the middle of the answer: like a process
+// that ends, it closes its listener and then all its connections. It is back at the
+// same address after a second.
 func (l *leaf) crash(w http.ResponseWriter) {
-	l.reset(w, "")
+	l.mu.Lock()
+	if l.server != nil {
+		_ = l.server.Listener.Close()
+	}
+	l.mu.Unlock()
+	if rand.IntN(2) == 0 {
+		l.reset(w, "")
+	} else {
+		l.reset(w, "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 9\r\n\r\nx")
+	}
 	l.cluster.background(func(ctx context.Context) {
 		l.stop()
 		pause(ctx, time.Second)
--- a/pkg/engine/event.go
+++ b/pkg/engine/event.go
@@ -111,7 +111,7 @@
 	VersionGone FailKind = "VersionGone"
 	WrongShard  FailKind = "WrongShard" // the upstream does not hold the shard
 	Broken      FailKind = "Broken"     // the connection broke after the request was sent
-	Crashed     FailKind = "Crashed"    // the upstream ended the connection before an answer began
+	Crashed     FailKind = "Crashed"    // the upstream ended: its connection before an answer began, or all in the middle of one
 	TimedOut    FailKind = "TimedOut"
 	Malformed   FailKind = "Malformed" // the answer could not be decoded or was too large
 )
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -124,8 +124,8 @@
 	Moved bool
 	// Endless is set if the answer was cut off since it exceeded a bound.
 	Endless bool
-	// Crashed is set if the connection ended before an answer began, as it does
-	// when the upstream's process ends.
+	// Crashed is set if the connection ended before an answer began, or in the middle
+	// of one and the upstream accepts no connections: its process has ended.
 	Crashed bool
 	Load    Load
 	// Limit is the limit for all hosts together, in calls per second, that the
