--- a/internal/soak/leaf_test.go
+++ b/internal/soak/leaf_test.go
@@ -313,9 +313,11 @@
 	return out
 }
 
-// oddEntries are entries of another writer: one that is nested very deeply, and
-// ones with a number that is too large and with a port that does not exist.
+// oddEntries are entries of another writer: one that ends in the middle, one that is
+// nested very deeply, and ones with a number that is too large and with a port that
+// does not exist.
 var oddEntries = []string{
+	`{"Id":"i-odd-0","Service":"shard-0","Address":"127.0.`,
 	strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
 	`{"Id":"i-odd-1","Service":"shard-0","Address":"127.0.0.1:9","Zone":"a","Slots":1e400,"State":"ready"}`,
 	`{"Id":"i-odd-2","Service":"shard-0","Address":"127.0.0.1:9","Zone":"a","Slots":2,"State":"ready","ColdRemainingMs":1e300}`,
@@ -364,7 +366,7 @@
 		list = append(list, string(raw))
 	}
 	if first == 0 {
-		list = append(list, oddEntries...)
+		list = append(append([]string{}, oddEntries...), list...)
 	}
 	next := "null"
 	if end < len(cl.leaves) {
