Stop the calls of other hosts when the caller leaves

Cause: a host to which shards are delegated answers at its target and keeps its calls in flight, as the rest may be asked for. Cancelling a delegation ends only those without an answer, so nobody stopped the kept calls.

Change: when the caller of a query that may be repeated leaves, each host that has calls of it in flight, or may have, is told (relay.Abandon, relay.Abandoned). It stops the calls that it keeps for these shards and tells the hosts to which it has delegated further. A host of the release before does not know the message; its calls end as before.

TestCallsOfOtherHostsStopWhenTheCallerLeaves needs the new event; it fails if abandon does nothing.

--- a/internal/front/delegate.go
+++ b/internal/front/delegate.go
@@ -84,6 +84,7 @@
 		return err
 	}
 	link.Handle(s, methodDelegate, f.serveDelegated)
+	link.Handle(s, methodAbandon, f.serveAbandon)
 	lis, err := net.Listen("tcp", f.cfg.Bind)
 	if err != nil {
 		return errors.Wrapf(err, "cannot listen for other hosts on %s", f.cfg.Bind)
@@ -287,7 +288,7 @@
 			AfterMicros: e.After.Microseconds(),
 			Reason:      e.Reason,
 		}, nil
-	case relay.Pass, relay.Call, relay.Stop, relay.Delegate, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Tell, relay.Suspicion:
+	case relay.Pass, relay.Call, relay.Stop, relay.Delegate, relay.Abandon, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Tell, relay.Suspicion:
 	}
 	return &delegateReply{Declined: true}, nil
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -111,6 +111,9 @@
 		f.stepEngine(ev)
 		f.pruneConnections(ev.Upstreams)
 		f.localCoverage.Store(f.engine.Local())
+	case relay.Abandoned:
+		ev.Now = f.now()
+		f.stepEngine(ev)
 	case relay.Stopping:
 		ev.Now = f.now()
 		f.stepEngine(ev)
@@ -224,6 +227,8 @@
 			f.endQuery(e.Query, e, e.Attempt)
 		case relay.Delegate:
 			f.startDelegate(e)
+		case relay.Abandon:
+			f.sendAbandon(e)
 		case relay.Keep:
 			f.keep(e)
 		case relay.Drop:
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -169,6 +169,9 @@
 	case Disconnected:
 		e.now = ev.Now
 		e.disconnected(ev.Query)
+	case Abandoned:
+		e.now = ev.Now
+		e.abandoned(ev)
 	case Stopping:
 		e.now = ev.Now
 		e.stop(ev)
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -153,6 +153,15 @@
 	Query ident.QueryID
 }
 
+// Abandoned reports that the caller of a request has left, whose shards another host
+// had delegated to this one: see Abandon.
+type Abandoned struct {
+	Now     ident.Instant
+	Request ident.RequestID
+	Version rules.Version
+	Shards  []int
+}
+
 // Stopping reports that this host stops. End is when the last answer must be sent;
 // no query is in progress after it.
 type Stopping struct {
@@ -172,6 +181,7 @@
 func (Ended) isEvent()         {}
 func (Granted) isEvent()       {}
 func (Disconnected) isEvent()  {}
+func (Abandoned) isEvent()     {}
 func (Stopping) isEvent()      {}
 func (Tick) isEvent()          {}
 
@@ -216,6 +226,17 @@
 	Rest bool
 }
 
+// Abandon requests that another host stop its calls for shards that were delegated to
+// it, since the caller has left. The host may have answered without them.
+type Abandon struct {
+	Request ident.RequestID
+	Domain  ident.Domain
+	// Helper, if set, is the host of this domain that got the shards.
+	Helper  ident.HostID
+	Shards  []int
+	Version rules.Version
+}
+
 // Keep requests that the outcomes of calls be kept although their query ends, as
 // the other host may ask for the rest. With a Query they belong to that one from
 // now on.
@@ -349,6 +370,7 @@
 func (Call) isEffect()      {}
 func (Stop) isEffect()      {}
 func (Delegate) isEffect()  {}
+func (Abandon) isEffect()   {}
 func (Keep) isEffect()      {}
 func (Drop) isEffect()      {}
 func (Eject) isEffect()     {}
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -516,17 +516,21 @@
 		return
 	}
 	if q.route.Kind == rules.Idempotent {
-		for _, p := range q.parts {
-			for _, a := range p.attempts {
-				if !a.ended {
-					e.emit(Stop{Attempt: a.id})
-				}
-			}
-		}
+		e.stopCalls(q)
 	}
 	e.end(q)
 }
 
+// stopCalls stops the calls of a query whose caller has left, also those of other hosts.
+func (e *Engine) stopCalls(q *query) {
+	for _, a := range q.attempts() {
+		if !a.ended {
+			e.emit(Stop{Attempt: a.id})
+		}
+	}
+	e.abandon(q)
+}
+
 func (e *Engine) end(q *query) {
 	e.shareCrashes(q)
 	q.done = true
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -113,6 +113,9 @@
 	case relay.Stopping:
 		e.Now = h.now
 		ev = e
+	case relay.Abandoned:
+		e.Now = h.now
+		ev = e
 	case relay.Arrive:
 		e.Now = h.now
 		ev = e
--- a/pkg/relay/rest.go
+++ b/pkg/relay/rest.go
@@ -21,43 +21,97 @@
 	if e.now >= q.arrived.Add(time.Duration(restShare*limit)) {
 		return false
 	}
-	type source struct {
-		domain ident.Domain
-		helper ident.HostID
-	}
-	var sources []source
-	byHost := make(map[source][]*part)
-	pending := 0
+	var pending shardsByHost
 	for _, p := range q.parts {
-		if g := p.pendingAt; g != nil && !p.answered() && len(p.attempts) == 0 {
-			s := source{
-				domain: g.domain,
-				helper: g.helper,
-			}
-			if byHost[s] == nil {
-				sources = append(sources, s)
-			}
-			byHost[s] = append(byHost[s], p)
-			pending++
+		if p.pendingAt != nil && !p.answered() && len(p.attempts) == 0 {
+			pending.add(p.pendingAt, p)
 		}
 	}
-	if pending < missing {
+	if pending.count < missing {
 		return false
 	}
-	for _, s := range sources {
-		for _, p := range byHost[s] {
+	for _, s := range pending.hosts {
+		for _, p := range pending.parts[s] {
 			p.pendingAt, p.exhausted = nil, false
 		}
 		q.addGroup(group{
 			domain: s.domain,
 			helper: s.helper,
 			rest:   true,
-		}, byHost[s])
+		}, pending.parts[s])
 	}
 	e.sendGroups(q)
 	return true
 }
 
+// shardsByHost are parts of a query by the host that they were delegated to: the
+// gatherer of a domain, or a helper.
+type shardsByHost struct {
+	hosts []delegatee
+	parts map[delegatee][]*part
+	count int
+}
+
+type delegatee struct {
+	domain ident.Domain
+	helper ident.HostID
+}
+
+func (s *shardsByHost) add(g *group, p *part) {
+	to := delegatee{
+		domain: g.domain,
+		helper: g.helper,
+	}
+	if s.parts == nil {
+		s.parts = make(map[delegatee][]*part)
+	}
+	if s.parts[to] == nil {
+		s.hosts = append(s.hosts, to)
+	}
+	s.parts[to] = append(s.parts[to], p)
+	s.count++
+}
+
+// abandon asks the hosts that have calls for a query in flight, or may have, to stop
+// them. Cancelling a delegation does not suffice: the host may have answered without
+// the shards whose calls it keeps.
+func (e *Engine) abandon(q *query) {
+	var left shardsByHost
+	for _, p := range q.parts {
+		switch {
+		case p.answered():
+		case p.delegated():
+			left.add(p.group, p)
+		case p.pendingAt != nil:
+			left.add(p.pendingAt, p)
+		}
+	}
+	for _, to := range left.hosts {
+		a := Abandon{
+			Request: q.request,
+			Domain:  to.domain,
+			Helper:  to.helper,
+			Version: q.table.Version(),
+		}
+		for _, p := range left.parts[to] {
+			a.Shards = append(a.Shards, p.shard)
+		}
+		e.emit(a)
+	}
+}
+
+// abandoned stops the calls that are kept for shards of a request whose caller has left.
+func (e *Engine) abandoned(ev Abandoned) {
+	for _, q := range slices.Clone(e.partial[ev.Request]) {
+		concerned := slices.ContainsFunc(ev.Shards, func(s int) bool { return q.has([]int{s}) })
+		if q.table.Version() != ev.Version || !concerned {
+			continue
+		}
+		e.stopCalls(q)
+		e.dropPartial(q)
+	}
+}
+
 // keepPartial keeps an ended query of another host whose calls are in flight.
 func (e *Engine) keepPartial(q *query) {
 	for len(e.partialOrder) > 0 && (e.now >= e.partialOrder[0].deadline || len(e.partialOrder) >= maxPartial) {
--- a/pkg/relay/rest_test.go
+++ b/pkg/relay/rest_test.go
@@ -252,3 +252,76 @@
 	is.Equal(len(r.Tried), 2)
 	is.True(r.Tried[0].Pending)
 }
+
+// Guards against calls that go on at other hosts after the caller has left: at one that
+// has answered without their shards, and at one that has not answered.
+func TestCallsOfOtherHostsStopWhenTheCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	h := newHelperHarness(t)
+	first := delegates(h.step(relay.Arrive{
+		Query:   1,
+		Request: "r-1",
+		Host:    "a.example",
+		Path:    "/search/x",
+		Limit:   time.Second,
+	}))
+	h.partly(first[:1], 6)
+	list := all[relay.Abandon](h.step(relay.Disconnected{Query: 1}))
+	is.Equal(len(list), 2)
+	for _, a := range list {
+		want := first[0].Shards[:6]
+		if a.Helper == first[1].Helper {
+			want = first[1].Shards
+		}
+		is.Equal(a.Request, ident.RequestID("r-1"))
+		is.Equal(a.Version, first[0].Version)
+		is.Equal(a.Shards, want)
+	}
+
+	h = newHelperHarness(t)
+	h.step(relay.Arrive{
+		Query: 1,
+		Host:  "a.example",
+		Path:  "/search/x",
+		Limit: time.Second,
+	})
+	for _, del := range first {
+		h.step(relay.DelegateEnded{Query: 1, Group: del.Group, Answered: del.Shards})
+	}
+	is.Equal(len(all[relay.Abandon](h.step(relay.Disconnected{Query: 1}))), 0)
+}
+
+// Guards against kept calls that outlive the caller, and against stopping the calls of
+// another request, or of shards that the caller has got.
+func TestKeptCallsStopWhenTheCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	h := newHelperHarness(t)
+	list := calls(h.sub(1, false, 0, 1, 2))
+	h.answer(list[0], relay.Ended{})
+	kept, ok := find[relay.Keep](h.advance(60 * time.Millisecond))
+	is.True(ok)
+	for _, other := range []relay.Abandoned{
+		{Request: "r-2", Version: 7, Shards: []int{1, 2}},
+		{Request: "r-1", Version: 6, Shards: []int{1, 2}},
+		{Request: "r-1", Version: 7, Shards: []int{0, 5}},
+		{Request: "r-1", Version: 7},
+	} {
+		is.Equal(len(h.step(other)), 0)
+	}
+	effects := h.step(relay.Abandoned{
+		Request: "r-1",
+		Version: 7,
+		Shards:  []int{1, 2},
+	})
+	var stopped []ident.AttemptID
+	for _, s := range all[relay.Stop](effects) {
+		stopped = append(stopped, s.Attempt)
+	}
+	is.Equal(stopped, kept.Attempts)
+	dropped, ok := find[relay.Drop](effects)
+	is.True(ok)
+	is.Equal(dropped.Attempts, kept.Attempts)
+	r, ok := find[relay.Refuse](h.sub(2, true, 1, 2))
+	is.True(ok)
+	is.Equal(r.Status, relay.Failed)
+}
