Close the connection of a caller that closes its sending side

Cause: net/http ends the request's context when the caller's data ends, the handler returned without a status, and net/http then writes 200.

Change: the handler closes the connection instead, for queries of this host and for delegated ones.

Evidence: TestHalfClosedCallerGetsNoEmptySuccess failed on the code before and passes now.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -164,14 +164,14 @@
 			switch {
 			case r.Context().Err() != nil:
 				f.gauge.Request(gauge.Left, f.now().Sub(started))
-				return
+				closeUnanswered()
 			case out != nil:
 				f.writeDelegated(w, q, out)
 				return
 			}
 		}
 	}
-	if rep, ok := f.query(r.Context(), q, relay.Arrive{
+	rep, ok := f.query(r.Context(), q, relay.Arrive{
 		Now:   started,
 		Host:  r.Host,
 		Path:  q.path,
@@ -180,11 +180,17 @@
 
 		Request: q.id,
 		Print:   q.print,
-	}); ok {
-		f.writeReply(w, q, rep)
+	})
+	if !ok {
+		closeUnanswered()
 	}
+	f.writeReply(w, q, rep)
 }
 
+// closeUnanswered ends a handler, and closes the connection of a caller that has closed
+// it, or its sending side. If the handler returned, net/http would write an empty 200.
+func closeUnanswered() { panic(http.ErrAbortHandler) }
+
 // query runs a request in the engine of this host. It returns false if the
 // caller has disconnected.
 func (f *Front) query(ctx context.Context, q *request, ev relay.Arrive) (reply, bool) {
--- a/internal/tier/leave_test.go
+++ b/internal/tier/leave_test.go
@@ -1,16 +1,62 @@
 package tier_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
+// Guards against an empty success without a stamp for a caller that closes its sending
+// side after the request and reads on, whichever host gathers its query.
+func TestHalfClosedCallerGetsNoEmptySuccess(t *testing.T) {
+	const queries = 6 // to each host; their ids decide which gatherer gets them
+	s := newSystem(t, 300*time.Millisecond)
+	is.New(t).Equal(s.putDocument(s.controls[0], document(5, "/x/")), http.StatusOK)
+	for _, entry := range s.entries {
+		s.search(entry, "/x/1", http.StatusOK)
+	}
+	var group sync.WaitGroup
+	for host, entry := range s.entries {
+		for i := range queries {
+			group.Go(func() {
+				conn, err := net.Dial("tcp", entry)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, err = fmt.Fprintf(conn, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: half-%d-%d\r\nDeadline-Milliseconds: 3000\r\n\r\n", host, i)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+				_ = conn.(*net.TCPConn).CloseWrite()
+				_ = conn.SetReadDeadline(time.Now().Add(waitTimeout))
+				res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					return // the connection was closed without an answer
+				}
+				body, err := io.ReadAll(res.Body)
+				_ = res.Body.Close()
+				if res.StatusCode == http.StatusOK && res.Header.Get("Part-Stamps") == "" {
+					t.Errorf("query %d to host %d got status 200 without stamps, with %d bytes, %v", i, host, len(body), err)
+				}
+			})
+		}
+	}
+	group.Wait()
+}
+
 // Guards against upstreams that are at work half a second after the caller has left,
 // since the host that called them has answered its gatherer without them.
 func TestUpstreamsStopAfterTheCallerHasLeft(t *testing.T) {
