Forget the answers for callers that have left

An entry host kept the answers to the ended calls of a query whose caller had left, for good: only a call that ends later looks whether its query still exists.

The end of a query by its caller now forgets its ended calls as any other end does. TestAnswersForCallersThatHaveLeftAreForgotten failed on the code before and passes now.

--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -96,12 +96,16 @@
 			f.stepEngine(ev)
 		}
 	case relay.Disconnected:
-		if q := f.queries[ev.Query]; q != nil && q.cancel != nil {
+		q := f.queries[ev.Query]
+		if q != nil && q.cancel != nil {
 			q.cancel()
 		}
 		delete(f.queries, ev.Query)
 		ev.Now = f.now()
 		f.stepEngine(ev)
+		if q != nil {
+			f.forgetCalls(q)
+		}
 	case relay.Install:
 		ev.Now = f.now()
 		f.stepEngine(ev)
@@ -307,6 +311,11 @@
 	// Logged in another goroutine, so that it delays neither answer nor loop.
 	go f.observe(q, effect, len(q.calls), len(q.groups))
 	delete(f.queries, id)
+	f.forgetCalls(q)
+}
+
+// forgetCalls removes the ended calls of a query that has ended.
+func (f *Front) forgetCalls(q *request) {
 	for _, a := range q.calls {
 		f.forget(a)
 	}
--- a/internal/tier/leave_test.go
+++ b/internal/tier/leave_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -101,3 +102,42 @@
 		}
 	}
 }
+
+// Guards against answers that are kept for good since the caller left before the last
+// one came.
+func TestAnswersForCallersThatHaveLeftAreForgotten(t *testing.T) {
+	const queries = 60 // to each host
+	is := is.New(t)
+	s := newSystem(t, 2*time.Second)
+	doc := strings.Replace(document(5, "/x/"), `"MinShardRatio":0.75`, `"MinShardRatio":1`, 1)
+	is.Equal(s.putDocument(s.controls[0], doc), http.StatusOK)
+	for _, entry := range s.entries {
+		s.search(entry, "/x/1", http.StatusOK)
+	}
+	before := heap()
+	for i := range queries {
+		for host, entry := range s.entries {
+			ctx, leave := context.WithTimeout(t.Context(), 60*time.Millisecond)
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+largePath, nil)
+			is.NoErr(err)
+			req.Host, req.Close = "a.example", true
+			req.Header.Set("Request-Id", fmt.Sprintf("large-%d-%d", host, i))
+			req.Header.Set("Deadline-Milliseconds", "3000")
+			_, _ = http.DefaultTransport.RoundTrip(req) //nolint:bodyclose // there is no answer
+			leave()
+		}
+	}
+	time.Sleep(time.Second) // calls that were stopped end
+	received := int64(queries * len(s.entries) * 3 * largeSize)
+	if grown := heap() - before; grown > received/4 {
+		t.Fatalf("the heap has grown by %d KB; callers that left had been sent %d KB", grown>>10, received>>10)
+	}
+}
+
+// heap returns the bytes of live objects.
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
