Keep a gatherer that answers with an error or has no time to answer

Queries of other callers got 502 at once when one odd query, with a few milliseconds left or with a header that is not UTF-8, passed through the same gatherer.

Cause: a call to another host that failed for any reason marked that host as unreachable, which ends all queries in flight there.

Evidence: TestOddQueryDoesNotEndOthers failed on the code before and passes now.

--- a/internal/front/delegate.go
+++ b/internal/front/delegate.go
@@ -147,6 +147,21 @@
 	return out
 }
 
+// leastAnswerTime is how long a host may take for an answer before silence counts against
+// it: twice the round trip above which it counts as overloaded.
+const leastAnswerTime = 2 * gather.SlowRoundTrip
+
+// showsUnreachable reports whether a failed call shows that the other host is
+// unreachable: not if it has answered with an error, nor if the caller left it no time.
+func showsUnreachable(err error, limit time.Duration) bool {
+	switch link.KindOf(err) {
+	case link.Malformed, link.TooLarge, link.NoMethod, link.Forbidden, link.Failed:
+		return false
+	case link.TimedOut, link.Cancelled, link.Unreachable, link.Untrusted, link.Insecure, link.Broken:
+	}
+	return limit >= leastAnswerTime || !errors.Is(err, context.DeadlineExceeded)
+}
+
 // callGatherer sends a query to a host and marks the host unreachable if it
 // does not answer.
 func (f *Front) callGatherer(ctx context.Context, to gather.Host, in delegateRequest) (*delegateReply, error) {
@@ -158,7 +173,7 @@
 	var out delegateReply
 	err := f.client.Call(hctx, to.Link, methodDelegate, &in, &out)
 	f.countDelegated(&out, err)
-	if err != nil && ctx.Err() == nil && f.peers.markUnreachable(to.ID) {
+	if err != nil && ctx.Err() == nil && showsUnreachable(err, limit) && f.peers.markUnreachable(to.ID) {
 		f.log.Info("gatherer is unreachable", "Gatherer", string(to.ID), "Request", string(in.ID), "Error", err.Error())
 		f.updateGatherers()
 	}
