Count a success without a length or chunks as lost

An answer of an upstream that the end of the connection ends could break off anywhere and pass for a whole success: nothing shows where it ends.

Such a success counts as lost; failures are passed on as before. TestSuccessWithoutALengthIsLost failed on the code before and passes now.

--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -211,6 +211,9 @@
 			// Closing the body would read on.
 			return o, false, errors.Wrap(err, "upstream's answer is incomplete")
 		}
+		if endsWithConnection(res) && res.StatusCode < http.StatusMultipleChoices {
+			return o, false, errors.New("upstream's answer has neither a length nor chunks, so that nothing shows whether it is whole: give it one")
+		}
 		_ = res.Body.Close()
 		if res.StatusCode < http.StatusOK {
 			continue
@@ -233,6 +236,11 @@
 	return o, false, errors.Wrap(bound.ErrEndless, "too many interim answers or answers to other requests")
 }
 
+// endsWithConnection reports whether the end of the connection ends an answer.
+func endsWithConnection(res *http.Response) bool {
+	return res.Body != http.NoBody && res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 func resultOf(a relay.Answer) relay.Result {
 	switch {
 	case a.NotRun:
--- a/internal/pipe/cut_test.go
+++ b/internal/pipe/cut_test.go
@@ -63,6 +63,28 @@
 	}
 }
 
+// Guards against a success that the end of the connection ends: an upstream that stops in
+// the middle of it would pass for one that is done. Failures are passed on without.
+func TestSuccessWithoutALengthIsLost(t *testing.T) {
+	is := is.New(t)
+	const head = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\n"
+	whole := head + strings.Repeat("record..", 4)
+	address, p := serveCut(t, whole, false), pipe.NewPool()
+	for range len(whole) + 1 {
+		o := call(t, p, address, "i-1", "r1")
+		is.Equal(o.Result, relay.Lost)
+		is.Equal(len(o.Body), 0)
+	}
+	address = serve(t, func(int, int, *http.Request) string { return "HTTP/1.1 500 Failed\nConnection: close\n\nsorry" })
+	o := call(t, p, address, "i-1", "r1")
+	is.Equal(o.Result, relay.Bad)
+	is.Equal(string(o.Body), "sorry")
+	address = serve(t, func(int, int, *http.Request) string {
+		return "HTTP/1.1 204 No Content\nServer-Stamp: s\nConnection: close\n\n"
+	})
+	is.Equal(call(t, p, address, "i-1", "r1").Result, relay.Good)
+}
+
 // Guards against an idle connection to an upstream that leaves: it is kept after
 // the answer that says so, or it stays open after another one has said so.
 func TestConnectionToALeavingUpstreamIsClosed(t *testing.T) {
