Count the time in which a request is read

A request whose body takes longer than its caller waits was sent to upstreams and answered afterwards; a host that stops began it after its end. Found in the source by the review.

Cause: Arrive.Now was the time before the body was read, and the engine took it for the present, so that its clock went back for all requests.

Change: Arrive.Began is when the request began, Now is the present, and the engine's clock never goes back. A query without time left is refused before any call. The product's entry host takes the time of reading off the caller's.

Those of pkg/relay need the new field: TestTimeOfReadingCounts fails if Began is ignored, TestSlowRequestDoesNotTurnBackTheClock if the clock may go back.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -149,7 +149,7 @@
 		started:   started,
 		roundTrip: callerRoundTrip(r),
 	}
-	if t := f.table.Load(); t != nil && limit > 0 {
+	if t := f.table.Load(); t != nil && limit > f.now().Sub(started) {
 		if route := t.Find(q.host, q.path); route != nil && route.Gathers() {
 			if f.cutOff() {
 				h["Connection"] = []string{"close"}
@@ -160,7 +160,7 @@
 				})
 				return
 			}
-			out := f.delegate(r.Context(), q, t.Version(), route, limit)
+			out := f.delegate(r.Context(), q, t.Version(), route, limit-f.now().Sub(started))
 			switch {
 			case r.Context().Err() != nil:
 				f.gauge.Request(gauge.Left, f.now().Sub(started))
@@ -172,7 +172,8 @@
 		}
 	}
 	rep, ok := f.query(r.Context(), q, relay.Arrive{
-		Now:   started,
+		Now:   f.now(),
+		Began: started,
 		Host:  r.Host,
 		Path:  q.path,
 		Limit: limit,
@@ -195,7 +196,10 @@
 // caller has disconnected.
 func (f *Front) query(ctx context.Context, q *request, ev relay.Arrive) (reply, bool) {
 	ev.Query = ident.QueryID(f.lastID.Add(1))
-	q.started, q.shardSubset = ev.Now, ev.Shards != nil
+	if q.started == 0 {
+		q.started = ev.Now
+	}
+	q.shardSubset = ev.Shards != nil
 	f.requestsRunning.Add(1)
 	defer f.requestsRunning.Add(-1)
 	f.inputs <- input{
@@ -207,7 +211,7 @@
 		return rep, true
 	case <-ctx.Done():
 		f.inputs <- input{event: relay.Disconnected{Query: ev.Query}}
-		f.gauge.Request(gauge.Left, f.now().Sub(ev.Now))
+		f.gauge.Request(gauge.Left, f.now().Sub(q.started))
 		return reply{}, false
 	}
 }
--- a/internal/host/call.go
+++ b/internal/host/call.go
@@ -106,8 +106,25 @@
 		}
 	}
 	ev.Index, ev.Terms, ev.Limit = req.Index, req.Terms, req.Limit
-	ev.Budget = req.DeadlineMillis.Duration()
-	return ev, nil
+	var reqErr *requestError
+	ev.Budget, reqErr = c.timeLeft(req.DeadlineMillis.Duration())
+	return ev, reqErr
+}
+
+// timeLeft returns what is left of the time that a caller allows, 0 for no limit. A
+// request that was read for longer is refused.
+func (c *call) timeLeft(allowed time.Duration) (time.Duration, *requestError) {
+	if allowed == 0 {
+		return 0, nil
+	}
+	left := allowed - time.Since(c.startedAt)
+	if left <= 0 {
+		return 0, &requestError{
+			status: http.StatusServiceUnavailable,
+			remedy: "the deadline passed while the request was read: send it faster or allow more time",
+		}
+	}
+	return left, nil
 }
 
 // parseFiling reads a filing and the time that the caller allows for it, at most
@@ -128,5 +145,6 @@
 	if err != nil {
 		return req, 0, newRequestError(err)
 	}
-	return req, min(orDefault(headers.DeadlineMillis.Duration(), maxFilingTime), maxFilingTime), nil
+	left, reqErr := c.timeLeft(headers.DeadlineMillis.Duration())
+	return req, min(orDefault(left, maxFilingTime), maxFilingTime), reqErr
 }
--- a/internal/host/slow_test.go
+++ b/internal/host/slow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -62,6 +63,32 @@
 	}
 }
 
+// Guards against a request whose body came so slowly that its caller waits no longer,
+// and that is sent to upstreams all the same.
+func TestTimeOfReadingCounts(t *testing.T) {
+	r := newRig(t, nil, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		if req.URL.Path != wire.PathLeafHealth {
+			t.Errorf("an upstream got %s", req.URL.Path)
+		}
+	}))
+	for path, body := range map[string]string{
+		wire.PathSearch:  `{"Index":"review-panel"}`,
+		wire.PathFilings: `{"Index":"review-panel","Body":"d"}`,
+	} {
+		c := r.dialAndWrite(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: slow\r\n%s: 200\r\nContent-Length: %d\r\n\r\n{", path, wire.HeaderRequestID, wire.HeaderDeadline, len(body)))
+		time.Sleep(time.Second)
+		_, err := c.Write([]byte(body[1:]))
+		r.is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		r.is.NoErr(err)
+		var answer wire.SearchAnswer
+		r.is.NoErr(json.NewDecoder(resp.Body).Decode(&answer))
+		r.is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		r.is.Equal(answer.Outcome, engine.NotRun)
+		r.is.NoErr(c.Close())
+	}
+}
+
 // Guards against a query that runs on for a caller that has closed its sending
 // half, which leaves the connection half open.
 func TestHalfClosedCallerIsCancelled(t *testing.T) {
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -134,55 +134,59 @@
 	e.effects = nil
 	switch ev := ev.(type) {
 	case Install:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.install(ev.Table)
 	case Listed:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.setUpstreams(ev.Upstreams)
 		e.advanceAll()
 	case Hosts:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.hosts, e.teams, e.gathers = max(1, ev.Count), max(1, ev.Gatherers), ev.Gathers
 		e.quota.SetHosts(e.hosts)
 	case Arrive:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.arrive(ev)
 	case Gatherers:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.gatherers = make(map[ident.Domain]bool, len(ev.Domains))
 		for _, d := range ev.Domains {
 			e.gatherers[d] = true
 		}
 		e.helpers = ev.Helpers
 	case DelegateEnded:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.delegateEnded(ev)
 	case Ended:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.ended(ev)
 	case Told:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.told(ev.Facts)
 	case Granted:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.granted(ev)
 	case Disconnected:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.disconnected(ev.Query)
 	case Abandoned:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.abandoned(ev)
 	case Stopping:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.stop(ev)
 	case Tick:
-		e.now = ev.Now
+		e.advanceTo(ev.Now)
 		e.advanceAll()
 	}
 	e.report()
 	return e.effects
 }
 
+// advanceTo sets the clock. It never goes back: events of several goroutines come in
+// another order than they were stamped in.
+func (e *Engine) advanceTo(now ident.Instant) { e.now = max(e.now, now) }
+
 // Next returns when the next Tick is due, and false if none is.
 func (e *Engine) Next() (ident.Instant, bool) {
 	next, found := e.quota.Next()
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -37,7 +37,10 @@
 
 // Arrive is a completely read request, from a caller or from another host.
 type Arrive struct {
-	Now   ident.Instant
+	Now ident.Instant
+	// Began is when the caller began to send the request, from which Limit and the
+	// times of the route count; 0 for Now.
+	Began ident.Instant
 	Query ident.QueryID
 	Host  string
 	Path  string
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -216,6 +216,10 @@
 
 // begin sends a query to the upstreams of all its parts, or delegates them.
 func (e *Engine) begin(q *query) {
+	if e.now >= q.deadline {
+		e.advance(q)
+		return
+	}
 	if q.route.Gathers() {
 		if q.endsWithHost && e.now > e.endsAt.Add(-q.stats.timeNeeded(q.route)) {
 			e.refuseEarly(q, Refuse{
@@ -255,15 +259,16 @@
 	// has less time left than then.
 	s.firstLimit = max(s.firstLimit, limit)
 	spent := s.firstLimit - limit
+	began := e.began(ev)
 	q := &query{
 		id:       ev.Query,
 		route:    r,
 		table:    table,
 		stats:    s,
-		target:   e.after(r.Target - CallerMargin(r.Target, ev.Trip) - ev.Spent - spent),
-		deadline: e.after(min(limit-deadlineMargin, r.Timeout)),
+		target:   began.Add(r.Target - CallerMargin(r.Target, ev.Trip) - ev.Spent - spent),
+		deadline: began.Add(min(limit-deadlineMargin, r.Timeout)),
 
-		arrived: e.now,
+		arrived: began,
 		direct:  ev.Direct,
 		request: ev.Request,
 		print:   ev.Print,
@@ -281,6 +286,14 @@
 	return q
 }
 
+// began returns when a request began.
+func (e *Engine) began(ev Arrive) ident.Instant {
+	if ev.Began == 0 {
+		return e.now
+	}
+	return min(ev.Began, e.now)
+}
+
 // addParts adds a part for each shard, or for each shard that another host
 // requests.
 func (e *Engine) addParts(q *query, ev Arrive) {
@@ -294,7 +307,7 @@
 		return
 	}
 	q.sub = true
-	q.target = e.after(ev.Target)
+	q.target = q.arrived.Add(ev.Target)
 	for _, i := range ev.Shards {
 		if i >= 0 && i < len(q.route.Shards) {
 			q.parts = append(q.parts, &part{
--- a/pkg/relay/rest.go
+++ b/pkg/relay/rest.go
@@ -174,14 +174,15 @@
 		return
 	}
 	e.removePartial(old)
+	began := e.began(ev)
 	q := &query{
 		id:         ev.Query,
 		route:      old.route,
 		table:      old.table,
 		stats:      old.stats,
-		target:     e.after(ev.Target),
-		deadline:   min(old.deadline, e.after(max(0, ev.Limit-deadlineMargin))),
-		arrived:    e.now,
+		target:     began.Add(ev.Target),
+		deadline:   min(old.deadline, began.Add(max(0, ev.Limit-deadlineMargin))),
+		arrived:    began,
 		sub:        true,
 		direct:     old.direct,
 		mayHaveRun: true,
--- a/pkg/relay/stop_test.go
+++ b/pkg/relay/stop_test.go
@@ -77,6 +77,46 @@
 	}
 }
 
+// Guards against a request that was read slowly and turns back the clock: a host that
+// has reached its end began it.
+func TestSlowRequestDoesNotTurnBackTheClock(t *testing.T) {
+	for _, path := range []string{"/file/x", "/read/x"} {
+		is := is.New(t)
+		h := newStopHarness(t)
+		began := h.now
+		h.step(relay.Stopping{End: h.now.Add(3 * time.Second)})
+		h.advance(3*time.Second + time.Millisecond)
+		effects := h.engine.Step(relay.Arrive{
+			Now:   began,
+			Query: 1,
+			Host:  "a.example",
+			Path:  path,
+			Limit: 10 * time.Second,
+		})
+		is.Equal(len(calls(effects)), 0)
+		is.Equal(refusals(effects)[1].Status, relay.NotNow)
+	}
+}
+
+// Guards against a request that was read for longer than its caller waits, and is sent
+// all the same.
+func TestTimeOfReadingCounts(t *testing.T) {
+	for _, path := range []string{"/file/x", "/read/x", "/search/x"} {
+		is := is.New(t)
+		h := newHarness(t, 4)
+		effects := h.step(relay.Arrive{
+			Began: h.now.Add(-500 * time.Millisecond),
+			Query: 1,
+			Host:  "a.example",
+			Path:  path,
+			Limit: 500 * time.Millisecond,
+		})
+		is.Equal(len(calls(effects)), 0)
+		is.Equal(len(all[relay.Delegate](effects)), 0)
+		is.Equal(refusals(effects)[1].Status, relay.NotNow)
+	}
+}
+
 // Guards against a request that may run once only and that a stopping host sends
 // although it cannot wait for the answer.
 func TestStoppingHostBeginsNothingThatMayNotEnd(t *testing.T) {
