Become healthy once the engine has applied the configuration

On the product path a filing got 503 right after the host had passed its health check, and for some milliseconds after an upstream was added.

Cause: a configuration became active when the host received it; the engine applied it later, and only then asked for connections.

Change: it becomes active once the engine has applied it. Until then filings use the one before, and a host that starts is not healthy.

--- a/internal/host/fake_test.go
+++ b/internal/host/fake_test.go
@@ -212,6 +212,7 @@
 	url     string
 	control *fakeControl
 	client  *http.Client
+	state   *config.State
 	stop    context.CancelFunc
 	done    chan error
 	endOnce sync.Once
@@ -229,21 +230,9 @@
 	}
 	state := config.NewState()
 	for i, up := range upstreams {
-		s := httptest.NewServer(up)
-		t.Cleanup(s.Close)
-		name := string(rune('a' + i))
-		next, err := state.Apply(config.AddUpstream{Upstream: config.Upstream{
-			ID:        ident.Upstream(name),
-			Address:   s.Listener.Addr().String(),
-			Index:     "review-panel",
-			Service:   ident.Service(name),
-			Shards:    []ident.Shard{ident.Shard("review-panel/" + name)},
-			Slots:     2,
-			ConnLimit: 50,
-		}})
-		r.is.NoErr(err)
-		state = next
+		state = withUpstream(r.is, state, string(rune('a'+i)), httptest.NewServer(up), t.Cleanup)
 	}
+	r.state = state
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	r.is.NoErr(err)
 	c := host.Config{
@@ -268,6 +257,22 @@
 	return r
 }
 
+// withUpstream returns a state with one more upstream, which holds a shard of its own.
+func withUpstream(is *is.I, state *config.State, name string, s *httptest.Server, cleanup func(func())) *config.State {
+	cleanup(s.Close)
+	next, err := state.Apply(config.AddUpstream{Upstream: config.Upstream{
+		ID:        ident.Upstream(name),
+		Address:   s.Listener.Addr().String(),
+		Index:     "review-panel",
+		Service:   ident.Service(name),
+		Shards:    []ident.Shard{ident.Shard("review-panel/" + name)},
+		Slots:     2,
+		ConnLimit: 50,
+	}})
+	is.NoErr(err)
+	return next
+}
+
 // end stops the host and waits until Run returns. Further calls do nothing.
 func (r *rig) end() {
 	r.endOnce.Do(func() {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -124,6 +124,8 @@
 	client       *dial.Client
 	server       *http.Server
 	activeConfig atomic.Pointer[config.State]
+	// newestConfig belongs to followControl.
+	newestConfig *config.State
 	draining     drainingSet
 	seat         atomic.Value // engine.Seat
 	phase        atomic.Int32
@@ -253,17 +255,25 @@
 	}
 }
 
-// applyConfig makes a configuration active unless it is older than the active
-// one.
+// applyConfig passes a configuration to the engine, unless it is older than the
+// newest one, and makes it active once the engine has applied it: from then on there
+// are connections to its upstreams.
 func (h *Host) applyConfig(state *config.State) {
-	if old := h.activeConfig.Load(); old != nil && state.Version.Less(old.Version) {
+	if h.newestConfig != nil && state.Version.Less(h.newestConfig.Version) {
 		return
 	}
+	h.newestConfig = state
+	h.loop.post(engine.ConfigApplied{State: state})
+	h.loop.enqueue(message{inspect: func() { h.activate(state) }})
+}
+
+// activate makes a configuration that the engine has applied visible to filings and
+// to the health check.
+func (h *Host) activate(state *config.State) {
 	h.activeConfig.Store(state)
 	h.draining.retain(func(id ident.Upstream) bool {
 		_, ok := state.FindUpstream(id)
 		return ok
 	})
 	h.phase.CompareAndSwap(phaseStarting, phaseServing)
-	h.loop.post(engine.ConfigApplied{State: state})
 }
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -272,6 +273,44 @@
 	}
 }
 
+// slowToApply is a fanOut that takes 100 ms to apply a configuration.
+type slowToApply struct{ *fanOut }
+
+func (s slowToApply) Step(now ident.Instant, ev engine.Event) []engine.Effect {
+	if _, ok := ev.(engine.ConfigApplied); ok {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return s.fanOut.Step(now, ev)
+}
+
+// Guards against a host that passes its health check, or sends filings to a new
+// upstream, before it may open a connection there: it would refuse them.
+func TestFilingsWaitForNoConfiguration(t *testing.T) {
+	leaf := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		var f wire.LeafFile
+		_ = json.NewDecoder(req.Body).Decode(&f)
+		_ = json.NewEncoder(w).Encode(wire.LeafFiled{
+			Request: f.Request,
+			Fence:   f.Fence,
+			Receipt: "r",
+		})
+	})
+	r := newRig(t, func(c *host.Config) { c.Engine = slowToApply{newFanOut()} }, leaf)
+	file := func(id string) {
+		status, _, body := r.post(wire.PathFilings, `{"Index":"review-panel","Body":"d"}`, wire.HeaderRequestID, id)
+		if status != http.StatusOK {
+			t.Fatalf("filing %s: status %d, %v", id, status, body)
+		}
+	}
+	file("first")
+	state := withUpstream(r.is, r.state, "b", httptest.NewServer(leaf), t.Cleanup)
+	r.control.configs <- state
+	for i := range 40 { // of two shards, one of them new
+		file(fmt.Sprintf("f%d", i))
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // Guards against a host and an engine that disagree about their interface,
 // against a recording of a running host that does not replay, and against gauges
 // that stay at zero while the engine is behind a recorder.
