Send a restored control host what it has lost

A control host that starts from an older copy of its folder got no change for as long as the same member led, and could offer a withdrawn configuration to an entry host that starts.

Cause: the leader ignored, as late, each refusal of what the member had confirmed once.

Change: a refusal of a request that was sent after the confirmation had come cannot be late.

--- a/pkg/quorum/lead.go
+++ b/pkg/quorum/lead.go
@@ -40,6 +40,8 @@
 	// index to send to it.
 	match Index
 	next  Index
+	// matchedAt is when match was confirmed.
+	matchedAt ident.Instant
 	// awaitingReply is set while a probe or a snapshot chunk is unanswered.
 	// Each heartbeat clears it, since messages can be lost.
 	awaitingReply bool
--- a/pkg/quorum/quorum_test.go
+++ b/pkg/quorum/quorum_test.go
@@ -208,6 +208,37 @@
 	return s, s.leader()
 }
 
+// Guards against a member that is restored from an older copy of its data, and stays
+// behind for as long as the same member leads.
+func TestRestoredMemberCatchesUp(t *testing.T) {
+	for _, compacted := range []bool{false, true} {
+		is := is.New(t)
+		s, leader := newSimWithLeader(t, 3)
+		restored := s.hosts[0]
+		if restored == leader {
+			restored = s.hosts[1]
+		}
+		s.propose(leader)
+		s.run(time.Second)
+		older := restored.stored
+		older.Entries = slices.Clone(older.Entries)
+		for range 5 {
+			s.propose(leader)
+			s.run(200 * time.Millisecond)
+		}
+		s.crash(restored)
+		if compacted {
+			s.compact(leader)
+		}
+		restored.stored = older
+		s.boot(restored)
+		s.run(time.Second)
+		is.Equal(s.leader(), leader)
+		is.Equal(restored.state, leader.state)
+		is.Equal(len(leader.state), 6)
+	}
+}
+
 // Guards against an isolated leader that keeps its lease while a majority elects
 // another, and against one that forces an election when it reconnects.
 func TestIsolatedLeader(t *testing.T) {
--- a/pkg/quorum/replicate.go
+++ b/pkg/quorum/replicate.go
@@ -116,7 +116,7 @@
 		return
 	}
 	if r.Match > p.match {
-		p.match = r.Match
+		p.match, p.matchedAt = r.Match, n.now
 	}
 	p.next = max(p.next, p.match+1)
 	if p.phase == probing || p.phase == installing && r.Match >= p.snapshot.Meta.Index {
@@ -136,8 +136,16 @@
 }
 
 // onAppendRejected returns to probing, from the follower's hint on. It ignores
-// late replies to requests that are no longer relevant.
+// late replies to requests that are no longer relevant. A follower that lacks what it had
+// confirmed before the request was sent was restored from an older copy of its data: it
+// gets all of it again, instead of staying behind for as long as this member leads.
 func (n *Node) onAppendRejected(p *peer, r AppendReply) {
+	if r.Hint < p.match && r.Sent > p.matchedAt && p.phase != installing {
+		p.match = r.Hint
+		p.phase, p.next, p.awaitingReply = probing, r.Hint+1, false
+		n.sendAppend(p, false)
+		return
+	}
 	if r.Prev <= p.match || p.phase == installing || p.phase == probing && r.Prev != p.next-1 {
 		return
 	}
