Stamp events when the engine takes them

A host that was paused after reading a request went on with the time of before the pause: it sent a request whose caller waited no longer, or began one after its own end. One that was paused after the engine's decision sent it on a kept connection whatever the time.

Change: relay.At sets the present time in every event as the engine takes it. A call without time left is reported as not sent.

TestTimeOfAPauseCounts needs relay.At and fails if that leaves Arrive as it is.

--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// handleInput sets the current time in an event and passes it to the engine.
+// handleInput passes an event to the engine with the present time: it may have waited.
 func (f *Front) handleInput(in input) {
 	if f.handleMessage(in) {
 		return
@@ -82,18 +82,14 @@
 	switch ev := in.event.(type) {
 	case relay.Arrive:
 		f.queries[ev.Query] = in.request
-		f.stepEngine(ev)
-	case relay.Gatherers:
-		ev.Now = f.now()
-		f.stepEngine(ev)
+		f.stepEngine(relay.At(ev, f.now()))
 	case relay.DelegateEnded:
 		if q := f.queries[ev.Query]; q != nil {
 			if q.groups == nil {
 				q.groups = make(map[int]*delegateReply)
 			}
 			q.groups[ev.Group] = in.delegated
-			ev.Now = f.now()
-			f.stepEngine(ev)
+			f.stepEngine(relay.At(ev, f.now()))
 		}
 	case relay.Disconnected:
 		q := f.queries[ev.Query]
@@ -101,29 +97,19 @@
 			q.cancel()
 		}
 		delete(f.queries, ev.Query)
-		ev.Now = f.now()
-		f.stepEngine(ev)
+		f.stepEngine(relay.At(ev, f.now()))
 		if q != nil {
 			f.forgetCalls(q)
 		}
 	case relay.Install:
-		ev.Now = f.now()
-		f.stepEngine(ev)
+		f.stepEngine(relay.At(ev, f.now()))
 		f.localCoverage.Store(f.engine.Local())
 	case relay.Listed:
-		ev.Now = f.now()
-		f.stepEngine(ev)
+		f.stepEngine(relay.At(ev, f.now()))
 		f.pruneConnections(ev.Upstreams)
 		f.localCoverage.Store(f.engine.Local())
-	case relay.Abandoned:
-		ev.Now = f.now()
-		f.stepEngine(ev)
-	case relay.Stopping:
-		ev.Now = f.now()
-		f.stepEngine(ev)
-	case relay.Hosts:
-		ev.Now = f.now()
-		f.stepEngine(ev)
+	case relay.Gatherers, relay.Abandoned, relay.Stopping, relay.Hosts:
+		f.stepEngine(relay.At(ev, f.now()))
 	case nil:
 		f.finishCall(in)
 	case relay.Ended, relay.Granted, relay.Told, relay.Tick:
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -175,7 +175,8 @@
 		}
 	}
 	r.mu.Lock()
-	if r.stopped {
+	left := r.Limit - time.Since(r.started)
+	if r.stopped || left <= 0 {
 		r.mu.Unlock()
 		c.release()
 		r.finish(Outcome{Result: relay.Unsent})
@@ -183,7 +184,7 @@
 	}
 	c.carried.add(id)
 	r.conn = c
-	r.timer = time.AfterFunc(r.Limit-time.Since(r.started)+answerGrace, r.expire)
+	r.timer = time.AfterFunc(left+answerGrace, r.expire)
 	r.mu.Unlock()
 	c.send(r)
 }
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -12,6 +12,56 @@
 // Event is an input of Engine.Step.
 type Event interface{ isEvent() }
 
+// At returns an event with the present time, which is when the engine gets it. An Arrive
+// that has waited began when it was stamped: a process may be paused in between.
+func At(ev Event, now ident.Instant) Event {
+	switch ev := ev.(type) {
+	case Install:
+		ev.Now = now
+		return ev
+	case Listed:
+		ev.Now = now
+		return ev
+	case Hosts:
+		ev.Now = now
+		return ev
+	case Arrive:
+		if ev.Began == 0 {
+			ev.Began = ev.Now
+		}
+		ev.Now = now
+		return ev
+	case Gatherers:
+		ev.Now = now
+		return ev
+	case DelegateEnded:
+		ev.Now = now
+		return ev
+	case Ended:
+		ev.Now = now
+		return ev
+	case Told:
+		ev.Now = now
+		return ev
+	case Granted:
+		ev.Now = now
+		return ev
+	case Disconnected:
+		ev.Now = now
+		return ev
+	case Abandoned:
+		ev.Now = now
+		return ev
+	case Stopping:
+		ev.Now = now
+		return ev
+	case Tick:
+		ev.Now = now
+		return ev
+	}
+	return ev
+}
+
 // Install activates a document. It is ignored unless its version is newer than
 // the active one.
 type Install struct {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -103,45 +103,7 @@
 }
 
 func (h *harness) step(ev relay.Event) []relay.Effect {
-	switch e := ev.(type) {
-	case relay.Install:
-		e.Now = h.now
-		ev = e
-	case relay.Listed:
-		e.Now = h.now
-		ev = e
-	case relay.Stopping:
-		e.Now = h.now
-		ev = e
-	case relay.Abandoned:
-		e.Now = h.now
-		ev = e
-	case relay.Arrive:
-		e.Now = h.now
-		ev = e
-	case relay.Ended:
-		e.Now = h.now
-		ev = e
-	case relay.Gatherers:
-		e.Now = h.now
-		ev = e
-	case relay.DelegateEnded:
-		e.Now = h.now
-		ev = e
-	case relay.Told:
-		e.Now = h.now
-		ev = e
-	case relay.Granted:
-		e.Now = h.now
-		ev = e
-	case relay.Disconnected:
-		e.Now = h.now
-		ev = e
-	case relay.Tick:
-		e.Now = h.now
-		ev = e
-	}
-	effects := h.engine.Step(ev)
+	effects := h.engine.Step(relay.At(ev, h.now))
 	h.seen = append(h.seen, effects...)
 	return effects
 }
--- a/pkg/relay/stop_test.go
+++ b/pkg/relay/stop_test.go
@@ -117,6 +117,34 @@
 	}
 }
 
+// Guards against a process that is paused between reading a request and sending it, and
+// then sends it too late, or after its own end.
+func TestTimeOfAPauseCounts(t *testing.T) {
+	for _, path := range []string{"/file/x", "/read/x", "/search/x"} {
+		for _, stopping := range []bool{false, true} {
+			is := is.New(t)
+			h := newHarness(t, 4)
+			h.now += ms
+			read := relay.Arrive{
+				Now:   h.now,
+				Query: 1,
+				Host:  "a.example",
+				Path:  path,
+				Limit: time.Second,
+			}
+			if stopping {
+				h.step(relay.Stopping{End: h.now.Add(500 * time.Millisecond)})
+				read.Limit = 10 * time.Second
+			}
+			h.now = h.now.Add(time.Second) // the pause
+			effects := h.step(read)
+			is.Equal(len(calls(effects)), 0)
+			is.Equal(len(all[relay.Delegate](effects)), 0)
+			is.Equal(refusals(effects)[1].Status, relay.NotNow)
+		}
+	}
+}
+
 // Guards against a request that may run once only and that a stopping host sends
 // although it cannot wait for the answer.
 func TestStoppingHostBeginsNothingThatMayNotEnd(t *testing.T) {
