Refuse settings under which no host can run

With extra-window 0s an entry host said that it was ready and ended with a division by zero at its first request; extra-ratio NaN switched the budget of extra calls off; ports 0 took a port that no other host knows. Found by FuzzSettings.

budget.Config.Check bounds the budget, and tier.Parse the port, the grace time, the number of disks and the characters of names.

--- a/internal/tier/option.go
+++ b/internal/tier/option.go
@@ -4,9 +4,12 @@
 	"flag"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
@@ -104,9 +107,11 @@
 	}
 	o.Name, o.Domain, o.Seeds = ident.HostID(name), ident.Domain(domain), splitList(seeds)
 	firstPort, _, _ := strings.Cut(ports, ",")
-	if o.LinkPort, err = strconv.Atoi(strings.TrimSpace(firstPort)); err != nil {
-		return nil, errors.Errorf("invalid ports %q: set two numbers separated by a comma", ports)
+	port, err := strconv.ParseUint(strings.TrimSpace(firstPort), 10, 16)
+	if err != nil || port == 0 {
+		return nil, errors.Errorf("invalid ports %q: set two numbers from 1 to 65535, separated by a comma", ports)
 	}
+	o.LinkPort = int(port)
 	return o, o.validate(command)
 }
 
@@ -138,9 +143,27 @@
 		}
 	}
 	if len(missing) > 0 {
+		slices.Sort(missing)
 		return errors.Errorf("required settings are missing: set %s", strings.Join(missing, ", "))
 	}
-	return nil
+	return o.validateValues()
+}
+
+// validateValues refuses values that would end the process later: at its first request,
+// or when it first writes them.
+func (o *Options) validateValues() error {
+	for _, text := range []string{string(o.Name), string(o.Domain)} {
+		if !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl) {
+			return errors.Errorf("invalid name or domain %q: use text without control characters", text)
+		}
+	}
+	switch {
+	case o.Grace < 0:
+		return errors.Errorf("grace is %s: use 0s or more", o.Grace)
+	case o.MaxDiskFailures < 0:
+		return errors.Errorf("lost is %d: use 0 or more", o.MaxDiskFailures)
+	}
+	return errors.Wrap(o.Extra.Check(), "budget of retries and hedges")
 }
 
 // linkAddress returns the address of this host for other hosts.
--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -6,8 +6,11 @@
 package budget
 
 import (
+	"math"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
@@ -38,6 +41,29 @@
 	Window time.Duration
 }
 
+// minWindow is the shortest window: a bucket for each millisecond.
+const minWindow = bucketCount * time.Millisecond
+
+// maxRatio and maxSlack bound what may be configured, so that no sum overflows.
+const (
+	maxRatio = 100
+	maxSlack = 1_000_000
+)
+
+// Check returns an error that names the remedy if no window can be kept under the
+// settings.
+func (c Config) Check() error {
+	switch {
+	case math.IsNaN(c.Ratio) || c.Ratio < 0 || c.Ratio > maxRatio:
+		return errors.Errorf("ratio of extra calls is %v: use 0 to %d", c.Ratio, maxRatio)
+	case math.IsNaN(c.Slack) || c.Slack < 0 || c.Slack > maxSlack:
+		return errors.Errorf("slack of extra calls is %v: use 0 to %d", c.Slack, maxSlack)
+	case c.Window < minWindow:
+		return errors.Errorf("window of extra calls is %s: use %s or more", c.Window, minWindow)
+	}
+	return nil
+}
+
 // Window counts the requests and extra calls of one service on one host. It is
 // not safe for concurrent use.
 type Window struct {
