--- a/pkg/blame/blame.go
+++ b/pkg/blame/blame.go
@@ -262,9 +262,9 @@
 	}, true
 }
 
-// Told adds what another host told. It reports whether that is news, and what to
+// Learn adds what another host told. It reports whether that is new, and what to
 // pass on. A request that is trusted here is cleared for the others as well.
-func (t *Table) Told(now ident.Instant, f gossip.Fact) (pass gossip.Fact, news bool) {
+func (t *Table) Learn(now ident.Instant, f gossip.Fact) (pass gossip.Fact, isNew bool) {
 	p := Print(f.Key)
 	r, ok := decodeRecord(f.Body, min(f.At, now))
 	if !ok || !t.merge(now, p, r) {
@@ -279,7 +279,7 @@
 	return t.Fact(now, p)
 }
 
-// merge adds evidence and reports whether it is news.
+// merge adds evidence and reports whether it is new.
 func (t *Table) merge(now ident.Instant, p Print, other Record) bool {
 	r := t.records[p]
 	if r == nil {
@@ -308,9 +308,9 @@
 	slices.Sort(merged.Crashes)
 	merged.Crashes = slices.Compact(merged.Crashes)
 	merged.Crashes = merged.Crashes[:min(len(merged.Crashes), maxIDs)]
-	news := merged.Epoch > r.Epoch || !slices.Equal(merged.Crashes, r.Crashes)
+	isNew := merged.Epoch > r.Epoch || !slices.Equal(merged.Crashes, r.Crashes)
 	*r = merged
-	return news
+	return isNew
 }
 
 // evict removes records that hold no longer, or else the oldest of those with
--- a/pkg/blame/blame_test.go
+++ b/pkg/blame/blame_test.go
@@ -86,7 +86,7 @@
 		for _, order := range [][]int{rapid.Permutation(indices(len(said))).Draw(t, "x"), rapid.Permutation(indices(len(said))).Draw(t, "y")} {
 			host := blame.NewTable()
 			for _, i := range append(order, order...) {
-				host.Told(now, said[i])
+				host.Learn(now, said[i])
 			}
 			if host.Crashes(p) != source.Crashes(p) || host.Verdict(now, p) != source.Verdict(now, p) {
 				t.Fatalf("%d crashes at the host, %d at the source", host.Crashes(p), source.Crashes(p))
@@ -145,7 +145,7 @@
 	f.Add(make([]byte, 28))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		table := blame.NewTable()
-		table.Told(0, gossip.Fact{
+		table.Learn(0, gossip.Fact{
 			ID: gossip.ID{
 				Topic: blame.Topic,
 				Key:   printOf(1),
@@ -191,10 +191,10 @@
 	is.Equal(there.Verdict(after(time.Second), p), blame.Refused)
 	f, ok := there.Fact(after(time.Second), p)
 	is.True(ok)
-	pass, news := here.Told(after(time.Second), f)
-	is.True(news)
+	pass, isNew := here.Learn(after(time.Second), f)
+	is.True(isNew)
 	is.Equal(here.Verdict(after(time.Second), p), blame.Clean)
-	there.Told(after(time.Second), pass)
+	there.Learn(after(time.Second), pass)
 	is.Equal(there.Verdict(after(time.Second), p), blame.Clean)
 	for id := range uint64(3) {
 		here.Blame(after(3*time.Second), p, 10+id)
--- a/pkg/engine/crash.go
+++ b/pkg/engine/crash.go
@@ -113,15 +113,15 @@
 	}
 }
 
-// told processes facts of other hosts, and passes on what is news.
+// told processes facts of other hosts, and passes on what is new.
 func (e *Engine) told(now ident.Instant, facts []gossip.Fact) {
 	for _, f := range facts {
 		p := blame.Print(f.Key)
 		if f.Topic != blame.Topic {
 			continue
 		}
-		pass, news := e.blame.Told(now, f)
-		if !news {
+		pass, isNew := e.blame.Learn(now, f)
+		if !isNew {
 			continue
 		}
 		e.emit(Tell{Fact: pass})
--- a/pkg/engine/share.go
+++ b/pkg/engine/share.go
@@ -46,7 +46,7 @@
 	if perSecond < 0 || math.IsInf(perSecond, 0) || math.IsNaN(perSecond) {
 		return
 	}
-	e.shares.Heard(now, a.sentAt, quotaKey(a.upstream.Upstream), "", perSecond)
+	e.shares.Record(now, a.sentAt, quotaKey(a.upstream.Upstream), "", perSecond)
 }
 
 // reportDemand reports the demand for limited upstreams when that is due. One
--- a/pkg/notice/departure.go
+++ b/pkg/notice/departure.go
@@ -54,9 +54,9 @@
 // NewDepartures returns an empty Departures.
 func NewDepartures() *Departures { return &Departures{known: make(map[quota.Key]departure)} }
 
-// Heard records an answer that says that an upstream leaves. It reports whether
-// that is news.
-func (d *Departures) Heard(now ident.Instant, k quota.Key) (news bool) {
+// Record records an answer that says that an upstream leaves. It reports whether
+// that is new.
+func (d *Departures) Record(now ident.Instant, k quota.Key) (isNew bool) {
 	if _, leaving := d.Since(now, k); leaving {
 		return false
 	}
@@ -69,7 +69,7 @@
 
 // Stays records a success without the statement, to a call that was sent at sent.
 // It reports whether that takes a statement back.
-func (d *Departures) Stays(now, sent ident.Instant, k quota.Key) (news bool) {
+func (d *Departures) Stays(now, sent ident.Instant, k quota.Key) (isNew bool) {
 	if old := d.known[k]; !old.leaving || sent <= old.at {
 		return false
 	}
@@ -77,8 +77,8 @@
 	return true
 }
 
-// Told records what another host heard at at. It reports whether that is news.
-func (d *Departures) Told(now, at ident.Instant, k quota.Key, leaving bool) (news bool) {
+// Learn records what another host observed at at. It reports whether that is new.
+func (d *Departures) Learn(now, at ident.Instant, k quota.Key, leaving bool) (isNew bool) {
 	if now >= at.Add(DepartureTime) {
 		return false // lapsed
 	}
--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -18,7 +18,7 @@
 
 func ExampleDepartures() {
 	d := notice.NewDepartures()
-	fmt.Println(d.Heard(at(0), key))
+	fmt.Println(d.Record(at(0), key))
 	_, leaving := d.Since(at(time.Second), key)
 	fmt.Println(leaving)
 	// Output:
@@ -28,7 +28,7 @@
 
 func ExamplePauses() {
 	p := notice.NewPauses(1)
-	p.Heard(at(0), key, 4*time.Second)
+	p.Record(at(0), key, 4*time.Second)
 	_, paused := p.Paused(at(3999*time.Millisecond), key)
 	fmt.Println(paused)
 	_, paused = p.Paused(at(5*time.Second), key)
@@ -46,7 +46,7 @@
 func TestEarlierCallTakesNothingBack(t *testing.T) {
 	is := is.New(t)
 	d := notice.NewDepartures()
-	d.Heard(at(0), key)
+	d.Record(at(0), key)
 	is.True(!d.Stays(at(time.Second), at(-time.Second), key))
 	is.True(!d.Stays(at(time.Second), at(0), key))
 	_, leaving := d.Since(at(time.Second), key)
@@ -61,13 +61,13 @@
 func TestOlderCopyIsNoNews(t *testing.T) {
 	is := is.New(t)
 	d := notice.NewDepartures()
-	is.True(!d.Told(at(0), at(-time.Second), key, false))
-	is.True(d.Told(at(0), at(-time.Second), key, true))
-	is.True(!d.Told(at(0), at(-500*time.Millisecond), key, true))
+	is.True(!d.Learn(at(0), at(-time.Second), key, false))
+	is.True(d.Learn(at(0), at(-time.Second), key, true))
+	is.True(!d.Learn(at(0), at(-500*time.Millisecond), key, true))
 	is.True(d.Stays(at(2*time.Second), at(time.Second), key))
-	is.True(!d.Told(at(3*time.Second), at(-time.Second), key, true))
-	is.True(!d.Told(at(3*time.Second), at(2100*time.Millisecond), key, true))
-	is.True(d.Told(at(3*time.Second), at(2500*time.Millisecond), key, true))
+	is.True(!d.Learn(at(3*time.Second), at(-time.Second), key, true))
+	is.True(!d.Learn(at(3*time.Second), at(2100*time.Millisecond), key, true))
+	is.True(d.Learn(at(3*time.Second), at(2500*time.Millisecond), key, true))
 }
 
 // Guards against a host that takes an upstream's first second of leaving anew with
@@ -75,9 +75,9 @@
 func TestDepartureCountsFromTheFirstStatement(t *testing.T) {
 	is := is.New(t)
 	d := notice.NewDepartures()
-	is.True(d.Heard(at(0), key))
-	is.True(!d.Heard(at(time.Second), key))
-	is.True(!d.Told(at(time.Second), at(900*time.Millisecond), key, true))
+	is.True(d.Record(at(0), key))
+	is.True(!d.Record(at(time.Second), key))
+	is.True(!d.Learn(at(time.Second), at(900*time.Millisecond), key, true))
 	since, leaving := d.Since(at(2*time.Second), key)
 	is.True(leaving)
 	is.Equal(since, at(0))
@@ -89,7 +89,7 @@
 	is := is.New(t)
 	d := notice.NewDepartures()
 	for i := range 10_000 {
-		d.Heard(at(time.Duration(i)*time.Millisecond), quota.Key(i))
+		d.Record(at(time.Duration(i)*time.Millisecond), quota.Key(i))
 	}
 	is.True(d.Len(at(10*time.Second)) <= 4096)
 	is.True(d.Len(at(10*time.Second)) >= 3500)
@@ -103,10 +103,10 @@
 func TestPauseIsNotShortened(t *testing.T) {
 	is := is.New(t)
 	p := notice.NewPauses(1)
-	p.Heard(at(0), key, 10*time.Second)
+	p.Record(at(0), key, 10*time.Second)
 	p.Succeeded(at(time.Second), key)
-	p.Heard(at(time.Second), key, 0)
-	p.Heard(at(time.Second), key, time.Second)
+	p.Record(at(time.Second), key, 0)
+	p.Record(at(time.Second), key, time.Second)
 	_, paused := p.Paused(at(9999*time.Millisecond), key)
 	is.True(paused)
 }
@@ -118,7 +118,7 @@
 	const hosts, length = 200, 4 * time.Second
 	first, last := at(time.Hour), at(0)
 	for seed := range uint64(hosts) {
-		until := notice.NewPauses(seed).Heard(at(0), key, length)
+		until := notice.NewPauses(seed).Record(at(0), key, length)
 		first, last = min(first, until), max(last, until)
 	}
 	is.True(first >= at(length))
@@ -130,10 +130,10 @@
 func TestPausesAreBounded(t *testing.T) {
 	is := is.New(t)
 	p := notice.NewPauses(1)
-	until := p.Heard(at(0), key, 365*24*time.Hour)
+	until := p.Record(at(0), key, 365*24*time.Hour)
 	is.True(until <= at(notice.MaxPause+time.Second))
 	for i := range 10_000 {
-		p.Heard(at(0), quota.Key(i), time.Duration(i)*time.Millisecond)
+		p.Record(at(0), quota.Key(i), time.Duration(i)*time.Millisecond)
 	}
 	is.True(p.Len(at(0)) <= 4096)
 }
@@ -143,18 +143,18 @@
 func TestStatementIsHeardAgainAfterItLapsed(t *testing.T) {
 	is := is.New(t)
 	d := notice.NewDepartures()
-	d.Heard(at(0), key)
+	d.Record(at(0), key)
 	later := at(notice.DepartureTime + time.Second)
-	is.True(d.Heard(later, key))
+	is.True(d.Record(later, key))
 	since, leaving := d.Since(later, key)
 	is.True(leaving)
 	is.Equal(since, later)
 
 	d = notice.NewDepartures()
-	is.True(!d.Told(later, at(0), key, true))
-	is.True(d.Heard(later, key))
+	is.True(!d.Learn(later, at(0), key, true))
+	is.True(d.Record(later, key))
 
 	d = notice.NewDepartures()
-	d.Heard(at(0), key)
-	is.True(d.Told(later, later, key, true))
+	d.Record(at(0), key)
+	is.True(d.Learn(later, later, key, true))
 }
--- a/pkg/notice/pause.go
+++ b/pkg/notice/pause.go
@@ -45,10 +45,10 @@
 	}
 }
 
-// Heard records that an upstream asks for a pause. It returns when the pause ends
+// Record records that an upstream asks for a pause. It returns when the pause ends
 // for this host. A pause that is already known is never shortened, as calls that
 // were sent before it may be answered with shorter ones.
-func (p *Pauses) Heard(now ident.Instant, k quota.Key, length time.Duration) ident.Instant {
+func (p *Pauses) Record(now ident.Instant, k quota.Key, length time.Duration) ident.Instant {
 	length = min(length, MaxPause)
 	spread := min(time.Duration(returnShare*float64(length)), maxReturnDelay)
 	until := now.Add(length + time.Duration(p.rand.Float64()*float64(spread)))
--- a/pkg/quota/owner.go
+++ b/pkg/quota/owner.go
@@ -16,8 +16,8 @@
 
 // pot is the limit of one upstream.
 type pot struct {
-	total   float64
-	heardAt ident.Instant
+	total      float64
+	observedAt ident.Instant
 	// since is when this owner learned of the limit. Until leases granted by a
 	// previous owner have ended, it confirms held rates only.
 	since   ident.Instant
@@ -55,13 +55,13 @@
 			p = &pot{since: now}
 			o.pots[d.Key] = p
 		}
-		if heardAt := now.Add(-d.Age); heardAt > p.heardAt || p.total == 0 && p.heardAt == 0 {
-			p.total, p.heardAt = max(0, d.Limit), heardAt
+		if observedAt := now.Add(-d.Age); observedAt > p.observedAt || p.total == 0 && p.observedAt == 0 {
+			p.total, p.observedAt = max(0, d.Limit), observedAt
 		}
 		grants = append(grants, Grant{
 			Key:   d.Key,
 			Limit: p.total,
-			Age:   now.Sub(p.heardAt),
+			Age:   now.Sub(p.observedAt),
 			Rate:  p.grant(now, host, fleet, d),
 		})
 	}
@@ -101,7 +101,7 @@
 func (o *Owner) removeStale(now ident.Instant) bool {
 	n := len(o.pots)
 	for k, p := range o.pots {
-		if now.Sub(p.heardAt) > holdTime {
+		if now.Sub(p.observedAt) > holdTime {
 			delete(o.pots, k)
 		}
 	}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -30,7 +30,7 @@
 
 func ExampleShare() {
 	s, owner := quota.NewShare(), quota.NewOwner()
-	s.Heard(0, 0, key, domain, 20)
+	s.Record(0, 0, key, domain, 20)
 	sent := 0
 	for ms := range 10_000 {
 		now := ident.Instant(time.Duration(ms) * time.Millisecond)
@@ -39,7 +39,7 @@
 		}
 		if ms%10 == 0 && s.Take(now, key, quota.Call{First: true}) {
 			sent++
-			s.Heard(now, now, key, domain, 20)
+			s.Record(now, now, key, domain, 20)
 		}
 	}
 	fmt.Println(sent > 150 && sent < 200)
@@ -153,7 +153,7 @@
 				if _, ok := f.told[s]; !ok {
 					f.told[s] = f.now
 				}
-				s.Heard(f.at(), sentAt, key, domain, f.limit)
+				s.Record(f.at(), sentAt, key, domain, f.limit)
 			},
 		})
 	}
@@ -314,7 +314,7 @@
 func TestUrgentCallsComeFirst(t *testing.T) {
 	is := is.New(t)
 	s, owner := quota.NewShare(), quota.NewOwner()
-	s.Heard(0, 0, key, domain, 20)
+	s.Record(0, 0, key, domain, 20)
 	var sent, wanted [2]int
 	for ms := range 20_000 {
 		now := ident.Instant(time.Duration(ms) * time.Millisecond)
@@ -337,7 +337,7 @@
 			wanted[rank]++
 			if ok {
 				sent[rank]++
-				s.Heard(now, now, key, domain, 20)
+				s.Record(now, now, key, domain, 20)
 			}
 		}
 	}
@@ -351,10 +351,10 @@
 func TestLateAnswerDoesNotEndALimit(t *testing.T) {
 	is := is.New(t)
 	s := quota.NewShare()
-	s.Heard(100, 50, key, domain, 20)
-	s.Heard(200, 60, key, domain, 0)
+	s.Record(100, 50, key, domain, 20)
+	s.Record(200, 60, key, domain, 0)
 	is.Equal(s.Limit(200, key), 20.0)
-	s.Heard(300, 250, key, domain, 0)
+	s.Record(300, 250, key, domain, 0)
 	is.Equal(s.Limit(300, key), 0.0)
 }
 
@@ -367,7 +367,7 @@
 		now := ident.Instant(time.Duration(ms) * time.Millisecond)
 		for k := range quota.Key(40) {
 			if ms == 0 {
-				s.Heard(now, now, k, domain, 20)
+				s.Record(now, now, k, domain, 20)
 			}
 			s.Take(now, k, quota.Call{First: ms%50 == 0})
 		}
--- a/pkg/quota/share.go
+++ b/pkg/quota/share.go
@@ -70,9 +70,9 @@
 
 // limit is the state of one limited upstream.
 type limit struct {
-	domain  ident.Domain
-	total   float64
-	heardAt ident.Instant
+	domain     ident.Domain
+	total      float64
+	observedAt ident.Instant
 	// rate is the granted rate, usable until leaseEnd.
 	rate     float64
 	leaseEnd ident.Instant
@@ -104,27 +104,27 @@
 // SetHosts sets the number of hosts that share the limits.
 func (s *Share) SetHosts(n int) { s.hosts = max(1, n) }
 
-// Heard processes the limit stated in an answer to a call that was sent at
-// sentAt, 0 for none. An answer to a call sent before the limit was heard does
-// not end it. Heard reports whether the limit has changed.
-func (s *Share) Heard(now, sentAt ident.Instant, k Key, domain ident.Domain, total float64) (Change, bool) {
+// Record processes the limit stated in an answer to a call that was sent at
+// sentAt, 0 for none. An answer to a call sent before the limit was observed does
+// not end it. Record reports whether the limit has changed.
+func (s *Share) Record(now, sentAt ident.Instant, k Key, domain ident.Domain, total float64) (Change, bool) {
 	l := s.limits[k]
-	if total == 0 && (l == nil || l.total == 0 || sentAt < l.heardAt) {
+	if total == 0 && (l == nil || l.total == 0 || sentAt < l.observedAt) {
 		return Change{}, false
 	}
 	return s.set(now, now, k, domain, total, false)
 }
 
-// Told processes what another host heard at heardAt. It reports whether that is
+// Learn processes what another host observed at observedAt. It reports whether that is
 // later than what this host knows, and a change.
-func (s *Share) Told(now, heardAt ident.Instant, k Key, domain ident.Domain, total float64) (Change, bool) {
-	if l := s.limits[k]; l != nil && heardAt <= l.heardAt {
+func (s *Share) Learn(now, observedAt ident.Instant, k Key, domain ident.Domain, total float64) (Change, bool) {
+	if l := s.limits[k]; l != nil && observedAt <= l.observedAt {
 		return Change{}, false
 	}
-	return s.set(now, heardAt, k, domain, total, true)
+	return s.set(now, observedAt, k, domain, total, true)
 }
 
-func (s *Share) set(now, heardAt ident.Instant, k Key, domain ident.Domain, total float64, learned bool) (Change, bool) {
+func (s *Share) set(now, observedAt ident.Instant, k Key, domain ident.Domain, total float64, learned bool) (Change, bool) {
 	l := s.limits[k]
 	if l == nil {
 		if total == 0 || len(s.limits) >= maxUpstreams {
@@ -137,7 +137,7 @@
 		s.limits[k] = l
 	}
 	changed := l.total != total
-	l.total, l.heardAt = total, heardAt
+	l.total, l.observedAt = total, observedAt
 	return Change{
 		Key:     k,
 		Limit:   total,
@@ -169,7 +169,7 @@
 
 func (s *Share) active(now ident.Instant, k Key) *limit {
 	l := s.limits[k]
-	if l == nil || l.total == 0 || now.Sub(l.heardAt) > holdTime {
+	if l == nil || l.total == 0 || now.Sub(l.observedAt) > holdTime {
 		return nil
 	}
 	return l
@@ -301,7 +301,7 @@
 	s.nextAt = now.Add(reportInterval)
 	wanted := make(map[Key]float64, len(s.limits))
 	for k, l := range s.limits {
-		if now.Sub(l.heardAt) > holdTime {
+		if now.Sub(l.observedAt) > holdTime {
 			delete(s.limits, k)
 			continue
 		}
@@ -315,7 +315,7 @@
 		d := Demand{
 			Key:    k,
 			Limit:  l.total,
-			Age:    now.Sub(l.heardAt),
+			Age:    now.Sub(l.observedAt),
 			Wanted: wanted[k],
 		}
 		if now < l.leaseEnd {
@@ -341,7 +341,7 @@
 // Granted processes an owner's grants in reply to the report sent at sentAt.
 func (s *Share) Granted(now, sentAt ident.Instant, domain ident.Domain, grants []Grant) (changes []Change) {
 	for _, g := range grants {
-		if c, changed := s.Told(now, now.Add(-g.Age), g.Key, domain, g.Limit); changed {
+		if c, changed := s.Learn(now, now.Add(-g.Age), g.Key, domain, g.Limit); changed {
 			changes = append(changes, c)
 		}
 		l := s.limits[g.Key]
--- a/pkg/relay/fact.go
+++ b/pkg/relay/fact.go
@@ -34,19 +34,19 @@
 
 func (Told) isEvent() {}
 
-// told processes facts of other hosts. What is news is passed on.
+// told processes facts of other hosts. What is new is passed on.
 func (e *Engine) told(facts []gossip.Fact) {
 	for _, f := range facts {
-		pass, news := f, false
+		pass, isNew := f, false
 		switch f.Topic {
 		case topicLimit:
-			news, pass.Urgent = e.toldLimit(f), true
+			isNew, pass.Urgent = e.learnLimit(f), true
 		case topicCrash:
-			pass, news = e.toldCrash(f)
+			pass, isNew = e.learnCrash(f)
 		case topicDeparture:
-			news = e.toldDeparture(f)
+			isNew = e.learnDeparture(f)
 		}
-		if news {
+		if isNew {
 			e.emit(Tell{Fact: pass})
 		}
 	}
@@ -66,7 +66,7 @@
 	return f
 }
 
-func (e *Engine) toldLimit(f gossip.Fact) (news bool) {
+func (e *Engine) learnLimit(f gossip.Fact) (isNew bool) {
 	if len(f.Body) < 8 {
 		return false
 	}
@@ -74,7 +74,7 @@
 	if !(limit >= 0) || math.IsInf(limit, 0) {
 		return false
 	}
-	c, changed := e.quota.Told(e.now, f.At, quota.Key(binary.BigEndian.Uint64(f.Key[:])), ident.Domain(f.Body[8:]), limit)
+	c, changed := e.quota.Learn(e.now, f.At, quota.Key(binary.BigEndian.Uint64(f.Key[:])), ident.Domain(f.Body[8:]), limit)
 	if u := e.byKey[c.Key]; changed && u != nil {
 		e.emitLimit(c, u)
 	}
--- a/pkg/relay/limit.go
+++ b/pkg/relay/limit.go
@@ -67,13 +67,13 @@
 	return min(max(wait, retryAfter), maxLimitWait)
 }
 
-// heard processes the limit stated in an answer. One that states none ends the
+// recordLimit processes the limit stated in an answer. One that states none ends the
 // limit only if it is a success: a rejection or a failure may leave it out.
-func (e *Engine) heard(a *attempt, ev Ended) {
+func (e *Engine) recordLimit(a *attempt, ev Ended) {
 	if ev.Status == 0 || ev.Moved || ev.Limit == UnreadableLimit || ev.Limit == 0 && ev.Result != Good {
 		return
 	}
-	if c, changed := e.quota.Heard(e.now, a.sentAt, a.upstream.key, a.upstream.Domain, ev.Limit); changed {
+	if c, changed := e.quota.Record(e.now, a.sentAt, a.upstream.key, a.upstream.Domain, ev.Limit); changed {
 		e.emitLimit(c, a.upstream)
 		e.emit(Tell{Fact: limitFact(e.now, c, a.upstream.Domain)})
 	}
--- a/pkg/relay/notice.go
+++ b/pkg/relay/notice.go
@@ -63,17 +63,17 @@
 	return probed
 }
 
-// heardDeparture processes whether an answer states that its upstream leaves.
-func (e *Engine) heardDeparture(a *attempt, ev Ended) {
-	u, news := a.upstream, false
+// recordDeparture processes whether an answer states that its upstream leaves.
+func (e *Engine) recordDeparture(a *attempt, ev Ended) {
+	u, isNew := a.upstream, false
 	switch {
 	case ev.Status == 0 || ev.Moved:
 	case ev.Leaving:
-		news = e.departures.Heard(e.now, u.key)
+		isNew = e.departures.Record(e.now, u.key)
 	case ev.Result == Good:
-		news = e.departures.Stays(e.now, a.sentAt, u.key)
+		isNew = e.departures.Stays(e.now, a.sentAt, u.key)
 	}
-	if !news {
+	if !isNew {
 		return
 	}
 	e.setNotices(u)
@@ -101,12 +101,12 @@
 	return f
 }
 
-func (e *Engine) toldDeparture(f gossip.Fact) (news bool) {
+func (e *Engine) learnDeparture(f gossip.Fact) (isNew bool) {
 	if len(f.Body) != 1 || f.Until > e.now.Add(notice.DepartureTime) {
 		return false
 	}
 	k, leaving := quota.Key(binary.BigEndian.Uint64(f.Key[:])), f.Body[0] == 1
-	if !e.departures.Told(e.now, f.At, k, leaving) {
+	if !e.departures.Learn(e.now, f.At, k, leaving) {
 		return false
 	}
 	u := e.byKey[k]
@@ -123,13 +123,13 @@
 	return !u.Draining
 }
 
-// heardPause processes a pause that an upstream asks for.
-func (e *Engine) heardPause(a *attempt, ev Ended) {
+// recordPause processes a pause that an upstream asks for.
+func (e *Engine) recordPause(a *attempt, ev Ended) {
 	if ev.Status == 0 || ev.Moved || ev.Pause <= 0 {
 		return
 	}
 	u := a.upstream
-	u.pausedUntil = e.pauses.Heard(e.now, u.key, ev.Pause)
+	u.pausedUntil = e.pauses.Record(e.now, u.key, ev.Pause)
 	e.emit(Pause{
 		Upstream: u.ID,
 		Service:  u.Service,
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -461,9 +461,9 @@
 	if !a.stopped || ev.Result != Lost {
 		e.recordResult(a, ev)
 	}
-	e.heard(a, ev)
-	e.heardDeparture(a, ev)
-	e.heardPause(a, ev)
+	e.recordLimit(a, ev)
+	e.recordDeparture(a, ev)
+	e.recordPause(a, ev)
 	p, q := a.part, a.query
 	switch ev.Result {
 	case Good:
--- a/pkg/relay/suspect.go
+++ b/pkg/relay/suspect.go
@@ -143,10 +143,10 @@
 	}
 }
 
-func (e *Engine) toldCrash(f gossip.Fact) (pass gossip.Fact, news bool) {
+func (e *Engine) learnCrash(f gossip.Fact) (pass gossip.Fact, isNew bool) {
 	p := blame.Print(f.Key)
 	known, before := e.blame.Crashes(p), e.blame.Verdict(e.now, p)
-	if pass, news = e.blame.Told(e.now, f); !news {
+	if pass, isNew = e.blame.Learn(e.now, f); !isNew {
 		return pass, false
 	}
 	if e.blame.Crashes(p) == known && e.blame.Verdict(e.now, p) == before {
