--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,11 @@
 
 bench: build
 	./bin/jujubethread bench
+
+# Runs each fuzz target for FUZZTIME. make test runs their seeds only.
+FUZZTIME ?= 5s
+
+fuzz:
+	@grep -r --include='*_test.go' -o '^func Fuzz[A-Za-z]*' . | while IFS=: read -r file f; do \
+		$(GO) test -run '^$$' -fuzz "^$${f#func }$$" -fuzztime $(FUZZTIME) "$$(dirname "$$file")" || exit 1; \
+	done
--- a/pkg/quorum/quorum_test.go
+++ b/pkg/quorum/quorum_test.go
@@ -158,32 +158,49 @@
 // duplication, one-way partitions, crashes that lose unsynced writes, and member
 // changes; and against a group that does not recover once these end.
 func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { checkHistory(rt, randomAction) })
+}
+
+// Guards against a process that acts after a pause on what held before it: a leader on
+// its lease, a member on its vote.
+func TestRandomHistoriesWithPauses(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		s := newSim(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 5).Draw(rt, "size"))
-		for range rapid.IntRange(5, 40).Draw(rt, "steps") {
-			randomAction(rt, s)
-			if len(s.violations) > 0 {
-				rt.Fatal(s.violations[0])
+		checkHistory(rt, func(rt *rapid.T, s *sim) {
+			for _, h := range s.hosts {
+				if rapid.IntRange(0, 3).Draw(rt, "pause") == 0 {
+					h.pausedUntil = s.now + time.Duration(rapid.IntRange(1, 3000).Draw(rt, "pausedFor"))*time.Millisecond
+				}
 			}
+			randomAction(rt, s)
+		})
+	})
+}
+
+func checkHistory(rt *rapid.T, act func(*rapid.T, *sim)) {
+	s := newSim(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 5).Draw(rt, "size"))
+	for range rapid.IntRange(5, 40).Draw(rt, "steps") {
+		act(rt, s)
+		if len(s.violations) > 0 {
+			rt.Fatal(s.violations[0])
 		}
-		s.heal()
-		s.syncDelay = 5 * time.Millisecond
-		if _, ok := s.runUntil(30*time.Second, func() bool { return s.leader() != nil }); !ok {
-			rt.Fatal("no leader after all faults have ended")
-		}
-		// A member change in progress may still cause a change of leader.
-		s.run(5 * time.Second)
-		ackedBefore := s.ackedIndex
-		if _, ok := s.runUntil(30*time.Second, func() bool {
-			if l := s.leader(); l != nil && s.now%(200*time.Millisecond) == 0 {
-				s.propose(l)
-			}
-			return s.ackedIndex > ackedBefore
-		}); !ok {
-			rt.Fatal("no command is accepted after all faults have ended")
+	}
+	s.heal()
+	s.syncDelay = 5 * time.Millisecond
+	if _, ok := s.runUntil(30*time.Second, func() bool { return s.leader() != nil }); !ok {
+		rt.Fatal("no leader after all faults have ended")
+	}
+	// A member change in progress may still cause a change of leader.
+	s.run(5 * time.Second)
+	ackedBefore := s.ackedIndex
+	if _, ok := s.runUntil(30*time.Second, func() bool {
+		if l := s.leader(); l != nil && s.now%(200*time.Millisecond) == 0 {
+			s.propose(l)
 		}
-		checkAgreement(rt, s)
-	})
+		return s.ackedIndex > ackedBefore
+	}); !ok {
+		rt.Fatal("no command is accepted after all faults have ended")
+	}
+	checkAgreement(rt, s)
 }
 
 // checkAgreement checks that the state machines of all members are equal.
--- a/pkg/quorum/sim_test.go
+++ b/pkg/quorum/sim_test.go
@@ -44,12 +44,15 @@
 	bootedAt  time.Duration
 	clockRate float64
 	up        bool
-	stored    quorum.Stored
-	writes    []func(*quorum.Stored)
-	writeSeqs []quorum.Seq
-	syncAt    time.Duration
-	// leaderHeardAt is when this host last got a message of a current leader.
-	leaderHeardAt time.Duration
+	// pausedUntil is when a paused process goes on. Meanwhile its clock runs, and
+	// messages and finished writes wait.
+	pausedUntil time.Duration
+	stored      quorum.Stored
+	writes      []func(*quorum.Stored)
+	writeSeqs   []quorum.Seq
+	syncAt      time.Duration
+	// leaderSeenAt is when this host last got a message of a current leader.
+	leaderSeenAt time.Duration
 	// state is the replicated state machine: the data of all applied commands.
 	state        []string
 	appliedIndex quorum.Index
@@ -107,6 +110,8 @@
 	return ident.Instant(float64(now-h.bootedAt) * h.clockRate)
 }
 
+func (h *host) paused(now time.Duration) bool { return h.up && now < h.pausedUntil }
+
 func (s *sim) boot(h *host) {
 	h.bootedAt, h.clockRate = s.now, 0.97+0.06*s.rng.Float64()
 	stored := h.stored
@@ -120,7 +125,7 @@
 	if err != nil {
 		panic(err)
 	}
-	h.node, h.up = node, true
+	h.node, h.up, h.pausedUntil = node, true, 0
 	h.restore(stored.Snapshot)
 }
 
@@ -254,9 +259,10 @@
 		due := s.packets
 		s.packets = nil
 		for _, p := range due {
-			if p.deliverAt > s.now {
+			h := s.hostByID(p.msg.To)
+			if p.deliverAt > s.now || h != nil && h.paused(s.now) {
 				s.packets = append(s.packets, p)
-			} else if h := s.hostByID(p.msg.To); h != nil && h.up {
+			} else if h != nil && h.up {
 				h.noteLeader(s.now, p.msg)
 				s.step(h, quorum.Receive{
 					Now:     h.clock(s.now),
@@ -265,7 +271,7 @@
 			}
 		}
 		for _, h := range s.hosts {
-			if h.up {
+			if h.up && !h.paused(s.now) {
 				s.sync(h)
 				s.step(h, quorum.Tick{Now: h.clock(s.now)})
 			}
@@ -281,7 +287,7 @@
 	}
 	switch m.Body.(type) {
 	case quorum.AppendRequest, quorum.SnapshotRequest:
-		h.leaderHeardAt = now
+		h.leaderSeenAt = now
 	}
 }
 
@@ -290,11 +296,11 @@
 func (s *sim) checkLeaders() {
 	const limit = 2 * electionTimeout * 11 / 10 // clocks differ by up to 3%
 	for _, h := range s.hosts {
-		if !h.up {
+		if !h.up || h.paused(s.now) {
 			continue
 		}
 		l := h.node.Status(h.clock(s.now)).Leader
-		if silent := s.now - h.leaderHeardAt; l != "" && l != h.id && silent > limit && len(s.violations) == 0 {
+		if silent := s.now - h.leaderSeenAt; l != "" && l != h.id && silent > limit && len(s.violations) == 0 {
 			s.reportViolation("%s names the leader %s, silent for %s", h.id, l, silent)
 		}
 	}
@@ -416,6 +422,7 @@
 	clear(s.blocked)
 	s.lossFraction = 0
 	for _, h := range s.hosts {
+		h.pausedUntil = 0
 		if h.up && h.node.Status(0).Failed {
 			s.crash(h)
 		}
