--- a/internal/dial/flood_test.go
+++ b/internal/dial/flood_test.go
@@ -134,7 +134,7 @@
 
 // Guards against 20 upstreams whose answers do not end that take the memory of a
 // host or delay its other calls.
-func TestManyAnswersWithoutEndLeaveRoom(t *testing.T) {
+func TestTwentyAnswersWithoutEndLeaveRoom(t *testing.T) {
 	is := is.New(t)
 	good := newRig(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{}`)) })
 	good.warm(1)
