Rename Tell and Told of relay to Broadcast and FactsReceived

Also the methods that handle them in relay, engine, simul and swarm. The events of pkg/engine keep their names, as recordings hold them. No behaviour changes.

--- a/internal/front/gossip.go
+++ b/internal/front/gossip.go
@@ -53,7 +53,7 @@
 // it asks for this host's.
 func (f *Front) takeGossip(in *receivedGossip) {
 	now := f.now()
-	f.stepEngine(relay.Told{
+	f.stepEngine(relay.FactsReceived{
 		Now:   now,
 		Facts: gossip.ReceiveAll(now, in.Facts),
 	})
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -112,7 +112,7 @@
 		f.stepEngine(relay.At(ev, f.now()))
 	case nil:
 		f.finishCall(in)
-	case relay.Ended, relay.Granted, relay.Told, relay.Tick:
+	case relay.Ended, relay.Granted, relay.FactsReceived, relay.Tick:
 	}
 }
 
@@ -234,7 +234,7 @@
 			f.reportDeparture(e)
 		case relay.Pause:
 			f.reportPause(e)
-		case relay.Tell:
+		case relay.Broadcast:
 			f.gossip.Spread(f.now(), e.Fact)
 		case relay.Suspicion:
 			f.reportSuspicion(e)
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -59,7 +59,7 @@
 		f.gauge.Request(outcome, took)
 		f.log.Info("query ends", "Request", string(q.id), "Outcome", outcome, "Reason", e.Reason, "Sub", q.shardSubset,
 			"TookMicros", took.Microseconds(), "Calls", calls, "Groups", groups, "Detail", e.Detail)
-	case relay.Call, relay.Stop, relay.Delegate, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Tell, relay.Suspicion:
+	case relay.Call, relay.Stop, relay.Delegate, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Broadcast, relay.Suspicion:
 	}
 }
 
--- a/internal/simul/crash.go
+++ b/internal/simul/crash.go
@@ -57,8 +57,8 @@
 	return list
 }
 
-// tell spreads a fact to the other hosts.
-func (h *host) tell(f gossip.Fact) {
+// spread passes a fact on to the other hosts.
+func (h *host) spread(f gossip.Fact) {
 	h.spreader.Spread(h.d.now, f)
 	h.gossip()
 }
--- a/internal/simul/simul.go
+++ b/internal/simul/simul.go
@@ -296,7 +296,7 @@
 		case engine.Report:
 			h.report(eff)
 		case engine.Tell:
-			h.tell(eff.Fact)
+			h.spread(eff.Fact)
 		case engine.Warm:
 		}
 	}
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -407,7 +407,7 @@
 			delete(h.prints, f.Query)
 		case relay.Report:
 			h.report(f)
-		case relay.Tell:
+		case relay.Broadcast:
 			h.gossip.Spread(s.now, f.Fact)
 			h.sendGossip()
 		case relay.Pass, relay.Stop, relay.Delegate, relay.Abandon, relay.Keep, relay.Drop, relay.Eject, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Suspicion:
@@ -469,7 +469,7 @@
 func (h *host) sendGossip() {
 	s := h.swarm
 	for _, m := range h.gossip.Due(s.now) {
-		h.tell(m)
+		h.send(m)
 	}
 	if next, ok := h.gossip.Next(); ok && (h.gossips <= s.now || next < h.gossips) {
 		h.gossips = next
@@ -477,7 +477,7 @@
 	}
 }
 
-func (h *host) tell(m gossip.Message) {
+func (h *host) send(m gossip.Message) {
 	s := h.swarm
 	var to int
 	if _, err := fmt.Sscan(string(m.To), &to); err != nil || s.setup.Deaf || s.lost(h, s.hosts[to]) {
@@ -485,12 +485,12 @@
 	}
 	other := s.hosts[to]
 	other.later(hop, func() {
-		other.step(relay.Told{
+		other.step(relay.FactsReceived{
 			Now:   s.now,
 			Facts: m.Facts,
 		})
 		if m.Pull {
-			other.tell(gossip.Message{
+			other.send(gossip.Message{
 				To:    h.id(),
 				Facts: other.gossip.Facts(),
 			})
--- a/pkg/engine/crash.go
+++ b/pkg/engine/crash.go
@@ -62,7 +62,7 @@
 	if e.blame.Verdict(now, q.print) != blame.Refused {
 		return false
 	}
-	e.tell(now, q.print)
+	e.broadcastCrash(now, q.print)
 	e.refuseAll(now, q.print)
 	return true
 }
@@ -81,7 +81,7 @@
 		e.armQueryTimer(q)
 	}
 	if r, cleared := e.blame.Clear(now, q.print); cleared && r.Shared {
-		e.tell(now, q.print)
+		e.broadcastCrash(now, q.print)
 	}
 }
 
@@ -103,18 +103,18 @@
 // an answer of any upstream.
 func (e *Engine) shareCrashes(now ident.Instant, q *query) {
 	if q.crashes > 0 && !q.answeredOnce && e.blame.Verdict(now, q.print) == blame.Suspect {
-		e.tell(now, q.print)
+		e.broadcastCrash(now, q.print)
 	}
 }
 
-func (e *Engine) tell(now ident.Instant, p blame.Print) {
+func (e *Engine) broadcastCrash(now ident.Instant, p blame.Print) {
 	if f, ok := e.blame.Fact(now, p); ok {
 		e.emit(Tell{Fact: f})
 	}
 }
 
-// told processes facts of other hosts, and passes on what is new.
-func (e *Engine) told(now ident.Instant, facts []gossip.Fact) {
+// receiveFacts processes facts of other hosts, and passes on what is new.
+func (e *Engine) receiveFacts(now ident.Instant, facts []gossip.Fact) {
 	for _, f := range facts {
 		p := blame.Print(f.Key)
 		if f.Topic != blame.Topic {
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -134,7 +134,7 @@
 	case ShareGranted:
 		e.shares.Granted(now, ev.Sent, "", ev.Grants)
 	case Told:
-		e.told(now, ev.Facts)
+		e.receiveFacts(now, ev.Facts)
 	case DrainStarted:
 		e.draining = true
 	case Ticked:
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -160,9 +160,9 @@
 	case Ended:
 		e.advanceTo(ev.Now)
 		e.ended(ev)
-	case Told:
+	case FactsReceived:
 		e.advanceTo(ev.Now)
-		e.told(ev.Facts)
+		e.receiveFacts(ev.Facts)
 	case Granted:
 		e.advanceTo(ev.Now)
 		e.granted(ev)
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -40,7 +40,7 @@
 	case Ended:
 		ev.Now = now
 		return ev
-	case Told:
+	case FactsReceived:
 		ev.Now = now
 		return ev
 	case Granted:
--- a/pkg/relay/fact.go
+++ b/pkg/relay/fact.go
@@ -21,21 +21,21 @@
 // limitFactTime is how long other hosts keep a limit that they were told of.
 const limitFactTime = 10 * time.Minute
 
-// Tell requests that a fact be spread to the other hosts.
-type Tell struct{ Fact gossip.Fact }
+// Broadcast requests that a fact be spread to the other hosts.
+type Broadcast struct{ Fact gossip.Fact }
 
-func (Tell) isEffect() {}
+func (Broadcast) isEffect() {}
 
-// Told is what another host told.
-type Told struct {
+// FactsReceived carries facts of another host.
+type FactsReceived struct {
 	Now   ident.Instant
 	Facts []gossip.Fact
 }
 
-func (Told) isEvent() {}
+func (FactsReceived) isEvent() {}
 
-// told processes facts of other hosts. What is new is passed on.
-func (e *Engine) told(facts []gossip.Fact) {
+// receiveFacts processes facts of other hosts. What is new is passed on.
+func (e *Engine) receiveFacts(facts []gossip.Fact) {
 	for _, f := range facts {
 		pass, isNew := f, false
 		switch f.Topic {
@@ -47,7 +47,7 @@
 			isNew = e.learnDeparture(f)
 		}
 		if isNew {
-			e.emit(Tell{Fact: pass})
+			e.emit(Broadcast{Fact: pass})
 		}
 	}
 }
--- a/pkg/relay/limit.go
+++ b/pkg/relay/limit.go
@@ -75,7 +75,7 @@
 	}
 	if c, changed := e.quota.Record(e.now, a.sentAt, a.upstream.key, a.upstream.Domain, ev.Limit); changed {
 		e.emitLimit(c, a.upstream)
-		e.emit(Tell{Fact: limitFact(e.now, c, a.upstream.Domain)})
+		e.emit(Broadcast{Fact: limitFact(e.now, c, a.upstream.Domain)})
 	}
 }
 
--- a/pkg/relay/limit_test.go
+++ b/pkg/relay/limit_test.go
@@ -141,16 +141,16 @@
 	is := is.New(t)
 	first, second := newHarness(t, 1), newHarness(t, 1)
 	first.play("/search/x", 20*time.Millisecond, 5*time.Millisecond, time.Second, limits{"shard-0-a": 10})
-	tell, ok := find[relay.Tell](first.seen)
+	sent, ok := find[relay.Broadcast](first.seen)
 	is.True(ok)
-	effects := second.step(relay.Told{Facts: []gossip.Fact{tell.Fact}})
+	effects := second.step(relay.FactsReceived{Facts: []gossip.Fact{sent.Fact}})
 	limit, ok := find[relay.Limit](effects)
 	is.True(ok)
 	is.Equal(limit.Upstream, ident.Upstream("shard-0-a"))
 	is.True(limit.Learned)
-	_, ok = find[relay.Tell](effects)
+	_, ok = find[relay.Broadcast](effects)
 	is.True(ok) // it is news, so it is passed on
-	_, ok = find[relay.Tell](second.step(relay.Told{Facts: []gossip.Fact{tell.Fact}}))
+	_, ok = find[relay.Broadcast](second.step(relay.FactsReceived{Facts: []gossip.Fact{sent.Fact}}))
 	is.True(!ok)
 }
 
--- a/pkg/relay/notice.go
+++ b/pkg/relay/notice.go
@@ -83,7 +83,7 @@
 		Stays:    !ev.Leaving,
 	})
 	if !u.Draining { // else the list tells all hosts
-		e.emit(Tell{Fact: departureFact(e.now, u.key, ev.Leaving)})
+		e.emit(Broadcast{Fact: departureFact(e.now, u.key, ev.Leaving)})
 	}
 }
 
--- a/pkg/relay/notice_test.go
+++ b/pkg/relay/notice_test.go
@@ -148,20 +148,20 @@
 func TestDepartureReachesOtherHosts(t *testing.T) {
 	is := is.New(t)
 	first, second := newHarness(t, 1), newHarness(t, 1)
-	tell, ok := find[relay.Tell](first.leave(t))
+	sent, ok := find[relay.Broadcast](first.leave(t))
 	is.True(ok)
 	second.now = first.now + 100*ms
-	effects := second.step(relay.Told{Facts: []gossip.Fact{tell.Fact}})
-	_, ok = find[relay.Tell](effects)
+	effects := second.step(relay.FactsReceived{Facts: []gossip.Fact{sent.Fact}})
+	_, ok = find[relay.Broadcast](effects)
 	is.True(ok)
-	_, ok = find[relay.Tell](second.step(relay.Told{Facts: []gossip.Fact{tell.Fact}}))
+	_, ok = find[relay.Broadcast](second.step(relay.FactsReceived{Facts: []gossip.Fact{sent.Fact}}))
 	is.True(!ok)
 	second.now += 1000 * ms
 	is.Equal(second.called(1, "/read/x"), map[ident.Upstream]int{"desk-b": 1})
 
 	shown := newHarness(t, 1)
 	shown.step(listed(func(u *relay.Upstream) { u.Draining = u.ID == "desk-a" }))
-	_, ok = find[relay.Tell](shown.step(relay.Told{Facts: []gossip.Fact{tell.Fact}}))
+	_, ok = find[relay.Broadcast](shown.step(relay.FactsReceived{Facts: []gossip.Fact{sent.Fact}}))
 	is.True(!ok)
 }
 
@@ -170,11 +170,11 @@
 func TestOddDepartureIsIgnored(t *testing.T) {
 	is := is.New(t)
 	first, second := newHarness(t, 1), newHarness(t, 1)
-	tell, _ := find[relay.Tell](first.leave(t))
-	forever, empty := tell.Fact, tell.Fact
+	sent, _ := find[relay.Broadcast](first.leave(t))
+	forever, empty := sent.Fact, sent.Fact
 	forever.Until = forever.Until.Add(time.Hour)
 	empty.Body = nil
-	second.step(relay.Told{Facts: []gossip.Fact{forever, empty}})
+	second.step(relay.FactsReceived{Facts: []gossip.Fact{forever, empty}})
 	second.now += 2000 * ms
 	is.Equal(second.called(1, "/read/x"), map[ident.Upstream]int{"desk-a": 1})
 }
--- a/pkg/relay/suspect.go
+++ b/pkg/relay/suspect.go
@@ -51,7 +51,7 @@
 	q.answeredOnce, q.suspect, q.crashes = true, false, 0
 	if r, changed := e.blame.Clear(e.now, q.print); changed {
 		if r.Shared {
-			e.tellCrashes(q.print)
+			e.broadcastCrashes(q.print)
 		}
 		e.emit(Suspicion{
 			Request: q.request,
@@ -97,7 +97,7 @@
 	}
 	e.emit(s)
 	if refused {
-		e.tellCrashes(q.print)
+		e.broadcastCrashes(q.print)
 		e.refuseAll(q.print)
 	}
 }
@@ -108,7 +108,7 @@
 func (e *Engine) shareCrashes(q *query) {
 	e.holdCrashes(q)
 	if q.held && !q.answeredOnce {
-		e.tellCrashes(q.print)
+		e.broadcastCrashes(q.print)
 	}
 }
 
@@ -137,9 +137,9 @@
 	}
 }
 
-func (e *Engine) tellCrashes(p blame.Print) {
+func (e *Engine) broadcastCrashes(p blame.Print) {
 	if f, ok := e.blame.Fact(e.now, p); ok {
-		e.emit(Tell{Fact: f})
+		e.emit(Broadcast{Fact: f})
 	}
 }
 
--- a/pkg/relay/suspect_test.go
+++ b/pkg/relay/suspect_test.go
@@ -34,8 +34,8 @@
 
 // tell passes what one host tells to another.
 func tell(from []relay.Effect, to *harness) {
-	for _, t := range all[relay.Tell](from) {
-		to.step(relay.Told{Facts: []gossip.Fact{t.Fact}})
+	for _, t := range all[relay.Broadcast](from) {
+		to.step(relay.FactsReceived{Facts: []gossip.Fact{t.Fact}})
 	}
 }
 
