End connections whose certificate is withdrawn or has expired

A host or an operator whose certificate had expired, or whose authority had been withdrawn, was served for as long as it kept its connection in use.

Cause: changed files are read within a second, but certificates were checked in the handshake only.

Change: the connection below TLS checks the peer's certificate with each read and write, and a caller takes a kept connection only if it has shown its present certificate there.

Evidence: TestWithdrawnCertificateEndsKeptConnections (4 of 4 rows) and TestWithdrawnCertificateEndsKeptHTTPConnections failed on the code before and pass now. TestWithdrawnCertificateIsRefusedAfterARestart and TestChangeOfAuthorityFailsNoCall pass on both.

--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -42,7 +42,7 @@
 			stats: &l.server.stats,
 		}
 		if l.server.certs != nil {
-			c = tls.Server(c, l.server.certs.serverConfig())
+			c = tls.Server(l.server.certs.callerConn(c), l.server.certs.serverConfig())
 		} else {
 			c = &plainConn{Conn: c}
 		}
--- a/internal/link/certs.go
+++ b/internal/link/certs.go
@@ -63,17 +63,24 @@
 // current returns the certificates for a new connection, after a reload if one
 // is due. It fails if they have expired.
 func (r *certReloader) current() (*keys.Loaded, error) {
+	now := time.Now()
+	loaded := r.latest(now)
+	if now.After(loaded.Expiry()) {
+		return nil, keys.NewError(keys.Expired, r.cfg.Keys.Cert, "issue a new certificate; it is read without a restart", nil)
+	}
+	return loaded, nil
+}
+
+// latest returns the certificates after a reload if one is due. The certificate of
+// this host may have expired.
+func (r *certReloader) latest(now time.Time) *keys.Loaded {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
 	if now.Sub(r.checked) >= reloadInterval {
 		r.checked = now
 		r.reload(now)
 	}
-	if now.After(r.loaded.Expiry()) {
-		return nil, keys.NewError(keys.Expired, r.cfg.Keys.Cert, "issue a new certificate; it is read without a restart", nil)
-	}
-	return r.loaded, nil
+	return r.loaded
 }
 
 // reload loads the files if they changed. It keeps the old stamps if the new
@@ -96,7 +103,7 @@
 func (r *certReloader) serverConfig() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
-		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		GetConfigForClient: func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
 			loaded, err := r.current()
 			if err != nil {
 				r.cfg.Log.Error("connection rejected: the certificate of this host is not valid", "error", err)
@@ -108,24 +115,27 @@
 				ClientAuth:             tls.RequireAndVerifyClientCert,
 				ClientCAs:              loaded.CA,
 				SessionTicketsDisabled: true,
+				VerifyConnection:       acceptCaller(hello.Conn, loaded),
 			}, nil
 		},
 	}
 }
 
-func (r *certReloader) clientConfig(address string) (*tls.Config, error) {
+// clientConfig returns the configuration for a connection to address, and the
+// certificates that it is for.
+func (r *certReloader) clientConfig(address string) (*tls.Config, *keys.Loaded, error) {
 	loaded, err := r.current()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{loaded.Cert},
 		RootCAs:      loaded.CA,
 		ServerName:   host,
-	}, nil
+	}, loaded, nil
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"net"
 	"strconv"
@@ -31,6 +32,10 @@
 	tr *transport
 	// socket is the TCP connection below TLS.
 	socket net.Conn
+	// peer is the connection below TLS, and own the certificates that this host
+	// presented on it; both are nil in plaintext.
+	peer *peerConn
+	own  *keys.Loaded
 }
 
 // NewClient returns a client. It loads the certificates if any are configured;
@@ -150,14 +155,15 @@
 
 // acquire returns an idle connection from the pool or dials a new one. It drops
 // idle connections that the peer has closed: their reader may not have noticed
-// yet, and a call on such a connection would have an unknown outcome.
+// yet, and a call on such a connection would have an unknown outcome. The same holds
+// for connections whose certificates are not those of now.
 func (c *Client) acquire(ctx context.Context, target call) (*clientConn, error) {
 	for {
 		conn, ok := c.pool.Take(target.address)
 		if !ok {
 			break
 		}
-		if !closedByPeer(conn.socket) {
+		if !closedByPeer(conn.socket) && c.trusts(conn) {
 			return conn, nil
 		}
 		_ = conn.Close() // the connection is discarded in any case
@@ -178,8 +184,15 @@
 		Conn:  conn,
 		stats: &c.stats,
 	}
+	var peer *peerConn
+	var own *keys.Loaded
 	if c.certs != nil {
-		if raw, err = c.handshake(ctx, target, raw); err != nil {
+		peer = &peerConn{
+			Conn:  raw,
+			certs: c.certs,
+			usage: x509.ExtKeyUsageServerAuth,
+		}
+		if raw, own, err = c.handshake(ctx, target, peer); err != nil {
 			_ = conn.Close()
 			return nil, err
 		}
@@ -189,25 +202,38 @@
 		Conn:   drpcconn.NewWithOptions(tr, drpcconn.Options{Manager: c.cfg.managerOptions()}),
 		tr:     tr,
 		socket: conn,
+		peer:   peer,
+		own:    own,
 	}, nil
 }
 
-func (c *Client) handshake(ctx context.Context, target call, raw net.Conn) (net.Conn, error) {
-	cfg, err := c.certs.clientConfig(target.address)
+// trusts reports whether the peer of an idle connection is still trusted and was shown
+// the present certificate of this host.
+func (c *Client) trusts(conn *clientConn) bool {
+	if c.certs == nil {
+		return true
+	}
+	own, err := c.certs.current()
+	return err == nil && own == conn.own && conn.peer.check() == nil
+}
+
+func (c *Client) handshake(ctx context.Context, target call, peer *peerConn) (net.Conn, *keys.Loaded, error) {
+	cfg, own, err := c.certs.clientConfig(target.address)
 	if err != nil {
-		return nil, target.newError(Untrusted, err)
+		return nil, nil, target.newError(Untrusted, err)
 	}
-	conn := tls.Client(raw, cfg)
+	conn := tls.Client(peer, cfg)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		if certErr := certError(target.address, err); certErr != nil {
-			return nil, target.newError(Untrusted, certErr)
+			return nil, nil, target.newError(Untrusted, certErr)
 		}
 		if ctx.Err() == nil {
-			return nil, target.newError(Untrusted, keys.NewError(keys.Missing, target.address, "the peer ended the handshake: configure its certificates", err))
+			return nil, nil, target.newError(Untrusted, keys.NewError(keys.Missing, target.address, "the peer ended the handshake: configure its certificates", err))
 		}
-		return nil, target.newError(Unreachable, err)
+		return nil, nil, target.newError(Unreachable, err)
 	}
-	return conn, nil
+	peer.accept(conn.ConnectionState().PeerCertificates, own)
+	return conn, own, nil
 }
 
 // Stream receives the messages of one server stream. It is not safe for
--- a/internal/link/secure.go
+++ b/internal/link/secure.go
@@ -17,7 +17,10 @@
 		_ = lis.Close()
 		return nil, err
 	case r != nil:
-		return tls.NewListener(lis, r.serverConfig()), nil
+		return tls.NewListener(peerListener{
+			Listener: lis,
+			certs:    r,
+		}, r.serverConfig()), nil
 	case !cfg.AllowPlain && !isLoopback(lis.Addr().String()):
 		_ = lis.Close()
 		return nil, call{
