--- a/pkg/quorum/install.go
+++ b/pkg/quorum/install.go
@@ -2,8 +2,10 @@
 
 import "github.com/jujubethread/jujubethread/pkg/ident"
 
-// incomingSnapshot collects the chunks of a snapshot that a follower receives.
+// incomingSnapshot collects the chunks of a snapshot that a follower receives from
+// one member: another one, of another release, may encode the same state differently.
 type incomingSnapshot struct {
+	from  ident.HostID
 	index Index
 	term  Term
 	data  []byte
@@ -37,8 +39,9 @@
 		return
 	}
 	incoming := &n.incoming
-	if incoming.index != s.Meta.Index || incoming.term != s.Meta.Term {
+	if incoming.from != from || incoming.index != s.Meta.Index || incoming.term != s.Meta.Term {
 		*incoming = incomingSnapshot{
+			from:  from,
 			index: s.Meta.Index,
 			term:  s.Meta.Term,
 		}
--- a/pkg/quorum/quorum_test.go
+++ b/pkg/quorum/quorum_test.go
@@ -396,6 +396,45 @@
 	is.Equal(n.Status(now).Commit, quorum.Index(3))
 }
 
+// Guards against a snapshot put together of the chunks of two leaders: members of
+// different releases may encode the same state differently.
+func TestSnapshotOfTwoLeadersIsNotMixed(t *testing.T) {
+	is := is.New(t)
+	members := []quorum.Member{{ID: "a", Address: "sim"}, {ID: "b", Address: "sim"}, {ID: "c", Address: "sim"}}
+	n, err := quorum.New(quorum.Config{ID: "a"}, quorum.Stored{Snapshot: quorum.Bootstrap(members, nil)}, 0)
+	is.NoErr(err)
+	var saved *quorum.Snapshot
+	receive := func(from ident.HostID, term quorum.Term, offset int, chunk string) {
+		for _, e := range n.Step(quorum.Receive{
+			Now: ident.Instant(time.Second),
+			Message: quorum.Message{
+				From: from,
+				To:   "a",
+				Term: term,
+				Body: quorum.SnapshotRequest{
+					Meta: quorum.Meta{
+						Index:   9,
+						Term:    1,
+						Members: members,
+					},
+					Offset: offset,
+					Total:  6,
+					Chunk:  []byte(chunk),
+				},
+			},
+		}) {
+			if s, ok := e.(quorum.SaveSnapshot); ok {
+				saved = &s.Snapshot
+			}
+		}
+	}
+	receive("b", 2, 0, "bbb")
+	receive("c", 3, 0, "ccc")
+	receive("c", 3, 3, "ccc")
+	is.True(saved != nil)
+	is.Equal(string(saved.Data), "cccccc")
+}
+
 // Guards against a follower that acknowledges an entry because an earlier write
 // at the same index became durable, although a new leader has replaced that
 // entry.
