Check the server's certificate between calls only

Cause: the caller checked the server's certificate with each read and write. If changed files were read in the middle of a call, its answer was discarded and the call reported as not run.

Change: a caller checks before it takes a kept connection. Servers check callers with each read and write as before: to the caller that is a broken connection, whose outcome is unknown.

Evidence: TestWithdrawalDuringACallKeepsItsAnswer failed on the code before and passes now.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -32,10 +32,10 @@
 	tr *transport
 	// socket is the TCP connection below TLS.
 	socket net.Conn
-	// peer is the connection below TLS, and own the certificates that this host
-	// presented on it; both are nil in plaintext.
-	peer *peerConn
-	own  *keys.Loaded
+	// trust is that in the peer, and own the certificates that this host presented to
+	// it; both are nil in plaintext.
+	trust *peerTrust
+	own   *keys.Loaded
 }
 
 // NewClient returns a client. It loads the certificates if any are configured;
@@ -184,15 +184,15 @@
 		Conn:  conn,
 		stats: &c.stats,
 	}
-	var peer *peerConn
+	var trust *peerTrust
 	var own *keys.Loaded
 	if c.certs != nil {
-		peer = &peerConn{
-			Conn:  raw,
+		trust = &peerTrust{
 			certs: c.certs,
+			peer:  target.address,
 			usage: x509.ExtKeyUsageServerAuth,
 		}
-		if raw, own, err = c.handshake(ctx, target, peer); err != nil {
+		if raw, own, err = c.handshake(ctx, target, raw, trust); err != nil {
 			_ = conn.Close()
 			return nil, err
 		}
@@ -202,7 +202,7 @@
 		Conn:   drpcconn.NewWithOptions(tr, drpcconn.Options{Manager: c.cfg.managerOptions()}),
 		tr:     tr,
 		socket: conn,
-		peer:   peer,
+		trust:  trust,
 		own:    own,
 	}, nil
 }
@@ -214,15 +214,15 @@
 		return true
 	}
 	own, err := c.certs.current()
-	return err == nil && own == conn.own && conn.peer.check() == nil
+	return err == nil && own == conn.own && conn.trust.check() == nil
 }
 
-func (c *Client) handshake(ctx context.Context, target call, peer *peerConn) (net.Conn, *keys.Loaded, error) {
+func (c *Client) handshake(ctx context.Context, target call, raw net.Conn, trust *peerTrust) (net.Conn, *keys.Loaded, error) {
 	cfg, own, err := c.certs.clientConfig(target.address)
 	if err != nil {
 		return nil, nil, target.newError(Untrusted, err)
 	}
-	conn := tls.Client(peer, cfg)
+	conn := tls.Client(raw, cfg)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		if certErr := certError(target.address, err); certErr != nil {
 			return nil, nil, target.newError(Untrusted, certErr)
@@ -232,7 +232,7 @@
 		}
 		return nil, nil, target.newError(Unreachable, err)
 	}
-	peer.accept(conn.ConnectionState().PeerCertificates, own)
+	trust.accept(conn.ConnectionState().PeerCertificates, own)
 	return conn, own, nil
 }
 
--- a/internal/link/secure.go
+++ b/internal/link/secure.go
@@ -17,7 +17,7 @@
 		_ = lis.Close()
 		return nil, err
 	case r != nil:
-		return tls.NewListener(peerListener{
+		return tls.NewListener(callerListener{
 			Listener: lis,
 			certs:    r,
 		}, r.serverConfig()), nil
--- a/internal/link/trust.go
+++ b/internal/link/trust.go
@@ -10,12 +10,11 @@
 	"github.com/jujubethread/jujubethread/internal/keys"
 )
 
-// peerConn is the connection below TLS. It fails once the certificate of the peer has
-// expired or its authority has been withdrawn: the handshake checks that only once, and
-// connections are kept for as long as they are used.
-type peerConn struct {
-	net.Conn
+// peerTrust tells whether the peer of a connection is still trusted: the handshake checks
+// its certificate only once, and connections are kept for as long as they are used.
+type peerTrust struct {
 	certs *certReloader
+	peer  string // the address, for errors
 	// usage is what the peer's certificate must be for.
 	usage x509.ExtKeyUsage
 	// chain is the peer's certificate with intermediate ones, nil during the handshake.
@@ -24,40 +23,24 @@
 	verified atomic.Pointer[keys.Loaded]
 }
 
-// Read implements net.Conn.
-func (c *peerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if trustErr := c.check(); trustErr != nil {
-		return 0, trustErr
-	}
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *peerConn) Write(p []byte) (int, error) {
-	if err := c.check(); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
-
 // accept records the certificates that the handshake has verified.
-func (c *peerConn) accept(chain []*x509.Certificate, by *keys.Loaded) {
+func (c *peerTrust) accept(chain []*x509.Certificate, by *keys.Loaded) {
 	c.verified.Store(by)
 	c.chain.Store(&chain)
 }
 
-// check returns a *keys.Error if the peer is no longer trusted.
-func (c *peerConn) check() error {
+// check returns a *keys.Error if the certificate of the peer has expired or its authority
+// has been withdrawn.
+func (c *peerTrust) check() error {
 	chain := c.chain.Load()
 	if chain == nil || len(*chain) == 0 {
 		return nil
 	}
 	now := time.Now()
 	loaded := c.certs.latest(now)
-	leaf, peer := (*chain)[0], c.RemoteAddr().String()
+	leaf := (*chain)[0]
 	if now.After(leaf.NotAfter) {
-		return keys.NewError(keys.Expired, peer, "issue a new certificate for the peer and check the clocks", nil)
+		return keys.NewError(keys.Expired, c.peer, "issue a new certificate for the peer and check the clocks", nil)
 	}
 	if c.verified.Load() == loaded {
 		return nil
@@ -72,20 +55,45 @@
 		CurrentTime:   now,
 		KeyUsages:     []x509.ExtKeyUsage{c.usage},
 	}); err != nil {
-		return keys.NewError(keys.Wrong, peer, "issue the peer's certificate by an authority that is still trusted", err)
+		return keys.NewError(keys.Wrong, c.peer, "issue the peer's certificate by an authority that is still trusted", err)
 	}
 	c.verified.Store(loaded)
 	return nil
 }
 
-// peerListener accepts connections as peerConns, for serverConfig.
-type peerListener struct {
+// callerConn is an accepted connection below TLS. It fails once the caller is no longer
+// trusted. Callers do not check that during a call: they could not tell whether it has
+// run.
+type callerConn struct {
+	net.Conn
+	trust *peerTrust
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if trustErr := c.trust.check(); trustErr != nil {
+		return 0, trustErr
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if err := c.trust.check(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// callerListener accepts connections as callerConns, for serverConfig.
+type callerListener struct {
 	net.Listener
 	certs *certReloader
 }
 
 // Accept implements net.Listener.
-func (l peerListener) Accept() (net.Conn, error) {
+func (l callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -94,11 +102,14 @@
 }
 
 // callerConn wraps an accepted connection for serverConfig.
-func (r *certReloader) callerConn(conn net.Conn) *peerConn {
-	return &peerConn{
-		Conn:  conn,
-		certs: r,
-		usage: x509.ExtKeyUsageClientAuth,
+func (r *certReloader) callerConn(conn net.Conn) *callerConn {
+	return &callerConn{
+		Conn: conn,
+		trust: &peerTrust{
+			certs: r,
+			peer:  conn.RemoteAddr().String(),
+			usage: x509.ExtKeyUsageClientAuth,
+		},
 	}
 }
 
@@ -106,8 +117,8 @@
 // the handshake, whose it is.
 func acceptCaller(conn net.Conn, by *keys.Loaded) func(tls.ConnectionState) error {
 	return func(s tls.ConnectionState) error {
-		if p, ok := conn.(*peerConn); ok {
-			p.accept(s.PeerCertificates, by)
+		if c, ok := conn.(*callerConn); ok {
+			c.trust.accept(s.PeerCertificates, by)
 		}
 		return nil
 	}
--- a/internal/link/trust_test.go
+++ b/internal/link/trust_test.go
@@ -1,6 +1,7 @@
 package link_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -90,6 +91,25 @@
 	}
 }
 
+// Guards against an answer that is discarded, and a call that is reported as not run and
+// has run, since the server's authority is withdrawn in the middle of it.
+func TestWithdrawalDuringACallKeepsItsAnswer(t *testing.T) {
+	is := is.New(t)
+	a := newAuthorities(t)
+	address := serve(t, link.Config{Keys: a.host(a.old, "server", time.Hour)}, func(s *link.Server) {
+		link.Handle(s, proto.MethodPeer, func(_ context.Context, in *proto.Peer) (*proto.PeerAnswer, error) {
+			if len(in.Payload) > 0 {
+				a.trust("client", "newer")
+				time.Sleep(1200 * time.Millisecond) // files are checked each second
+			}
+			return &proto.PeerAnswer{}, nil
+		})
+	})
+	c := client(t, link.Config{Keys: a.host(a.newer, "client", time.Hour)})
+	is.NoErr(c.Call(t.Context(), address, proto.MethodPeer, &proto.Peer{Payload: []byte("slow")}, &proto.PeerAnswer{}))
+	is.Equal(link.KindOf(ping(t, c, address)), link.Untrusted)
+}
+
 // Guards against a host that comes back with a certificate, or among peers with
 // certificates, of an authority that was withdrawn while it was down.
 func TestWithdrawnCertificateIsRefusedAfterARestart(t *testing.T) {
