Stamp commands in TestAtMostOneRun no earlier than a leader can

Cause: the simulation subtracted its lag from the stamp. The first reservation of a new group could so be stamped 30 s before its filing arrived, which Clock.At, never below the leader's first stamp, rules out.

Change: the lag is taken from the time, a reservation is stamped no earlier than its filing arrives, and the stamp comes from Clock.At. All other commands are as late as before.

--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -94,11 +94,18 @@
 }
 
 func (sim *simulation) run(t *rapid.T, cmd ledger.Command) ledger.Result {
-	at := sim.clock.At(sim.now)
+	return sim.runSince(t, cmd, 0)
+}
+
+// runSince runs a command that may have waited since it was stamped. The leader
+// stamps it when it is proposed, so not before created, and never below its first
+// stamp.
+func (sim *simulation) runSince(t *rapid.T, cmd ledger.Command, created ident.Instant) ledger.Result {
+	stamped := sim.now
 	if rapid.IntRange(0, 3).Draw(t, "late") == 0 {
-		at -= ledger.Stamp(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "lag"))
+		stamped = max(created, stamped.Add(-time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "lag"))))
 	}
-	r := sim.m.Run(ledger.Stamped(cmd, at))
+	r := sim.m.Run(ledger.Stamped(cmd, sim.clock.At(stamped)))
 	if sim.m.Clock() < sim.lastClock {
 		t.Fatalf("clock fell from %d to %d", sim.lastClock, sim.m.Clock())
 	}
@@ -118,7 +125,7 @@
 }
 
 func (sim *simulation) reserve(t *rapid.T, s *send) {
-	r := sim.run(t, s.cmd)
+	r := sim.runSince(t, s.cmd, s.arrived)
 	// A host ignores answers once it has a grant or has given up, so the
 	// answer to a late duplicate has no effect.
 	if r.Kind == ledger.Granted && s.fence == 0 && !s.ended && rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
