--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -12,6 +12,10 @@
 // data folder, so that a new data folder brings a new id.
 type HostID string
 
+// Account names a customer on whose behalf callers send requests. Keys, limits and
+// priorities belong to accounts.
+type Account string
+
 // Domain names a failure domain.
 type Domain string
 
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -97,6 +97,11 @@
 	// Request is the caller's id of the request, Print identifies what it asks.
 	Request ident.RequestID
 	Print   blame.Print
+	// Account is the caller's account, empty if it has none. Priority replaces that of
+	// the route if HasPriority is set.
+	Account     ident.Account
+	Priority    int
+	HasPriority bool
 	// Cleared is set if the host that delegates the request has had an answer to
 	// it from an upstream.
 	Cleared bool
--- a/pkg/relay/limit.go
+++ b/pkg/relay/limit.go
@@ -17,7 +17,7 @@
 // takes the call from its limit if it has one. What a limit does not allow goes
 // to the other upstreams of the service. busy is set as by pick.
 func (e *Engine) admit(q *query, p *part, hedge bool) (best *upstream, busy bool) {
-	rank := q.route.Priority
+	rank := q.priority
 	if hedge {
 		rank = hedgeRank
 	}
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -35,6 +35,9 @@
 
 	request ident.RequestID
 	print   blame.Print
+	account ident.Account
+	// priority ranks the query for load shedding; 0 is the most important.
+	priority int
 	// draw decides, at all hosts, whether limits admit the query's calls.
 	draw quota.Draw
 	// answeredOnce is set once an upstream has answered the request with success,
@@ -273,6 +276,12 @@
 		request: ev.Request,
 		print:   ev.Print,
 		draw:    ev.Draw,
+
+		account:  ev.Account,
+		priority: r.Priority,
+	}
+	if ev.HasPriority {
+		q.priority = ev.Priority
 	}
 	e.endWithHost(q)
 	if q.draw == 0 {
@@ -517,8 +526,8 @@
 	switch {
 	case late != otherLate:
 		return otherLate
-	case q.route.Priority != o.route.Priority:
-		return q.route.Priority < o.route.Priority
+	case q.priority != o.priority:
+		return q.priority < o.priority
 	}
 	return q.target < o.target
 }
--- /dev/null
+++ b/pkg/rules/account.go
@@ -0,0 +1,53 @@
+package rules
+
+import "github.com/jujubethread/jujubethread/pkg/ident"
+
+// Account is a customer with the keys of its callers.
+type Account struct {
+	Name ident.Account
+	// Keys are secrets: they appear in no log, metric, trace or error.
+	Keys []string
+	// Priority replaces that of the route if HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// Rate is the number of requests a second that all hosts together take, 0 for no
+	// limit. Burst is how many more they take at once.
+	Rate  float64
+	Burst float64
+}
+
+// PriorityOn returns the priority of the account's requests on a route. A nil account
+// has that of the route.
+func (a *Account) PriorityOn(r *Route) int {
+	if a != nil && a.HasPriority {
+		return a.Priority
+	}
+	return r.Priority
+}
+
+// Authorize returns the account to which the keys of a request belong, nil for none,
+// and whether the request may use the route. A request has one key; several are as
+// good as an unknown one.
+func (t *Table) Authorize(r *Route, keys []string) (a *Account, ok bool) {
+	if len(keys) == 1 {
+		a = t.accounts[keys[0]]
+	}
+	return a, a != nil || r.Public || !t.Doc.RequiresKey
+}
+
+// indexAccounts indexes the accounts by key. Entries with one name are one account,
+// with the limit and priority of the first.
+func (t *Table) indexAccounts() {
+	byName := make(map[ident.Account]*Account, len(t.Doc.Accounts))
+	for i := range t.Doc.Accounts {
+		entry := &t.Doc.Accounts[i]
+		if byName[entry.Name] == nil {
+			byName[entry.Name] = entry
+		}
+		for _, key := range entry.Keys {
+			if key != "" {
+				t.accounts[key] = byName[entry.Name]
+			}
+		}
+	}
+}
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -32,6 +32,10 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// RequiresKey is set if requests on routes that are not public must carry the key
+	// of an account.
+	RequiresKey bool
+	Accounts    []Account
 }
 
 // Route tells how requests with one host name and path prefix are forwarded.
@@ -62,6 +66,8 @@
 	// MinShardFraction is the smallest fraction of shards, 0 to 1, from which an
 	// answer is made. With fewer parts the request fails.
 	MinShardFraction float64
+	// Public is set if requests need no key.
+	Public bool
 }
 
 // Gathers reports whether the route fans out to shards, so that the parts of
--- a/pkg/rules/table.go
+++ b/pkg/rules/table.go
@@ -13,6 +13,8 @@
 	// hosts holds the routes by host name in lower case, then by path prefix.
 	hosts    map[string]map[string]*Route
 	services map[ident.Service]*Service
+	// accounts holds the accounts by key.
+	accounts map[string]*Account
 }
 
 // NewTable returns the table of d, which must have passed Check.
@@ -21,7 +23,9 @@
 		Doc:      d,
 		hosts:    make(map[string]map[string]*Route),
 		services: make(map[ident.Service]*Service, len(d.Services)),
+		accounts: make(map[string]*Account),
 	}
+	t.indexAccounts()
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
