Start upstreams slowly and find their pace from their answers

Cause: an upstream that returns was flooded by all hosts at once or, after failures, avoided for seconds. The effort that upstreams on shared machines state, a fourth number in their load, made the whole load unreadable.

Change: pkg/pace keeps a window for each upstream of a service that states a cold time; relay.pick prefers upstreams whose window has room. A stated rate for cold upstreams is shared over all hosts by pkg/quota. The effort scales the expected latency while it is fresh.

--- a/internal/front/delegate.go
+++ b/internal/front/delegate.go
@@ -303,7 +303,7 @@
 			AfterMicros: e.After.Microseconds(),
 			Reason:      e.Reason,
 		}, nil
-	case relay.Pass, relay.Call, relay.Stop, relay.Delegate, relay.Abandon, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Broadcast, relay.Suspicion:
+	case relay.Pass, relay.Call, relay.Stop, relay.Delegate, relay.Abandon, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Paced, relay.Withheld, relay.Broadcast, relay.Suspicion:
 	}
 	return &delegateReply{Declined: true}, nil
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -238,6 +238,8 @@
 			f.gossip.Spread(f.now(), e.Fact)
 		case relay.Suspicion:
 			f.reportSuspicion(e)
+		case relay.Paced:
+			f.reportPaced(e)
 		case relay.Withheld:
 			f.gauge.Withheld.Inc(1)
 		case relay.Merge:
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -59,7 +59,7 @@
 		f.gauge.Request(outcome, took)
 		f.log.Info("query ends", "Request", string(q.id), "Outcome", outcome, "Reason", e.Reason, "Sub", q.shardSubset,
 			"TookMicros", took.Microseconds(), "Calls", calls, "Groups", groups, "Detail", e.Detail)
-	case relay.Call, relay.Stop, relay.Delegate, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Broadcast, relay.Suspicion:
+	case relay.Call, relay.Stop, relay.Delegate, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Paced, relay.Withheld, relay.Broadcast, relay.Suspicion:
 	}
 }
 
@@ -88,6 +88,13 @@
 	f.log.Info("upstream asks for a pause", "Upstream", string(e.Upstream), "Service", string(e.Service), "ForMillis", e.For.Milliseconds())
 }
 
+func (f *Front) reportPaced(e relay.Paced) {
+	if e.Down {
+		f.gauge.Downs.Inc(1)
+	}
+	f.log.Info("slow start of an upstream changed", "Upstream", string(e.Upstream), "Service", string(e.Service), "Down", e.Down)
+}
+
 // serveMetrics serves the metrics and updates the gauges until ctx ends. If the
 // port is in use, the host runs without metrics.
 func (f *Front) serveMetrics(ctx context.Context) error {
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -229,7 +229,7 @@
 		f.writeMerged(w, q, rep.stamps(), e.Missing, merge(rep, e.Top))
 	case relay.Refuse:
 		f.refuse(w, q, e)
-	case relay.Call, relay.Stop, relay.Delegate, relay.Abandon, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Broadcast, relay.Suspicion:
+	case relay.Call, relay.Stop, relay.Delegate, relay.Abandon, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Paced, relay.Withheld, relay.Broadcast, relay.Suspicion:
 	}
 }
 
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -25,6 +25,8 @@
 //	| leaving_upstreams | gauge     |             | upstreams that have said that they leave      |
 //	| paused_upstreams  | gauge     |             | upstreams that want no calls from this host   |
 //	| pauses            | counter   |             | answers that asked for such a pause           |
+//	| upstreams_down    | counter   |             | upstreams with a slow start that began to     |
+//	|                   |           |             | count as down on this host                    |
 //	| connections       | gauge     |             | connections opened to upstreams since the     |
 //	|                   |           |             | process started                               |
 //	| requests_running  | gauge     |             | callers' and delegated requests in progress   |
@@ -88,11 +90,12 @@
 	callSeconds    tally.Histogram
 	delegated      map[string]tally.Counter
 
-	// Ejected, Withheld, Crashers and Pauses are incremented; the others are set to
-	// the current value.
+	// Ejected, Withheld, Crashers, Pauses and Downs are incremented; the others are set
+	// to the current value.
 	Ejected     tally.Counter
 	Withheld    tally.Counter
 	Pauses      tally.Counter
+	Downs       tally.Counter
 	Leaving     tally.Gauge
 	Paused      tally.Gauge
 	Limited     tally.Gauge
@@ -132,6 +135,7 @@
 		Withheld:       scope.Counter("calls_withheld"),
 		Crashers:       scope.Counter("crashers"),
 		Pauses:         scope.Counter("pauses"),
+		Downs:          scope.Counter("upstreams_down"),
 		Leaving:        scope.Gauge("leaving_upstreams"),
 		Paused:         scope.Gauge("paused_upstreams"),
 		Suspects:       scope.Gauge("suspects"),
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -410,7 +410,7 @@
 		case relay.Broadcast:
 			h.gossip.Spread(s.now, f.Fact)
 			h.sendGossip()
-		case relay.Pass, relay.Stop, relay.Delegate, relay.Abandon, relay.Keep, relay.Drop, relay.Eject, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Suspicion:
+		case relay.Pass, relay.Stop, relay.Delegate, relay.Abandon, relay.Keep, relay.Drop, relay.Eject, relay.Limit, relay.Departure, relay.Pause, relay.Paced, relay.Withheld, relay.Suspicion:
 		}
 	}
 	if next, ok := h.engine.Next(); ok && (h.wakeAt <= s.now || next < h.wakeAt) {
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -43,6 +43,8 @@
 	gathers bool
 
 	table *rules.Table
+	// limitsCold is set if the table states a rate for cold upstreams of any service.
+	limitsCold bool
 	// recentTables are the last documents, newest last, for queries that another
 	// host started under one of them.
 	recentTables []*rules.Table
@@ -177,6 +179,7 @@
 		e.stop(ev)
 	case Tick:
 		e.advanceTo(ev.Now)
+		e.limitCold()
 		e.advanceAll()
 	}
 	e.report()
@@ -203,10 +206,12 @@
 		return
 	}
 	e.table = t
+	e.limitsCold = e.limitsCold || slices.ContainsFunc(t.Doc.Services, func(s rules.Service) bool { return s.ColdRate > 0 })
 	e.recentTables = append(e.recentTables, t)
 	if len(e.recentTables) > maxKeptTables {
 		e.recentTables = slices.Clone(e.recentTables[1:])
 	}
+	e.limitCold()
 }
 
 // tableOf returns the table of a version, or of the active one if v is 0. It
@@ -244,12 +249,13 @@
 		if next[entry.ID] != nil {
 			continue
 		}
-		u := e.upstreams[entry.ID]
+		u, isNew := e.upstreams[entry.ID], false
 		if u == nil || u.Born != entry.Born || u.Address != entry.Address || u.Service != entry.Service {
 			u = &upstream{
 				slowdown: 1,
 				key:      quota.KeyOf(entry.ID, entry.Born),
 			}
+			isNew = true
 		}
 		if entry.Draining && !u.Draining {
 			u.drainingSince = e.now
@@ -257,6 +263,9 @@
 		u.Upstream = entry
 		e.setNotices(u)
 		u.coldUntil = e.now.Add(entry.Cold)
+		if isNew && entry.Cold > 0 && e.paced(entry.Service) {
+			u.pace.Start(e.paceConfig(u))
+		}
 		next[entry.ID] = u
 		services[entry.Service] = append(services[entry.Service], u)
 	}
@@ -265,6 +274,7 @@
 	for _, u := range next {
 		e.byKey[u.key] = u
 	}
+	e.limitCold()
 }
 
 func (e *Engine) advanceAll() {
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -347,6 +347,14 @@
 	For      time.Duration
 }
 
+// Paced reports that an upstream counts as down, or that it has recovered and its
+// calls grow from a few.
+type Paced struct {
+	Upstream ident.Upstream
+	Service  ident.Service
+	Down     bool
+}
+
 // Withheld reports that a call was not sent since the limits of all upstreams of
 // the service are used up.
 type Withheld struct{ Service ident.Service }
@@ -436,6 +444,7 @@
 func (Limit) isEffect()     {}
 func (Departure) isEffect() {}
 func (Pause) isEffect()     {}
+func (Paced) isEffect()     {}
 func (Withheld) isEffect()  {}
 func (Suspicion) isEffect() {}
 func (Pass) isEffect()      {}
@@ -491,6 +500,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Effort is how long work takes on the upstream's machine now, as a multiple of the
+	// usual; 0 if the answer does not say.
+	Effort float64
 }
 
 const (
--- a/pkg/relay/limit.go
+++ b/pkg/relay/limit.go
@@ -70,6 +70,9 @@
 // recordLimit processes the limit stated in an answer. One that states none ends the
 // limit only if it is a success: a rejection or a failure may leave it out.
 func (e *Engine) recordLimit(a *attempt, ev Ended) {
+	if cold := e.coldLimit(a.upstream); cold > 0 && (ev.Limit <= 0 || cold < ev.Limit) {
+		return // the stated bound of cold upstreams is lower
+	}
 	if ev.Status == 0 || ev.Moved || ev.Limit == UnreadableLimit || ev.Limit == 0 && ev.Result != Good {
 		return
 	}
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -7,6 +7,7 @@
 
 	"github.com/jujubethread/jujubethread/pkg/hedge"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/pace"
 	"github.com/jujubethread/jujubethread/pkg/quota"
 	"github.com/jujubethread/jujubethread/pkg/rules"
 )
@@ -39,6 +40,16 @@
 	// as reported at loadAt.
 	otherLoad int
 	loadAt    ident.Instant
+
+	// effort is how long work took on the upstream's machine at effortAt, as a multiple
+	// of the usual; 0 if it never said.
+	effort   float64
+	effortAt ident.Instant
+	// pace limits the calls after a start or a recovery, if the service asks for that.
+	pace pace.Window
+	// coldLimited is set while the rate that the service states for cold upstreams
+	// limits the calls.
+	coldLimited bool
 }
 
 // routeStats is what this host has learned of one route.
@@ -118,10 +129,12 @@
 }
 
 // pick returns the upstream with the lowest cost that was not tried for this
-// part and is not in without, or nil. busy is set if an upstream was passed over
-// only because all of its connections are in use.
+// part and is not in without, or nil. One whose pace allows no call now is only
+// picked if there is no other. busy is set if an upstream was passed over only
+// because all of its connections are in use.
 func (e *Engine) pick(q *query, p *part, without []*upstream) (best *upstream, busy bool) {
 	var bestCost float64
+	bestReady := false
 	ups := e.services[p.service]
 	if len(ups) == 0 {
 		return nil, false
@@ -141,9 +154,12 @@
 			busy = true
 			continue
 		}
-		c := e.cost(q, u)
-		if best == nil || c < bestCost {
-			best, bestCost = u, c
+		ready := e.paceAllows(q, p, u)
+		if best != nil && bestReady && !ready {
+			continue
+		}
+		if c := e.cost(q, u); best == nil || ready && !bestReady || c < bestCost {
+			best, bestCost, bestReady = u, c, ready
 		}
 	}
 	return best, busy
@@ -178,7 +194,7 @@
 func (e *Engine) cost(q *query, u *upstream) float64 {
 	e.decay(u)
 	c, _ := e.expect(q.stats, u)
-	c *= u.slowdown
+	c *= u.slowdown * e.effort(u)
 	if e.now < u.coldUntil {
 		c *= coldFactor
 	}
@@ -188,7 +204,10 @@
 			break
 		}
 	}
-	c += u.failRate * float64(failCost)
+	if !u.pace.Down() {
+		// A call to an upstream that is down is a trial, made when its pace allows it.
+		c += u.failRate * float64(failCost)
+	}
 	if u.Domain != e.cfg.Domain {
 		c += max(float64(minCrossDomainCost), crossDomainFactor*q.stats.typical)
 	}
@@ -229,7 +248,7 @@
 	case Good:
 		failed = 0
 		e.pauses.Succeeded(e.now, u.key)
-		u.slowdown += ewmaWeight * (min(maxSlowdown, max(minSlowdown, float64(took)/a.baseLatency)) - u.slowdown)
+		u.slowdown += ewmaWeight * (min(maxSlowdown, max(minSlowdown, float64(took)/(a.baseLatency*a.effort))) - u.slowdown)
 		if a.queue == 0 {
 			s.observe(float64(took))
 		}
@@ -253,6 +272,10 @@
 		}
 	}
 	u.failRate += ewmaWeight * (failed - u.failRate)
+	e.recordPace(a, ev)
+	if ev.Load.Known && ev.Load.Effort > 0 {
+		u.effort, u.effortAt = ev.Load.Effort, e.now
+	}
 	if ev.Load.Known {
 		u.otherLoad = max(0, ev.Load.Running+ev.Load.Waiting-len(u.inFlight))
 		u.loadAt = e.now
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/blame"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -122,7 +123,10 @@
 	// nanoseconds, and queue the number of calls queued there before this one.
 	baseLatency float64
 	queue       int
-	result      Result
+	// effort is the multiple of the usual that work was expected to take on the
+	// upstream's machine.
+	effort float64
+	result Result
 	// alone is set if no other call of the query was in flight, so that a crash
 	// is its own.
 	alone bool
@@ -442,6 +446,8 @@
 		sentAt:   e.now,
 	}
 	a.baseLatency, a.queue = e.expect(q.stats, u)
+	a.effort = e.effort(u)
+	u.pace.Sent(e.now, time.Duration(a.baseLatency))
 	a.alone = q.inFlight() == 0 && (len(q.parts) == 1 || q.suspect)
 	e.attempts[a.id] = a
 	p.attempts = append(p.attempts, a)
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -102,6 +102,12 @@
 	// MaxConnections is the number of connections that one upstream accepts
 	// from all hosts together.
 	MaxConnections int
+	// ColdTime is how long an upstream is slow after its start; 0 if the service does
+	// not say. Its upstreams get a slow start if it does.
+	ColdTime time.Duration
+	// ColdRate is the number of requests a second that an upstream takes from all hosts
+	// together during that time, 0 for no limit.
+	ColdRate float64
 }
 
 // Limits bound the requests that a caller may send. Zero means no limit.
