--- /dev/null
+++ b/pkg/rules/account_test.go
@@ -0,0 +1,73 @@
+package rules_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/rules"
+)
+
+// Guards against a request that is served without a key of an account, and against one
+// that is refused although the document allows it.
+func TestAuthorize(t *testing.T) {
+	d := document(route("r", "/a/"), route("open", "/open/"))
+	d.Routes[1].Public = true
+	d.RequiresKey = true
+	d.Accounts = []rules.Account{{
+		Name: "one",
+		Keys: []string{"k1", ""},
+		Rate: 5,
+	}, {
+		Name: "two",
+		Keys: []string{"k2"},
+	}, {
+		Name:        "one",
+		Keys:        []string{"k3"},
+		HasPriority: true,
+		Rate:        9,
+	}, {
+		Name: "none",
+	}}
+	table := rules.NewTable(d)
+	for _, c := range []struct {
+		keys    []string
+		account ident.Account
+	}{
+		{[]string{"k1"}, "one"},
+		{[]string{"k2"}, "two"},
+		{[]string{"k3"}, "one"},
+		{nil, ""},
+		{[]string{""}, ""},
+		{[]string{"k"}, ""},
+		{[]string{"K1"}, ""},
+		{[]string{"k1", "k1"}, ""},
+	} {
+		is := is.New(t)
+		for i := range d.Routes {
+			a, ok := table.Authorize(&d.Routes[i], c.keys)
+			is.Equal(a != nil, c.account != "")
+			is.Equal(ok, c.account != "" || d.Routes[i].Public)
+			if a != nil {
+				is.Equal(a.Name, c.account)
+				is.True(a.Name != "one" || a.Rate == 5 && !a.HasPriority) // the first entry's
+			}
+		}
+	}
+	is := is.New(t)
+	open := rules.NewTable(document(route("r", "/a/")))
+	_, ok := open.Authorize(&open.Doc.Routes[0], []string{"x", "y"})
+	is.True(ok)
+}
+
+// Guards against an explicit priority of 0 that counts as none, and the reverse.
+func TestPriorityOfAnAccount(t *testing.T) {
+	is := is.New(t)
+	r := route("r", "/a/")
+	r.Priority = 2
+	var none *rules.Account
+	is.Equal(none.PriorityOn(&r), 2)
+	is.Equal((&rules.Account{}).PriorityOn(&r), 2)
+	is.Equal((&rules.Account{HasPriority: true}).PriorityOn(&r), 0)
+}
--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -1,7 +1,9 @@
 package rules
 
 import (
+	"fmt"
 	"strings"
+	"unicode"
 
 	"github.com/pkg/errors"
 
@@ -55,6 +57,33 @@
 		}
 		seen[key] = true
 	}
+	return d.checkAccounts()
+}
+
+// checkAccounts returns an *InvalidError for the first fault of the accounts, or nil. The
+// error reaches logs and operators, so it names accounts and never a key.
+func (d *Document) checkAccounts() error {
+	owners := make(map[string]ident.Account)
+	for i := range d.Accounts {
+		a := &d.Accounts[i]
+		// The name becomes the value of a header.
+		if strings.ContainsFunc(string(a.Name), unicode.IsControl) {
+			return errors.WithStack(&InvalidError{
+				Reason: fmt.Sprintf("the name of account %q has a control character: remove it", a.Name),
+			})
+		}
+		for _, key := range a.Keys {
+			if key == "" {
+				continue
+			}
+			if owner, ok := owners[key]; ok && owner != a.Name {
+				return errors.WithStack(&InvalidError{
+					Reason: fmt.Sprintf("accounts %q and %q have the same key: give each its own", owner, a.Name),
+				})
+			}
+			owners[key] = a.Name
+		}
+	}
 	return nil
 }
 
