Authorize callers by their keys

Cause: a document may list accounts with keys. Requests had to be served only with such a key, which upstreams must not see, and a withdrawn key has to stop working for requests in progress.

Change: an entry host grants each request a permit before it reads the body, and answers 401 at once, without waiting for the body, if there is none; 503 without a configuration. A new table reviews all permits (rules.Table.Review) before the engine uses it: a withdrawn key ends the request with 401 and stops its calls and delegations, and a key that has passed to another account lets a repeatable request begin again under that account. The key and a Tenant header of the caller are dropped, and Tenant names the account. Delegations carry the account and its priority, and the hash of a request includes the account.

--- a/internal/front/delegate.go
+++ b/internal/front/delegate.go
@@ -36,6 +36,11 @@
 	Path    string
 	Head    string
 	Body    []byte `cbor:",omitempty"`
+	// Account is the account of the caller. Its key stays at the host that the caller
+	// has sent it to.
+	Account     ident.Account `cbor:",omitempty"`
+	Priority    int           `cbor:",omitempty"`
+	HasPriority bool          `cbor:",omitempty"`
 	// LimitMicros is the time left until the caller's deadline.
 	LimitMicros int64
 	// SpentMicros is the time since the sender received the query, plus its
@@ -202,6 +207,9 @@
 		Path:        q.path,
 		Head:        q.head,
 		Body:        q.body,
+		Account:     q.account,
+		Priority:    q.priority,
+		HasPriority: q.hasPriority,
 		LimitMicros: limit.Microseconds(),
 	}
 }
@@ -263,6 +271,10 @@
 		head:   in.Head,
 		body:   in.Body,
 		reply:  make(chan reply, 1),
+
+		account:     in.Account,
+		priority:    in.Priority,
+		hasPriority: in.HasPriority,
 	}
 	rep, ok := f.query(ctx, q, relay.Arrive{
 		Now:     f.now(),
@@ -280,6 +292,10 @@
 		Cleared: in.Cleared,
 		Draw:    in.Draw,
 		Rest:    in.Rest,
+
+		Account:     in.Account,
+		Priority:    in.Priority,
+		HasPriority: in.HasPriority,
 	})
 	if !ok {
 		return nil, ctx.Err()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -110,6 +110,7 @@
 	servingDelegated sync.WaitGroup
 
 	table    atomic.Pointer[rules.Table]
+	permits  *permits
 	hasList  atomic.Bool
 	draining atomic.Bool
 	closing  atomic.Bool
@@ -171,6 +172,7 @@
 		inputs:  make(chan input, inputQueueSize),
 		queries: make(map[ident.QueryID]*request),
 		calls:   make(map[ident.AttemptID]*callState),
+		permits: newPermits(),
 		seeds:   make(chan []string, 1),
 
 		serving:    serving,
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -41,9 +41,15 @@
 	uri    string
 	host   string
 	// path is the path as escaped by the caller, without the query string.
-	path  string
-	head  string
-	body  []byte
+	path string
+	head string
+	body []byte
+	// account is that of the caller, empty if it has none. priority replaces that of the
+	// route if hasPriority is set.
+	account     ident.Account
+	priority    int
+	hasPriority bool
+
 	reply chan reply
 	calls []ident.AttemptID
 	// started is when the request arrived at this host; shardSubset is set if
@@ -76,7 +82,7 @@
 		if verify {
 			instance = c.Upstream.ID
 		}
-		b = platform.AppendCall(b, q.id, c.Limit, instance)
+		b = platform.AppendCall(b, q.id, c.Limit, instance, q.account)
 		b = append(b, q.head...)
 		if len(q.body) > 0 || q.method == http.MethodPost || q.method == http.MethodPut || q.method == http.MethodPatch {
 			b = append(b, contentLength(len(q.body))...)
@@ -121,6 +127,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	pm := f.authorize(w, r, id)
+	if pm == nil {
+		return
+	}
+	defer func() { f.permits.release(pm) }()
 	maxBytes := int64(maxBody)
 	if t := f.table.Load(); t != nil && t.Doc.Limits.BodyBytes > 0 {
 		maxBytes = t.Doc.Limits.BodyBytes
@@ -136,56 +147,94 @@
 		w.WriteHeader(status)
 		return
 	}
+	for {
+		withdrawn := f.answer(w, r, newRequest(r, id, body, started, pm), pm, limit)
+		if withdrawn == nil {
+			return
+		}
+		next, err := f.renew(r.Context(), pm, withdrawn)
+		if err != nil {
+			f.refuseAccess(w, id, nameOf(pm.account), err)
+			return
+		}
+		f.permits.release(pm)
+		pm = next
+	}
+}
+
+// newRequest returns a caller's request with the account of its permit.
+func newRequest(r *http.Request, id ident.RequestID, body []byte, started ident.Instant, pm *permit) *request {
+	parts := []string{r.Method, r.Host, r.RequestURI, platform.CallerOf(r.Header)}
 	q := &request{
 		id:        id,
-		print:     blame.PrintOf(body, r.Method, r.Host, r.RequestURI, platform.CallerOf(r.Header)),
 		method:    r.Method,
 		uri:       r.RequestURI,
 		host:      r.Host,
-		path:      r.URL.EscapedPath(),
-		head:      platform.Forwarded(r.Header),
+		path:      pm.path,
+		head:      platform.Forwarded(r.Header, pm.table.Doc.RequiresKey),
 		body:      body,
 		reply:     make(chan reply, 1),
 		started:   started,
 		roundTrip: callerRoundTrip(r),
 	}
-	if t := f.table.Load(); t != nil && limit > f.now().Sub(started) {
-		if route := t.Find(q.host, q.path); route != nil && route.Gathers() {
-			if f.cutOff() {
-				h["Connection"] = []string{"close"}
-				f.refuse(w, q, relay.Refuse{
-					Status: relay.NotNow,
-					After:  closingRetry,
-					Reason: "this host is cut off from the other domains",
-				})
-				return
-			}
-			out := f.delegate(r.Context(), q, t.Version(), route, limit-f.now().Sub(started))
-			switch {
-			case r.Context().Err() != nil:
-				f.gauge.Request(gauge.Left, f.now().Sub(started))
-				closeUnanswered()
-			case out != nil:
-				f.writeDelegated(w, q, out)
-				return
-			}
+	if a := pm.account; a != nil {
+		q.account, q.priority, q.hasPriority = a.Name, a.Priority, a.HasPriority
+		parts = append(parts, string(a.Name))
+	}
+	q.print = blame.PrintOf(body, parts...)
+	return q
+}
+
+// answer serves a request and writes the answer. It writes none, and returns the reason,
+// if the permit of the request is withdrawn meanwhile.
+func (f *Front) answer(w http.ResponseWriter, r *http.Request, q *request, pm *permit, limit time.Duration) error {
+	if err := f.permits.begin(pm); err != nil {
+		return err
+	}
+	if limit > f.now().Sub(q.started) && pm.route != nil && pm.route.Gathers() {
+		if f.cutOff() {
+			w.Header()["Connection"] = []string{"close"}
+			f.refuse(w, q, relay.Refuse{
+				Status: relay.NotNow,
+				After:  closingRetry,
+				Reason: "this host is cut off from the other domains",
+			})
+			return nil
+		}
+		out := f.delegate(pm.ctx, q, pm.table.Version(), pm.route, limit-f.now().Sub(q.started))
+		switch {
+		case pm.withdrawn() != nil:
+			return pm.withdrawn()
+		case r.Context().Err() != nil:
+			f.gauge.Request(gauge.Left, f.now().Sub(q.started))
+			closeUnanswered()
+		case out != nil:
+			f.writeDelegated(w, q, out)
+			return nil
 		}
 	}
-	rep, ok := f.query(r.Context(), q, relay.Arrive{
+	rep, ok := f.query(pm.ctx, q, relay.Arrive{
 		Now:   f.now(),
-		Began: started,
-		Host:  r.Host,
+		Began: q.started,
+		Host:  q.host,
 		Path:  q.path,
 		Limit: limit,
 		Trip:  q.roundTrip,
 
-		Request: q.id,
-		Print:   q.print,
+		Request:     q.id,
+		Print:       q.print,
+		Account:     q.account,
+		Priority:    q.priority,
+		HasPriority: q.hasPriority,
 	})
 	if !ok {
+		if err := pm.withdrawn(); err != nil {
+			return err
+		}
 		closeUnanswered()
 	}
 	f.writeReply(w, q, rep)
+	return nil
 }
 
 // closeUnanswered ends a handler, and closes the connection of a caller that has closed
@@ -193,7 +242,7 @@
 func closeUnanswered() { panic(http.ErrAbortHandler) }
 
 // query runs a request in the engine of this host. It returns false if the
-// caller has disconnected.
+// caller has disconnected, or if a table has withdrawn the permit of the request.
 func (f *Front) query(ctx context.Context, q *request, ev relay.Arrive) (reply, bool) {
 	ev.Query = ident.QueryID(f.lastID.Add(1))
 	if q.started == 0 {
@@ -211,7 +260,9 @@
 		return rep, true
 	case <-ctx.Done():
 		f.inputs <- input{event: relay.Disconnected{Query: ev.Query}}
-		f.gauge.Request(gauge.Left, f.now().Sub(q.started))
+		if withdrawal(ctx) == nil {
+			f.gauge.Request(gauge.Left, f.now().Sub(q.started))
+		}
 		return reply{}, false
 	}
 }
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -241,6 +241,7 @@
 	table := rules.NewTable(doc)
 	if old := f.table.Load(); old == nil || table.Version() > old.Version() {
 		f.log.Info("configuration is in force", "Version", doc.Version, "Routes", len(doc.Routes), "Source", source)
+		f.permits.install(table)
 		f.table.Store(table)
 		f.inputs <- input{event: relay.Install{Table: table}}
 	}
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -14,6 +14,9 @@
 //	| handed            | counter   | result      | delegations to other hosts: of a query to a   |
 //	|                   |           |             | gatherer, of shards to a helper:              |
 //	|                   |           |             | Answered, Declined, Lost                      |
+//	| keys_refused      | counter   | reason      | callers' requests answered with 401: for an   |
+//	|                   |           |             | Unknown or missing key, or for one that was   |
+//	|                   |           |             | Revoked while they were in progress           |
 //	| shunned           | counter   |             | ejections of upstreams: for a time, each is   |
 //	|                   |           |             | used last or not at all                       |
 //	| calls_withheld    | counter   |             | first calls and retries not sent, since the   |
@@ -77,6 +80,12 @@
 	Lost     = "Lost"     // no reply; it may have run
 )
 
+// Reasons for refusing a request for its key: the values of the label reason.
+const (
+	Unknown = "Unknown"
+	Revoked = "Revoked"
+)
+
 // Gauge holds the metrics. Its methods may be called from any goroutine.
 type Gauge struct {
 	closer  io.Closer
@@ -87,6 +96,7 @@
 	calls          map[string]tally.Counter
 	callSeconds    tally.Histogram
 	delegated      map[string]tally.Counter
+	keysRefused    map[string]tally.Counter
 
 	// Ejected, Withheld, Crashers and Pauses are incremented; the others are set to
 	// the current value.
@@ -128,6 +138,7 @@
 		calls:          make(map[string]tally.Counter),
 		callSeconds:    scope.Histogram("call_seconds", buckets),
 		delegated:      make(map[string]tally.Counter),
+		keysRefused:    make(map[string]tally.Counter),
 		Ejected:        scope.Counter("shunned"),
 		Withheld:       scope.Counter("calls_withheld"),
 		Crashers:       scope.Counter("crashers"),
@@ -157,6 +168,9 @@
 	for _, r := range []string{Answered, Declined, Lost} {
 		g.delegated[r] = scope.Tagged(map[string]string{"result": r}).Counter("handed")
 	}
+	for _, r := range []string{Unknown, Revoked} {
+		g.keysRefused[r] = scope.Tagged(map[string]string{"reason": r}).Counter("keys_refused")
+	}
 	return g
 }
 
@@ -181,6 +195,10 @@
 // is Answered, Declined or Lost.
 func (g *Gauge) Delegated(result string) { g.delegated[result].Inc(1) }
 
+// KeyRefused counts a request that was refused for its key. reason is Unknown or
+// Revoked.
+func (g *Gauge) KeyRefused(reason string) { g.keysRefused[reason].Inc(1) }
+
 // ServeHTTP serves the metrics, whose values are up to a second old.
 func (g *Gauge) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.handler.ServeHTTP(w, r) }
 
--- a/internal/gauge/gauge_test.go
+++ b/internal/gauge/gauge_test.go
@@ -19,6 +19,7 @@
 	g.Request(gauge.Partial, time.Millisecond)
 	g.Call("Good", true, time.Millisecond)
 	g.Delegated(gauge.Lost)
+	g.KeyRefused(gauge.Revoked)
 	g.Ejected.Inc(1)
 	g.Connections.Update(3)
 	g.Running.Update(1)
@@ -33,7 +34,7 @@
 	g.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	for _, name := range []string{
 		`tier_requests{outcome="Partial"} 1`, "tier_request_seconds_bucket", `tier_calls{result="Good"} 1`, "tier_call_seconds_bucket",
-		`tier_handed{result="Lost"} 1`, "tier_shunned 1", "tier_connections 3", "tier_requests_running 1", "tier_document_version 7",
+		`tier_handed{result="Lost"} 1`, `tier_keys_refused{reason="Revoked"} 1`, "tier_shunned 1", "tier_connections 3", "tier_requests_running 1", "tier_document_version 7",
 		"tier_list_age_seconds 0.5", "tier_upstreams 4", "tier_hosts 12", "tier_ready 1", "tier_log_lines_dropped 0",
 	} {
 		if !strings.Contains(w.Body.String(), name) {
--- a/internal/pipe/pipe_test.go
+++ b/internal/pipe/pipe_test.go
@@ -91,7 +91,7 @@
 			if verify {
 				named = ident.Upstream(instance)
 			}
-			return append(platform.AppendCall(head, ident.RequestID(id), time.Second, named), "\r\n"...)
+			return append(platform.AppendCall(head, ident.RequestID(id), time.Second, named, ""), "\r\n"...)
 		},
 		Parse: platform.AnswerOf,
 		Done:  func(o pipe.Outcome) { done <- o },
--- a/pkg/relay/rest.go
+++ b/pkg/relay/rest.go
@@ -189,6 +189,8 @@
 		request:    old.request,
 		print:      old.print,
 		draw:       old.draw,
+		account:    old.account,
+		priority:   old.priority,
 
 		answeredOnce: old.answeredOnce,
 	}
--- a/pkg/rules/account.go
+++ b/pkg/rules/account.go
@@ -35,6 +35,49 @@
 	return a, a != nil || r.Public || !t.Doc.RequiresKey
 }
 
+// Review is what a table means for a request in progress.
+type Review uint8
+
+// The outcomes of a review.
+const (
+	// Allowed requests go on unchanged.
+	Allowed Review = iota
+	// Unknown keys belong to no account, and did not need to so far.
+	Unknown
+	// Revoked keys belonged to an account.
+	Revoked
+	// Moved requests are allowed, but with another account, or need one only now.
+	Moved
+)
+
+// Review reviews a request in progress that an earlier table has authorized. A request
+// without a route in either table is Allowed, as nothing of it is sent.
+func (t *Table) Review(earlier *Table, host, path string, keys []string) Review {
+	old, route := earlier.Find(host, path), t.Find(host, path)
+	if old == nil || route == nil || !t.Doc.RequiresKey {
+		return Allowed
+	}
+	before, _ := earlier.Authorize(old, keys)
+	now, ok := t.Authorize(route, keys)
+	switch {
+	case !ok && before == nil:
+		return Unknown
+	case !ok:
+		return Revoked
+	case !earlier.Doc.RequiresKey || before.name() != now.name():
+		return Moved
+	}
+	return Allowed
+}
+
+// name returns the name of an account, empty for nil.
+func (a *Account) name() ident.Account {
+	if a == nil {
+		return ""
+	}
+	return a.Name
+}
+
 // indexAccounts indexes the accounts by key. Entries with one name are one account,
 // with the limit and priority of the first.
 func (t *Table) indexAccounts() {
--- a/pkg/rules/account_test.go
+++ b/pkg/rules/account_test.go
@@ -71,3 +71,52 @@
 	is.Equal((&rules.Account{}).PriorityOn(&r), 2)
 	is.Equal((&rules.Account{HasPriority: true}).PriorityOn(&r), 0)
 }
+
+// Guards against a request in progress that goes on with a withdrawn key or another's
+// account, and against one that ends although each table allows it as it is.
+func TestReview(t *testing.T) {
+	table := func(public bool, accounts ...rules.Account) *rules.Table {
+		d := document(route("r", "/a/"))
+		d.Routes[0].Public = public
+		d.RequiresKey = accounts != nil
+		d.Accounts = accounts
+		return rules.NewTable(d)
+	}
+	one := rules.Account{
+		Name: "one",
+		Keys: []string{"k"},
+	}
+	two := rules.Account{
+		Name: "two",
+		Keys: []string{"k"},
+	}
+	none := rules.Account{Name: "one"}
+	rotated := rules.Account{
+		Name:        "one",
+		Keys:        []string{"new", "k"},
+		HasPriority: true,
+		Rate:        1,
+	}
+	for name, c := range map[string]struct {
+		old, next *rules.Table
+		want      rules.Review
+	}{
+		"same":               {table(false, one), table(false, one), rules.Allowed},
+		"other limits":       {table(false, one), table(false, rotated), rules.Allowed},
+		"key withdrawn":      {table(false, one), table(false, none), rules.Revoked},
+		"empty list":         {table(false, one), table(false, []rules.Account{}...), rules.Revoked},
+		"no list":            {table(false, one), table(false), rules.Allowed},
+		"key moved":          {table(false, one), table(false, two), rules.Moved},
+		"keys needed now":    {table(false), table(false, one), rules.Moved},
+		"unknown key now":    {table(false), table(false, none), rules.Unknown},
+		"public before":      {table(true, none), table(false, none), rules.Unknown},
+		"public now":         {table(false, one), table(true, none), rules.Moved},
+		"public, no account": {table(true, none), table(true, none), rules.Allowed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.next.Review(c.old, "a.example", "/a/x", []string{"k"}), c.want)
+			is.Equal(c.next.Review(c.old, "b.example", "/a/x", []string{"k"}), rules.Allowed)
+		})
+	}
+}
