--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -195,25 +196,32 @@
 	w.WriteHeader(http.StatusUnauthorized)
 }
 
-// answerUnread lets an answer be sent before the body of the request has arrived; by
-// default net/http reads the body first. The connection closes if the body is not there
-// soon.
-func answerUnread(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength == 0 {
+// answerUnread answers a request whose body has not been read, and reads the body only
+// then: by default net/http reads it first, and a caller may never send it. The connection
+// closes if the body does not follow soon.
+func answerUnread(w http.ResponseWriter, r *http.Request, answer func()) {
+	if r.ContentLength == 0 || len(r.Header["Expect"]) > 0 { // with Expect, no body may follow
+		answer()
 		return
 	}
 	rc := http.NewResponseController(w)
-	// On an error the answer follows the body.
+	// If one of these fails, the answer follows the body or the connection is broken.
 	_ = rc.EnableFullDuplex()
 	_ = rc.SetReadDeadline(time.Now().Add(headerTimeout))
+	answer()
+	_ = rc.Flush()
+	// The body must be read here: net/http would begin to read the next request while it
+	// still reads the body.
+	if _, err := io.CopyN(io.Discard, r.Body, maxBody+1); err != io.EOF {
+		closeUnanswered()
+	}
 }
 
 // authorize returns a permit for a request, or answers the request and returns nil.
 func (f *Front) authorize(w http.ResponseWriter, r *http.Request, id ident.RequestID) *permit {
 	pm, err := f.permits.grant(r.Context(), r.Host, r.URL.EscapedPath(), platform.KeysOf(r.Header))
 	if err != nil {
-		answerUnread(w, r)
-		f.refuseAccess(w, id, "", err)
+		answerUnread(w, r, func() { f.refuseAccess(w, id, "", err) })
 		return nil
 	}
 	return pm
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -259,8 +259,12 @@
 	case rep := <-q.reply:
 		return rep, true
 	case <-ctx.Done():
-		f.inputs <- input{event: relay.Disconnected{Query: ev.Query}}
-		if withdrawal(ctx) == nil {
+		withdrawn := withdrawal(ctx) != nil
+		f.inputs <- input{event: relay.Disconnected{
+			Query:     ev.Query,
+			Withdrawn: withdrawn,
+		}}
+		if !withdrawn {
 			f.gauge.Request(gauge.Left, f.now().Sub(q.started))
 		}
 		return reply{}, false
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -168,7 +168,7 @@
 		e.granted(ev)
 	case Disconnected:
 		e.advanceTo(ev.Now)
-		e.disconnected(ev.Query)
+		e.disconnected(ev)
 	case Abandoned:
 		e.advanceTo(ev.Now)
 		e.abandoned(ev)
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -205,10 +205,13 @@
 	Grants []quota.Grant
 }
 
-// Disconnected reports that the caller has closed its connection.
+// Disconnected reports that the caller has closed its connection, or that its key was
+// withdrawn. The calls of a request that may run once only go on to their end, unless
+// its key was withdrawn.
 type Disconnected struct {
-	Now   ident.Instant
-	Query ident.QueryID
+	Now       ident.Instant
+	Query     ident.QueryID
+	Withdrawn bool
 }
 
 // Abandoned reports that the caller of a request has left, whose shards another host
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -532,12 +532,12 @@
 	return q.target < o.target
 }
 
-func (e *Engine) disconnected(id ident.QueryID) {
-	q := e.queries[id]
+func (e *Engine) disconnected(ev Disconnected) {
+	q := e.queries[ev.Query]
 	if q == nil {
 		return
 	}
-	if q.route.Kind == rules.Idempotent {
+	if q.route.Kind == rules.Idempotent || ev.Withdrawn {
 		e.stopCalls(q)
 	}
 	e.end(q)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -283,6 +283,19 @@
 	is.Equal(stops, 4)
 }
 
+// Guards against calls that go on with a withdrawn key, also those that may run once only.
+func TestCallsStopWhenTheKeyIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1)
+	c := calls(h.arrive(1, "/file/x"))[0]
+	stops := all[relay.Stop](h.step(relay.Disconnected{
+		Query:     1,
+		Withdrawn: true,
+	}))
+	is.Equal(len(stops), 1)
+	is.Equal(stops[0].Attempt, c.Attempt)
+}
+
 // Guards against more extra calls than the budget while every upstream fails.
 func TestFailuresKeepToTheBudget(t *testing.T) {
 	is := is.New(t)
