Take an answer with an invalid status for a lost one

Cause: net/http reads any status of three digits. On the platform path an answer with 600 to 999 was passed on to the caller, and one with 000 to 099 or 101 was skipped like an interim answer, so that the call lasted until its deadline. With Not-Executed, 600 to 999 counted as not run. On the product's own path no such status reached a caller, but one with an error body that says Shed counted as not run, so that a filing could run twice.

Change: internal/pipe and internal/dial refuse statuses below 100 or above 599, and 101, before they read the body, and close the connection. The call is Lost, or Malformed on the product's path: it may have run. 100 and 102 to 199 remain interim answers on the platform path; internal/dial gets none of them from net/http.

--- a/internal/dial/attempt.go
+++ b/internal/dial/attempt.go
@@ -250,6 +250,13 @@
 // request, so the failure is Malformed. reuse is set if the connection can be used
 // again: no copy of the answer can be taken for the answer to the next request.
 func readResponse(ctx context.Context, status int, body io.Reader, ex *exchange) (failure *Failure, reuse bool) {
+	// net/http takes any number of three digits, and hands on a 101, whose body has no end.
+	if status < http.StatusOK || status > maxStatus {
+		return &Failure{
+			Kind: engine.Malformed,
+			Err:  errors.Errorf("the answer has the status %03d: give it one from 200 to 599", status),
+		}, false
+	}
 	if status == http.StatusOK {
 		return bodyFailure(ctx, ex.decode(body)), true
 	}
--- a/internal/dial/const.go
+++ b/internal/dial/const.go
@@ -23,6 +23,9 @@
 	// maxResponseHeader bounds the header of a response.
 	maxResponseHeader = 16 << 10 // bytes
 
+	// maxStatus is the highest status that HTTP has.
+	maxStatus = 599
+
 	// maxHeld bounds the bytes of all unfinished large answers.
 	maxHeld = 8 << 20
 
--- a/internal/dial/dial_test.go
+++ b/internal/dial/dial_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -229,6 +230,16 @@
 			_, _ = w.Write([]byte(body))
 		}
 	}
+	raw := func(status, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+		}
+	}
 	for _, tc := range []struct {
 		name    string
 		handler http.HandlerFunc
@@ -248,6 +259,10 @@
 		{"too large", func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = w.Write(bytes.Repeat([]byte(" "), wire.MaxAnswerBytes+1))
 		}, engine.Malformed},
+		{"status 000", raw("000", `{"Kind":"Shed","Remedy":"later"}`), engine.Malformed},
+		{"status 099", raw("099", `{"Kind":"Shed","Remedy":"later"}`), engine.Malformed},
+		{"status 101", raw("101", ""), engine.Malformed},
+		{"status 600", raw("600", `{"Kind":"Shed","Remedy":"later"}`), engine.Malformed},
 		{"slow", func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() }, engine.TimedOut},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/front/auth_test.go
+++ b/internal/front/auth_test.go
@@ -123,13 +123,7 @@
 	srv := httptest.NewServer(k.upstream)
 	t.Cleanup(srv.Close)
 	t.Cleanup(func() { close(k.upstream.ended) })
-	k.control.SetList(board.NewList([]relay.Upstream{{
-		ID:      "u",
-		Service: "s",
-		Address: srv.Listener.Addr().String(),
-		Domain:  "a",
-		Slots:   4,
-	}}), k.control.Now())
+	k.control.SetList(listOf(srv.Listener.Addr().String()), k.control.Now())
 	k.configure(accounts)
 	k.roster = []board.Host{k.control.host}
 	for _, name := range names {
@@ -139,6 +133,17 @@
 	return k
 }
 
+// listOf is a list with one upstream.
+func listOf(address string) board.List {
+	return board.NewList([]relay.Upstream{{
+		ID:      ident.Upstream("u-" + address),
+		Service: "s",
+		Address: address,
+		Domain:  "a",
+		Slots:   4,
+	}})
+}
+
 // configure puts the next version of the configuration in force at the control host.
 func (k *keyed) configure(accounts string) {
 	k.t.Helper()
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -203,6 +203,8 @@
 			return o, false, errors.Wrap(c.bounded.Err, "upstream ended the connection in the head of its answer")
 		case err != nil:
 			return o, false, errors.Wrap(err, "upstream's answer is not valid HTTP/1.1")
+		case !validStatus(res.StatusCode):
+			return o, false, errors.Errorf("upstream's answer has the status %03d: give it one from 200 to 599", res.StatusCode)
 		}
 		// The rest allows for the framing of chunks.
 		c.bounded.Left = 2*MaxAnswer + MaxHead
@@ -236,6 +238,12 @@
 	return o, false, errors.Wrap(bound.ErrEndless, "too many interim answers or answers to other requests")
 }
 
+// validStatus reports whether an answer may have a status. net/http takes any number of
+// three digits. 101 would end HTTP on the connection, which no call asks for.
+func validStatus(status int) bool {
+	return status >= http.StatusContinue && status != http.StatusSwitchingProtocols && status <= maxStatus
+}
+
 // endsWithConnection reports whether the end of the connection ends an answer.
 func endsWithConnection(res *http.Response) bool {
 	return res.Body != http.NoBody && res.ContentLength < 0 && len(res.TransferEncoding) == 0
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -64,6 +64,9 @@
 
 	readBufferSize = 2 << 10
 
+	// maxStatus is the highest status that HTTP has.
+	maxStatus = 599
+
 	// smallBody is a body size in bytes that always fits in the socket's send
 	// buffer, so that the write does not block.
 	smallBody = 4 << 10
