Give the callers of the soak accounts and keys

Cause: nothing checked keys and accounts beside faults of processes and links.

Change: all configurations of the soak list three accounts, among which callers are divided; one request in 40 has a key of no account, and all send a forged Tenant header. Rules TENANT (upstreams get the right account and no key, none gets a request with an unknown key, no log has a key) and DENIED (no 401 for a valid key), with planted violations. The check of requests that crash leaves counts by path and account, as the hash of a request now has the account. Garbled leaves also answer with 000 and 600, and no caller may get either.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -17,10 +17,23 @@
 	callerDeadline = 2 * time.Second
 	callerTimeout  = 4 * time.Second
 
+	// accountCount is the number of accounts, among which callers are divided.
+	accountCount = 3
+
+	// keyPrefix begins all keys.
+	keyPrefix = "soak-key-"
+
+	// strangerOneIn is the number of requests of which one has a key of no account.
+	strangerOneIn = 40
+
 	// deadlyOneIn is caller.deadlyOneIn of ordinary callers.
 	deadlyOneIn = 150
 )
 
+func accountName(i int) string { return fmt.Sprintf("account-%d", i) }
+
+func accountKey(i int) string { return fmt.Sprintf("%s%d", keyPrefix, i) }
+
 // caller sends requests one at a time, over a persistent connection or a new
 // one for each request.
 type caller struct {
@@ -29,6 +42,10 @@
 	client  *http.Client
 	name    string
 	number  int
+	// account is the number of the caller's account. While stranger is set, the caller
+	// sends a key of no account.
+	account  int
+	stranger bool
 	// deadlyOneIn is the number of requests of which one crashes leaves.
 	deadlyOneIn int
 }
@@ -39,6 +56,7 @@
 		cluster:     cl,
 		rng:         rng,
 		deadlyOneIn: deadlyOneIn,
+		account:     number % accountCount,
 		name:        fmt.Sprintf("q%d-%d", cl.seed, number),
 		client: &http.Client{
 			Timeout: callerTimeout,
@@ -59,6 +77,7 @@
 	for ctx.Err() == nil {
 		h := c.cluster.entries[c.rng.IntN(len(c.cluster.entries))]
 		k := []kind{search, search, search, search, read, file, mark}[c.rng.IntN(7)]
+		c.stranger = c.number%strangerOneIn == strangerOneIn/2
 		c.send(ctx, h, k, c.rng.IntN(20) == 0)
 		pause(ctx, time.Duration(5+c.rng.IntN(60))*time.Millisecond)
 	}
@@ -84,6 +103,10 @@
 		uri:    paths[k],
 		sentAt: time.Now(),
 	}
+	key := keyPrefix + "of-nobody"
+	if !c.stranger {
+		sent.account, key = accountName(c.account), accountKey(c.account)
+	}
 	services := []string{"desk"}
 	switch k {
 	case search:
@@ -101,6 +124,9 @@
 		sent.uri = fmt.Sprintf("%s/%s%d", strings.TrimSuffix(strings.SplitN(sent.uri, "?", 2)[0], "/"), deadlyMark, c.rng.IntN(3))
 		sent.body = strings.Repeat("x", min(1, len(sent.body)))
 	}
+	if c.stranger {
+		services = nil // none of them gets it
+	}
 	cl.history.recordSent(id, sent, services...)
 	if cancelEarly {
 		var cancel context.CancelFunc
@@ -113,6 +139,8 @@
 	}
 	req.Host = callerHost
 	req.Header.Set("Request-Id", id)
+	req.Header.Set("X-Api-Key", key)
+	req.Header.Set("Tenant", "forged")
 	req.Header.Set("Deadline-Milliseconds", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
 	a, err := c.do(req)
 	if err != nil {
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -35,6 +35,8 @@
 	ruleExit     = "EXIT"
 	ruleGone     = "GONE"
 	ruleLimit    = "LIMIT"
+	ruleTenant   = "TENANT"
+	ruleDenied   = "DENIED"
 )
 
 const (
@@ -83,6 +85,8 @@
 	uri    string
 	body   string
 	sentAt time.Time
+	// account is that of the caller's key, empty if no account has the key.
+	account string
 	// canceledAt is when the caller canceled the request.
 	canceledAt time.Time
 	// refused is set once the caller received a status that says that the
@@ -299,6 +303,23 @@
 	h.arrivals[service+" "+id] = append(h.arrivals[service+" "+id], time.Now())
 }
 
+// checkAccount checks the account and the keys that an upstream got with a request. No
+// request whose key is unknown may reach one.
+func (h *history) checkAccount(id, service string, accounts, keys []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sent := h.requests[id]
+	if sent == nil {
+		return // see recordArrival
+	}
+	if len(keys) > 0 {
+		h.addViolation(ruleTenant, "%s got the key of request %s", service, id)
+	}
+	if sent.account == "" || len(accounts) != 1 || accounts[0] != sent.account {
+		h.addViolation(ruleTenant, "%s got request %s of account %q for %q", service, id, sent.account, accounts)
+	}
+}
+
 // recordRun records that an upstream runs a request and checks how often the
 // request has run.
 func (h *history) recordRun(stamp string, r execution) {
@@ -340,6 +361,10 @@
 	defer h.mu.Unlock()
 	sent := h.requests[id]
 	switch a.status {
+	case 401:
+		if sent.account != "" {
+			h.addViolation(ruleDenied, "request %s of account %q was answered 401", id, sent.account)
+		}
 	case 429, 503, 408, 421:
 		sent.refused = true
 		if sent.kind == file && len(h.runsByRequest[id]) > 0 {
@@ -354,6 +379,9 @@
 		}
 		return
 	}
+	if a.status < 100 || a.status > 599 {
+		h.addViolation(ruleMixed, "request %s was answered %d, which is no status", id, a.status)
+	}
 	if r := h.runs[a.stamp]; a.stamp != "" && (r == nil || r.id != id || r.status != a.status) {
 		h.addViolation(ruleMixed, "request %s was answered %d with the stamp of another answer", id, a.status)
 	}
--- a/internal/soak/leaf_test.go
+++ b/internal/soak/leaf_test.go
@@ -34,7 +34,7 @@
 	failing            // answers half of the requests with 500, and looks healthy otherwise
 	hanging            // reads requests and never replies
 	resetting          // runs all requests, and resets the connection for half of them
-	garbled            // sends invalid bytes, or the answer to another request
+	garbled            // sends invalid bytes, a status that HTTP does not have, or the answer to another request
 	shedding           // rejects half of the requests, and asks for a pause with some
 	behaviorCount
 )
@@ -213,12 +213,13 @@
 		h.Set("Server-Leaving", "1")
 	}
 	l.cluster.history.recordArrival(request, service, r.Method, r.RequestURI, string(body))
+	l.cluster.history.checkAccount(request, service, r.Header["Tenant"], r.Header["X-Api-Key"])
 	l.cluster.checkDrain(l, request)
 	if l.cluster.inTouch() {
 		l.cluster.history.recordCall(request, time.Now())
 	}
 	if strings.Contains(r.RequestURI, deadlyMark) {
-		l.cluster.history.recordCrash(request, r.RequestURI, l.cluster.faultFree())
+		l.cluster.history.recordCrash(request, r.RequestURI+" "+r.Header.Get("Tenant"), l.cluster.faultFree())
 		l.crash(w)
 		return
 	}
@@ -276,7 +277,11 @@
 	case b == resetting && affected:
 		l.reset(w, "")
 	case b == garbled && affected:
-		l.reset(w, "what is this\r\n")
+		l.reset(w, []string{
+			"what is this\r\n",
+			"HTTP/1.1 000 X\r\nServer-Stamp: " + stamp + "\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 600 X\r\nServer-Stamp: " + stamp + "\r\nContent-Length: 0\r\n\r\n",
+		}[rand.IntN(3)])
 	case b == garbled:
 		l.reset(w, "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: "+stamp+"\r\nContent-Length: 1\r\n\r\nx")
 	default:
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -147,14 +147,18 @@
 	for i := range markServices {
 		services = append(services, fmt.Sprintf(`{"Name":"mark-%d","MaxConnections":200}`, i))
 	}
+	var accounts []string
+	for i := range accountCount {
+		accounts = append(accounts, fmt.Sprintf(`{"Name":%q,"ApiKeys":[%q],"Priority":%d}`, accountName(i), accountKey(i), i))
+	}
 	services = append(services, `{"Name":"desk","MaxConnections":400}`)
 	route := func(name, kind, service string) string {
 		return fmt.Sprintf(`{"Name":%q,"Host":%q,"PathPrefix":"/%s/","Kind":%q,"TimeoutMs":3000,"TargetLatencyMs":400,"Priority":2,"Service":%q,"MaxAttempts":%d}`,
 			name, callerHost, name, kind, service, maxAttempts)
 	}
-	return fmt.Sprintf(`{"Version":%d,"Routes":[%s,%s,%s,{"Name":"search","Host":%q,"PathPrefix":"/search/","Kind":"safe","TimeoutMs":3000,"TargetLatencyMs":300,"Priority":1,"Gather":[%s],"MaxAttempts":%d,"TopK":%d,"MinShardRatio":%v}],"Services":[%s],"Limits":{}}`,
+	return fmt.Sprintf(`{"Version":%d,"Routes":[%s,%s,%s,{"Name":"search","Host":%q,"PathPrefix":"/search/","Kind":"safe","TimeoutMs":3000,"TargetLatencyMs":300,"Priority":1,"Gather":[%s],"MaxAttempts":%d,"TopK":%d,"MinShardRatio":%v}],"Services":[%s],"Limits":{},"Tenants":[%s]}`,
 		version, route("read", "safe", "desk"), route("file", "unsafe", "desk"), route("mark", "safe", fmt.Sprintf("mark-%d", index%markServices)),
-		callerHost, strings.Join(shards, ","), maxAttempts, topRecords, minShare, strings.Join(services, ","))
+		callerHost, strings.Join(shards, ","), maxAttempts, topRecords, minShare, strings.Join(services, ","), strings.Join(accounts, ","))
 }
 
 // putConfig sends a configuration to random control hosts until one accepts or
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -78,6 +78,10 @@
 			runAt(h, "1", "desk", "s")
 			h.checkAnswer("1", answer{status: 500, stamp: "s"})
 		}},
+		{"status that HTTP does not have", ruleMixed, func(h *history) {
+			send(h, "1", read)
+			h.checkAnswer("1", answer{status: 600})
+		}},
 		{"request that nobody sent", ruleUnasked, func(h *history) { h.recordArrival("9", "desk", "GET", "/u", "") }},
 		{"changed request", ruleUnasked, func(h *history) {
 			send(h, "1", read)
@@ -87,6 +91,22 @@
 			send(h, "1", read)
 			h.recordArrival("1", "shard-0", "GET", "/u", "")
 		}},
+		{"key at an upstream", ruleTenant, func(h *history) {
+			h.recordSent("1", sentRequest{account: "a"})
+			h.checkAccount("1", "desk", []string{"a"}, []string{"k"})
+		}},
+		{"account of another caller", ruleTenant, func(h *history) {
+			h.recordSent("1", sentRequest{account: "a"})
+			h.checkAccount("1", "desk", []string{"b"}, nil)
+		}},
+		{"request without an account", ruleTenant, func(h *history) {
+			h.recordSent("1", sentRequest{})
+			h.checkAccount("1", "desk", nil, nil)
+		}},
+		{"valid key refused", ruleDenied, func(h *history) {
+			h.recordSent("1", sentRequest{account: "a"})
+			h.checkAnswer("1", answer{status: 401})
+		}},
 		{"two runs", ruleTwice, func(h *history) {
 			send(h, "1", file)
 			runAt(h, "1", "desk", "s")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 package soak_test
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -258,6 +259,7 @@
 	cl.restartAll(prober, rng)
 	cl.history.checkTotals(extraRatio, extraSlack, extraWindow)
 	cl.history.checkGone()
+	cl.checkLogs()
 	cl.report(t)
 }
 
@@ -276,6 +278,16 @@
 	cl.awaitHealthy(c, rng, recoveryLimit)
 }
 
+// checkLogs checks that no process has written a key.
+func (cl *cluster) checkLogs() {
+	for _, h := range append(append([]*host{}, cl.controls...), cl.entries...) {
+		raw, err := os.ReadFile(h.logFile())
+		if err != nil || bytes.Contains(raw, []byte(keyPrefix)) {
+			cl.history.violation(ruleTenant, "the log of %s cannot be read or has a key in it: %v", h.name, err)
+		}
+	}
+}
+
 func (cl *cluster) report(t *testing.T) {
 	t.Helper()
 	cl.history.mu.Lock()
