Add tier explain, which tells where a request would go now

Cause: when a caller reports refusals, operators have logs of what happened but cannot ask a host what it would do now.

Change: an RPC and a command that return the route, priority, limit of the account, gatherer, and each upstream with its cost and obstacle, as text or JSON. The choice of an upstream and the explanation share obstacle().

--- a/internal/front/delegate.go
+++ b/internal/front/delegate.go
@@ -85,6 +85,7 @@
 	}
 	link.Handle(s, methodDelegate, f.serveDelegated)
 	link.Handle(s, methodAbandon, f.serveAbandon)
+	link.Handle(s, MethodExplain, f.serveExplain)
 	lis, err := net.Listen("tcp", f.cfg.Bind)
 	if err != nil {
 		return errors.Wrapf(err, "cannot listen for other hosts on %s", f.cfg.Bind)
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -28,8 +28,9 @@
 	demand *receivedDemand
 	grant  *demandReply
 	// gossip is a message of another host, peers the hosts of a new roster.
-	gossip *receivedGossip
-	peers  []board.Host
+	gossip  *receivedGossip
+	peers   []board.Host
+	explain *explainInput
 	// rejoined is set after a time without contact to other hosts.
 	rejoined bool
 }
@@ -116,8 +117,8 @@
 	}
 }
 
-// handleMessage handles messages of other hosts and changes of the contact to
-// them. It reports false for other inputs.
+// handleMessage handles messages of other hosts, changes of the contact to them, and
+// questions of operators. It reports false for other inputs.
 func (f *Front) handleMessage(in input) bool {
 	switch {
 	case in.demand != nil:
@@ -128,6 +129,8 @@
 		f.takeGossip(in.gossip)
 	case in.peers != nil:
 		f.setGossipPeers(in.peers)
+	case in.explain != nil:
+		in.explain.reply <- f.engine.Explain(f.now(), in.explain.host, in.explain.path, in.explain.priority)
 	case in.rejoined:
 		f.gossip.Rejoin(f.now())
 	default:
--- a/internal/tier/option.go
+++ b/internal/tier/option.go
@@ -25,6 +25,9 @@
   tier story ID  reads logs from standard input and prints the lines of one
                  request from all hosts; "tier story FROM TO" prints the
                  state changes of all hosts between two times (RFC 3339)
+  tier explain -at IP:port URL
+                 asks an entry host where a request would go now and why,
+                 without sending it
 
 Each flag of a daemon can also be set by an environment variable, JUJUBETHREAD_
 and the name in capitals, or by a line "name value" in the file that -config
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -27,6 +27,7 @@
 	entryCommand   = "entry"
 	controlCommand = "control"
 	storyCommand   = "story"
+	explainCommand = "explain"
 )
 
 const (
@@ -49,12 +50,15 @@
 	SetSeeds(seeds []string)
 }
 
-// Main runs one daemon until SIGTERM, or prints the story of a request from log
-// lines, and returns the exit status.
+// Main runs one daemon until SIGTERM, prints the story of a request from log lines, or
+// explains where a request would go, and returns the exit status.
 func Main(args []string, in io.Reader, out, errOut io.Writer) int {
 	if len(args) > 1 && args[0] == storyCommand {
 		return printStory(args[1:], in, out, errOut)
 	}
+	if len(args) > 0 && args[0] == explainCommand {
+		return explain(args[1:], out, errOut)
+	}
 	if len(args) == 0 || args[0] != entryCommand && args[0] != controlCommand {
 		fmt.Fprint(errOut, usage)
 		return exitUsage
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -142,16 +142,11 @@
 	start := e.rand.IntN(len(ups))
 	for i := range ups {
 		u := ups[(start+i)%len(ups)]
-		if p.triedOn(u) || slices.Contains(without, u) || !e.callable(u) || e.now < u.pausedUntil {
+		if slices.Contains(without, u) {
 			continue
 		}
-		if len(u.inFlight) >= e.connections(q, u) || len(u.inFlight) > 0 && e.pauses.Returning(e.now, u.key) {
-			busy = true
-			continue
-		}
-		if q.suspect && u.suspectAt(q) {
-			// The crash of one could not be told from that of the other.
-			busy = true
+		if o := e.obstacle(q, p, u); o != none {
+			busy = busy || o.passes()
 			continue
 		}
 		ready := e.paceAllows(q, p, u)
@@ -165,6 +160,46 @@
 	return best, busy
 }
 
+// obstacle is why an upstream may not be called for a part now.
+type obstacle string
+
+const (
+	none         obstacle = ""
+	tried        obstacle = "it was called for this part"
+	excluded     obstacle = "it is ejected"
+	leaving      obstacle = "it leaves"
+	pausing      obstacle = "it wants no calls for a while"
+	inUse        obstacle = "this host's connections to it are in use"
+	returning    obstacle = "it has just ended a pause and has a call in flight"
+	suspectThere obstacle = "it runs a request that may crash it"
+)
+
+// passes reports whether the obstacle ends with a call in flight, so that a part may
+// wait for it.
+func (o obstacle) passes() bool { return o == inUse || o == returning || o == suspectThere }
+
+// obstacle returns why an upstream may not be called for a part now, or none.
+func (e *Engine) obstacle(q *query, p *part, u *upstream) obstacle {
+	switch {
+	case p.triedOn(u):
+		return tried
+	case e.now < u.excludedUntil:
+		return excluded
+	case !e.callable(u):
+		return leaving
+	case e.now < u.pausedUntil:
+		return pausing
+	case len(u.inFlight) >= e.connections(q, u):
+		return inUse
+	case len(u.inFlight) > 0 && e.pauses.Returning(e.now, u.key):
+		return returning
+	case q.suspect && u.suspectAt(q):
+		// The crash of one could not be told from that of the other.
+		return suspectThere
+	}
+	return none
+}
+
 // expect returns the expected latency of one more call to an upstream, in
 // nanoseconds, if its speed is average, and how many calls are queued there
 // before it.
--- a/pkg/rules/account.go
+++ b/pkg/rules/account.go
@@ -35,6 +35,16 @@
 	return a, a != nil || r.Public || !t.Doc.RequiresKey
 }
 
+// Account returns the account of a name, or nil if there is none.
+func (t *Table) Account(name ident.Account) *Account {
+	for i := range t.Doc.Accounts {
+		if t.Doc.Accounts[i].Name == name {
+			return &t.Doc.Accounts[i]
+		}
+	}
+	return nil
+}
+
 // indexAccounts indexes the accounts by key. Entries with one name are one account,
 // with the limit and priority of the first.
 func (t *Table) indexAccounts() {
