Test that the hash of a request includes the account

Cause: no test failed when newRequest left the account out of the hash.

Change: TestPrintIncludesTheAccount sends one request that crashes upstreams for two accounts and compares the hashes in the log.

--- a/internal/front/auth_test.go
+++ b/internal/front/auth_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -59,7 +60,8 @@
 }
 
 // recorder is an upstream that records the headers of each request by its id. Requests
-// to paths that end in /wait are answered only once their callers have left.
+// to paths that end in /wait are answered only once their callers have left, those to
+// /crash end the connection.
 type recorder struct {
 	mu    sync.Mutex
 	heads map[string][]http.Header
@@ -83,6 +85,9 @@
 		}
 		return
 	}
+	if strings.HasSuffix(r.URL.Path, "/crash") {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Server-Stamp", "stamp-"+id)
 	_, _ = w.Write([]byte("0123456789abcdef"))
@@ -440,6 +445,26 @@
 	is.Equal(len(heads), 1)
 }
 
+// Guards against a request of one account that crashes upstreams and causes the refusal of
+// the same request of another account.
+func TestPrintIncludesTheAccount(t *testing.T) {
+	is := is.New(t)
+	k := newKeyed(t, movedKey, "h")
+	c := k.dial()
+	printOf := func(id, key string) string {
+		is.Equal(c.get("/once/crash", id, withKey(key)), http.StatusBadGateway)
+		var found []string
+		is.True(waitFor(t, soon, func() bool {
+			found = regexp.MustCompile(`"Request":"` + id + `","Print":"([0-9a-f]+)"`).FindStringSubmatch(k.log.String())
+			return found != nil
+		}))
+		return found[1]
+	}
+	first := printOf("first", key)
+	is.True(first != printOf("second", otherKey))
+	is.Equal(first, printOf("third", key))
+}
+
 // delegatedNames returns the names of two hosts of which the first is the first gatherer,
 // and ids of requests that the second delegates to it. Both log these requests.
 func delegatedNames(ids int) (names []ident.HostID, list []string) {
