--- a/internal/front/auth_test.go
+++ b/internal/front/auth_test.go
@@ -333,6 +333,20 @@
 	_, err := io.WriteString(c.conn, "hello")
 	is.NoErr(err)
 	is.Equal(c.get("/one/x", "next", withKey(key)), http.StatusOK)
+
+	for _, headers := range []string{"Content-Length: 5\r\nExpect: 100-continue\r\n", "Transfer-Encoding: chunked\r\n"} {
+		c := k.dial()
+		_ = c.conn.SetReadDeadline(time.Now().Add(soon))
+		c.write("POST /once/x", "stalled", headers)
+		is.Equal(c.status(), http.StatusUnauthorized)
+	}
+
+	c = k.dial()
+	c.write("POST /once/x", "chunks", "Transfer-Encoding: chunked\r\n")
+	is.Equal(c.status(), http.StatusUnauthorized)
+	_, err = io.WriteString(c.conn, "5\r\nhello\r\n0\r\n\r\n")
+	is.NoErr(err)
+	is.Equal(c.get("/one/x", "after chunks", withKey(key)), http.StatusOK)
 }
 
 // Guards against a host without a configuration that refuses keys which it cannot know.
