Call no upstream in an evacuated domain

Cause: an operator who evacuates a failure domain wants no more work there.

Change: relay.Evacuated sets the domains whose upstreams are not callable: no first call, hedge, retry or delegated shard goes there, and queries that wait follow at once. Calls in flight go on. A request whose upstreams are all in evacuated domains is refused with a delay of 1 s; a search that would lack more shards than it may is refused before any call. Such upstreams do not count as coverage of the host's own domain. No host sends the event yet.

Result: go test ./pkg/relay ./internal/swarm passes. With callable, the check in skipHopeless, that in retry or the advance after the event taken out, one to five of the new tests fail.

--- a/pkg/relay/const.go
+++ b/pkg/relay/const.go
@@ -108,6 +108,11 @@
 	// retryAfter is the delay that a refused caller is told to wait.
 	retryAfter = 50 * time.Millisecond
 
+	// evacuatedRetry is the delay that a caller is told to wait while the domains of
+	// all upstreams are evacuated. Operators withdraw an evacuation by hand, and a
+	// withdrawal takes up to 2 s to reach all hosts.
+	evacuatedRetry = time.Second
+
 	// stopRetry is the delay that a caller is told to wait that a stopping host
 	// refuses: other hosts can take the request at once.
 	stopRetry = 10 * time.Millisecond
--- a/pkg/relay/detail.go
+++ b/pkg/relay/detail.go
@@ -28,6 +28,8 @@
 	Limited bool `json:"Limited,omitempty"`
 	// Paused is set if the upstreams want no calls for a while.
 	Paused bool `json:"Paused,omitempty"`
+	// Evacuated is set if the domains of the upstreams are evacuated.
+	Evacuated bool `json:"Evacuated,omitempty"`
 	// None is set if no upstream may be called.
 	None bool `json:"None,omitempty"`
 	// HandedTo is the domain of the host that the part was delegated to. Helper
@@ -68,7 +70,7 @@
 		LateMicros: e.now.Sub(q.target).Microseconds(),
 	}
 	for _, p := range q.parts {
-		started := len(p.attempts) > 0 || p.skipped || p.limited || p.paused || q.mayHaveRun || p.unavailable()
+		started := len(p.attempts) > 0 || p.skipped || p.limited || p.paused || p.evacuated || q.mayHaveRun || p.unavailable()
 		if p.success != nil && len(p.attempts) == 1 || p.success == nil && p.answered() || !started {
 			continue
 		}
@@ -79,6 +81,7 @@
 			Waiting:    p.waits(),
 			Limited:    p.limited,
 			Paused:     p.paused,
+			Evacuated:  p.evacuated,
 			None:       p.unavailable(),
 			Arrivals:   p.arrivals,
 			BudgetLeft: e.window(p.service).Remaining(e.now, e.share(q)),
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -70,6 +70,9 @@
 	// until which it counts as overloaded.
 	overloadedUntil map[ident.Service]ident.Instant
 
+	// evacuated are the domains whose upstreams are not called.
+	evacuated map[ident.Domain]bool
+
 	// quota is this host's share of the limits that upstreams name.
 	quota *quota.Share
 	byKey map[quota.Key]*upstream
@@ -144,6 +147,9 @@
 		e.advanceTo(ev.Now)
 		e.hosts, e.teams, e.gathers = max(1, ev.Count), max(1, ev.Gatherers), ev.Gathers
 		e.quota.SetHosts(e.hosts)
+	case Evacuated:
+		e.advanceTo(ev.Now)
+		e.evacuate(ev.Domains)
 	case Arrive:
 		e.advanceTo(ev.Now)
 		e.arrive(ev)
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -25,6 +25,9 @@
 	case Hosts:
 		ev.Now = now
 		return ev
+	case Evacuated:
+		ev.Now = now
+		return ev
 	case Arrive:
 		if ev.Began == 0 {
 			ev.Began = ev.Now
@@ -75,6 +78,12 @@
 	Upstreams []Upstream
 }
 
+// Evacuated replaces the evacuated domains, none of whose upstreams is called.
+type Evacuated struct {
+	Now     ident.Instant
+	Domains []ident.Domain
+}
+
 // Hosts updates the number of hosts that share the budgets and connections.
 type Hosts struct {
 	Now   ident.Instant
@@ -233,6 +242,7 @@
 func (Install) isEvent()       {}
 func (Listed) isEvent()        {}
 func (Hosts) isEvent()         {}
+func (Evacuated) isEvent()     {}
 func (Arrive) isEvent()        {}
 func (Gatherers) isEvent()     {}
 func (DelegateEnded) isEvent() {}
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -39,7 +39,7 @@
 func (e *Engine) refuse(q *query, timeout bool) {
 	sent := q.mayHaveRun
 	var without []ident.Service
-	var limited, paused *part
+	var limited, paused, evacuated *part
 	tooLate := timeout && q.endsWithHost
 	for _, p := range q.parts {
 		sent = sent || p.inFlight() > 0 || p.delegated()
@@ -49,6 +49,9 @@
 		if p.paused && !p.skipped && paused == nil {
 			paused = p
 		}
+		if p.evacuated && !p.skipped && evacuated == nil {
+			evacuated = p
+		}
 		tooLate = tooLate || p.tooLate
 		if p.unavailable() {
 			without = append(without, p.service)
@@ -75,6 +78,9 @@
 		r.Status, r.Reason = Failed, "upstreams failed"
 	case tooLate:
 		r.After, r.Reason, r.Stopping = stopRetry, stopReason, true
+	case evacuated != nil:
+		r.After = evacuatedRetry
+		r.Reason = fmt.Sprintf("the domains of the upstreams of %s are evacuated", evacuated.service)
 	case limited != nil:
 		r.After = e.limitWait(limited)
 		r.Reason = fmt.Sprintf("the limits of the upstreams of %s are used up", limited.service)
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -256,9 +256,9 @@
 
 // Local reports whether the upstreams in this host's own domain cover the
 // minimum number of shards of every route over shards. It is false without a
-// document.
+// document, and while the domain is evacuated.
 func (e *Engine) Local() bool {
-	if e.table == nil {
+	if e.table == nil || e.evacuated[e.cfg.Domain] {
 		return false
 	}
 	for i := range e.table.Doc.Routes {
--- a/pkg/relay/notice.go
+++ b/pkg/relay/notice.go
@@ -26,10 +26,10 @@
 	u.pausedUntil, _ = e.pauses.Paused(e.now, u.key)
 }
 
-// callable reports whether an upstream is neither ejected nor leaving for too
-// long.
+// callable reports whether an upstream is neither ejected, nor leaving for too
+// long, nor in an evacuated domain.
 func (e *Engine) callable(u *upstream) bool {
-	return e.now >= u.excludedUntil && (!u.leaving || e.now < u.leavingSince.Add(drainGrace))
+	return !e.evacuated[u.Domain] && e.now >= u.excludedUntil && (!u.leaving || e.now < u.leavingSince.Add(drainGrace))
 }
 
 // pause returns how long the upstreams of a service want no calls from this host,
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -88,6 +88,9 @@
 	// paused is set if the part was skipped or given up because its upstreams want
 	// no calls for a while.
 	paused bool
+	// evacuated is set if the part was skipped or given up because the domains of
+	// its upstreams are evacuated.
+	evacuated bool
 	// tooLate is set if no answer is expected before this host ends.
 	tooLate bool
 	// sent is set if the part was in an answer to another host.
@@ -352,7 +355,7 @@
 		return
 	}
 	if p.inFlight() == 0 {
-		if e.now < p.pausedUntil {
+		if e.now < p.pausedUntil && !e.evacuatedOut(p.service) {
 			q.wakeAt(p.pausedUntil)
 			return
 		}
@@ -383,6 +386,10 @@
 
 // retry sends the first call of a part, or the next one after all have ended.
 func (e *Engine) retry(q *query, p *part) {
+	if e.evacuatedOut(p.service) {
+		p.exhausted, p.evacuated = true, true
+		return
+	}
 	if p.runs >= max(1, q.route.Attempts) || p.arrivals >= maxArrivals || p.runs > 0 && q.route.Kind != rules.Idempotent {
 		p.exhausted = true
 		return
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -23,6 +23,11 @@
 		if p.answered() {
 			continue
 		}
+		if e.evacuatedOut(p.service) {
+			p.skipped, p.evacuated = true, true
+			waits = append(waits, evacuatedRetry)
+			continue
+		}
 		wait := retryAfter
 		if p.group == nil {
 			if left, paused := e.pause(p.service); paused {
@@ -40,7 +45,7 @@
 		slices.Sort(waits)
 		e.refuseEarly(q, Refuse{
 			After:  waits[len(waits)-most-1],
-			Reason: "too many shards are overloaded or want no calls",
+			Reason: q.skipReason(most),
 		})
 		return false
 	}
@@ -113,7 +118,7 @@
 	}
 	found := false
 	for _, u := range e.services[p.service] {
-		if u.leaving || e.now < u.excludedUntil || e.now < u.downUntil {
+		if u.leaving || e.evacuated[u.Domain] || e.now < u.excludedUntil || e.now < u.downUntil {
 			continue
 		}
 		found = true
