Keep evacuations in the replicated log and distribute them

Cause: an acknowledged evacuation has to survive restarts, leader changes and lost disks, and to reach every host within seconds.

Change: a replicated part holds the set. Polls carry the revision, replies the set if it is newer; the age of a copy covers the set, so that a control host that lacks one counts as stale. A poll of a host that was never confirmed is answered once it is.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -19,6 +19,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT "+platform.PathConfiguration, func(w http.ResponseWriter, r *http.Request) { c.putConfiguration(h, w, r) })
 	mux.HandleFunc("GET "+platform.PathConfiguration, func(w http.ResponseWriter, r *http.Request) { c.getConfiguration(h, w, r) })
+	evacuation := func(w http.ResponseWriter, r *http.Request) { c.serveEvacuation(h, w, r) }
+	mux.HandleFunc("POST "+platform.PathEvacuation, evacuation)
+	mux.HandleFunc("DELETE "+platform.PathEvacuation, evacuation)
 	return mux
 }
 
@@ -42,7 +45,7 @@
 	if c.redirect(w, r) {
 		return
 	}
-	a := c.submit(r.Context(), h, documentCommand{Store: &board.Document{
+	a := c.submit(r.Context(), h, documentPartName, documentCommand{Store: &board.Document{
 		Version: doc.Version,
 		Packed:  packed,
 	}})
@@ -58,7 +61,7 @@
 	if c.redirect(w, r) {
 		return
 	}
-	a := c.submit(r.Context(), h, documentCommand{Read: true})
+	a := c.submit(r.Context(), h, documentPartName, documentCommand{Read: true})
 	if a.Kind != config.Accepted {
 		writeError(w, http.StatusServiceUnavailable, a.Remedy)
 		return
@@ -95,13 +98,13 @@
 	if leader.Operator == "" || leader.ID == c.self.ID {
 		return false
 	}
-	w.Header()["Location"] = []string{"http://" + leader.Operator + r.URL.Path}
+	w.Header()["Location"] = []string{"http://" + leader.Operator + r.URL.EscapedPath()}
 	w.WriteHeader(http.StatusTemporaryRedirect)
 	return true
 }
 
-// submit runs a command through the leader.
-func (c *Core) submit(ctx context.Context, h *ctrl.Host, cmd documentCommand) ctrl.Answer {
+// submit runs a command for a replicated part through the leader.
+func (c *Core) submit(ctx context.Context, h *ctrl.Host, part string, cmd any) ctrl.Answer {
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return ctrl.Answer{
@@ -110,7 +113,7 @@
 		}
 	}
 	return h.Submit(ctx, ctrl.Request{Command: &state.Command{
-		Part: documentPartName,
+		Part: part,
 		Data: data,
 	}})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,8 +1,8 @@
 // Package core is the control host of the platform: the replicated log of
-// internal/ctrl with the operator's configuration documents, the reader of the
-// platform's list of upstreams, and the state that entry hosts poll. The leader
-// manages the group's membership and reads the list; other control hosts receive
-// the list from the leader.
+// internal/ctrl with the operator's configuration documents and evacuations, the
+// reader of the platform's list of upstreams, and the state that entry hosts poll.
+// The leader manages the group's membership and reads the list; other control hosts
+// receive the list from the leader.
 package core
 
 import (
@@ -145,10 +145,16 @@
 		Address: cfg.Link,
 		Bind:    cfg.Bind,
 		Link:    linkConfig,
-		Parts: []state.Part{&documentPart{
-			watchState: c.watchState,
-			log:        cfg.Log,
-		}},
+		Parts: []state.Part{
+			&documentPart{
+				watchState: c.watchState,
+				log:        cfg.Log,
+			},
+			&evacuationPart{
+				watchState: c.watchState,
+				log:        cfg.Log,
+			},
+		},
 		Extend: c.register,
 		API:    c.api,
 
@@ -232,6 +238,7 @@
 		case <-tick.C:
 		}
 		c.watchState.Sweep()
+		c.host.SetGauge("evacuated_domains", float64(len(c.watchState.Evacuation().Domains)))
 		asked := c.watchState.Now()
 		s, ok := c.status(ctx)
 		if !ok {
@@ -424,6 +431,8 @@
 		Roster:  rosterDigest,
 		Follows: logHasLeader,
 		AtOnce:  atOnce,
+
+		Evacuation: c.watchState.Evacuation().Revision,
 	}
 	directHosts, directDigest := c.watchState.DirectHosts()
 	if request.DirectDigest = directDigest; directDigest != c.confirmedDigest {
@@ -439,9 +448,12 @@
 	if r.Document != nil && c.watchState.SetDocument(*r.Document) {
 		c.log.Info("configuration was received", "Version", r.Document.Version, "Source", address)
 	}
+	if r.Evacuated != nil && c.watchState.SetEvacuation(*r.Evacuated) {
+		logEvacuation(c.log, *r.Evacuated, address)
+	}
 	confirmedAt, confirmed := r.ConfirmedAt(sentAt)
 	if confirmed {
-		c.watchState.Confirm(r.Version, confirmedAt)
+		c.watchState.Confirm(r.Version, r.EvacuationRevision, confirmedAt)
 	}
 	newList, ok := r.NewList(list)
 	c.resync = !ok && r.ListDelta != nil
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -264,6 +264,9 @@
 // Prometheus text format.
 func (h *Host) Metrics() http.Handler { return h.meters.handler }
 
+// SetGauge sets a metric of a part that this package does not know.
+func (h *Host) SetGauge(name string, value float64) { h.meters.scope.Gauge(name).Update(value) }
+
 // Now returns the time since the host started, the clock of the replicated
 // log.
 func (h *Host) Now() ident.Instant { return h.now() }
--- a/internal/ctrl/meter.go
+++ b/internal/ctrl/meter.go
@@ -34,7 +34,9 @@
 //	| requests_waiting  | gauge     |               | requests that wait for their outcome           |
 //	| disk_failed       | gauge     |               | 1 while the data folder cannot be used         |
 //	| entry_hosts_live  | gauge     |               | entry hosts that send heartbeats; leader only  |
+//	| evacuated_domains | gauge     |               | evacuated domains; on the platform only        |
 type meters struct {
+	scope     tally.Scope
 	closer    io.Closer
 	handler   http.Handler
 	requests  map[requestKey]tally.Counter
@@ -65,6 +67,7 @@
 		OmitCardinalityMetrics: true,
 	}, metricsInterval)
 	m := &meters{
+		scope:       scope,
 		closer:      closer,
 		handler:     rep.HTTPHandler(),
 		requests:    map[requestKey]tally.Counter{},
--- a/internal/state/part.go
+++ b/internal/state/part.go
@@ -22,9 +22,12 @@
 	// Apply applies one committed command and returns its encoded result.
 	Apply(command []byte) ([]byte, error)
 	// Freeze captures the state and returns a function that encodes it. The
-	// function may run in another goroutine while the part changes.
+	// function may run in another goroutine while the part changes. A state of no
+	// bytes is left out of snapshots, as members that do not know the part cannot
+	// restore them.
 	Freeze() func() ([]byte, error)
-	// Restore replaces the state by an encoded one.
+	// Restore replaces the state by an encoded one. It is not called for a snapshot
+	// that leaves the part out.
 	Restore(data []byte) error
 }
 
@@ -115,6 +118,9 @@
 			if err != nil {
 				return nil, errors.Wrapf(err, "state of part %q cannot be encoded", names[i])
 			}
+			if len(data) == 0 {
+				continue
+			}
 			states = append(states, partState{
 				Part: names[i],
 				Data: data,
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -11,6 +11,7 @@
 	"github.com/jujubethread/jujubethread/internal/clock"
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/pkg/board"
+	"github.com/jujubethread/jujubethread/pkg/evac"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/rules"
 )
@@ -64,19 +65,29 @@
 	return s.update(func(now ident.Instant, b *board.Board) bool { return b.SetDocument(now, d) })
 }
 
-// ConfirmOwn records that this host, which leads, held the newest document at
-// the given time.
-func (s *State) ConfirmOwn(at ident.Instant) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.board.ConfirmOwn(at)
+// SetEvacuation replaces the evacuated domains and returns true, unless the revision
+// is not newer.
+func (s *State) SetEvacuation(set evac.Set) (replaced bool) {
+	return s.update(func(_ ident.Instant, b *board.Board) bool { return b.SetEvacuation(set) })
 }
 
-// Confirm records that v was the newest version at the given time.
-func (s *State) Confirm(v rules.Version, at ident.Instant) {
+// Evacuation returns the newest set of evacuated domains.
+func (s *State) Evacuation() evac.Set {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.board.Confirm(v, at)
+	return s.board.Evacuation()
+}
+
+// ConfirmOwn records that this host, which leads, held the newest document and set of
+// evacuated domains at the given time.
+func (s *State) ConfirmOwn(at ident.Instant) {
+	s.update(func(_ ident.Instant, b *board.Board) bool { return b.ConfirmOwn(at) })
+}
+
+// Confirm records that v was the newest version of the document, and r the newest
+// revision of the evacuated domains, at the given time.
+func (s *State) Confirm(v rules.Version, r evac.Revision, at ident.Instant) {
+	s.update(func(_ ident.Instant, b *board.Board) bool { return b.Confirm(v, r, at) })
 }
 
 // Document returns the newest document, with version 0 if there is none.
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -1,6 +1,6 @@
 // Package board holds the state that a control host distributes to the hosts
-// that poll it: the active document, the list of upstreams and the roster of
-// live hosts. A Board decides what each poll is answered with and when. It has
+// that poll it: the active document, the evacuated domains, the list of upstreams
+// and the roster of live hosts. A Board decides what each poll is answered with and when. It has
 // no clock and does no I/O; it is not safe for concurrent use.
 package board
 
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/jujubethread/jujubethread/pkg/evac"
 	"github.com/jujubethread/jujubethread/pkg/follow"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
@@ -40,7 +41,10 @@
 	document Document
 	// copy is the age of the document, and of the roster.
 	copy follow.Copy[rules.Version]
-	// wasStale is whether copy was stale at the last Sweep.
+	// evacuation is the newest set of evacuated domains, evacuationCopy its age.
+	evacuation     evac.Set
+	evacuationCopy follow.Copy[evac.Revision]
+	// wasStale is whether the board was stale at the last Sweep.
 	wasStale bool
 	// settled tells which documents the members of the replicated log must have.
 	settled  follow.Settled[rules.Version]
@@ -92,16 +96,50 @@
 	return true
 }
 
-// ConfirmOwn records that this host, which leads, held the newest document at
-// the given time.
-func (b *Board) ConfirmOwn(at ident.Instant) { b.copy.Confirm(b.document.Version, at) }
+// SetEvacuation replaces the evacuated domains and returns true, unless the revision
+// is not newer.
+func (b *Board) SetEvacuation(s evac.Set) (replaced bool) {
+	if s.Revision <= b.evacuation.Revision {
+		return false
+	}
+	b.evacuation = s
+	b.evacuationCopy.Hold(s.Revision)
+	return true
+}
+
+// Evacuation returns the newest set of evacuated domains.
+func (b *Board) Evacuation() evac.Set { return b.evacuation }
 
-// Confirm records that v was the newest version at the given time.
-func (b *Board) Confirm(v rules.Version, at ident.Instant) { b.copy.Confirm(v, at) }
+// ConfirmOwn records that this host, which leads, held the newest document and set of
+// evacuated domains at the given time. It returns true if the age of these was unknown
+// before.
+func (b *Board) ConfirmOwn(at ident.Instant) (first bool) {
+	return b.Confirm(b.document.Version, b.evacuation.Revision, at)
+}
 
-// Age returns the time since the document was known to be the newest, or false
-// if it never was.
-func (b *Board) Age(now ident.Instant) (time.Duration, bool) { return b.copy.Age(now) }
+// Confirm records that v was the newest version of the document, and r the newest
+// revision of the evacuated domains, at the given time. It returns true if the age of
+// what this host holds was unknown before and is known now.
+func (b *Board) Confirm(v rules.Version, r evac.Revision, at ident.Instant) (first bool) {
+	_, known := b.Age(at)
+	b.copy.Confirm(v, at)
+	b.evacuationCopy.Confirm(r, at)
+	_, knownNow := b.Age(at)
+	return knownNow && !known
+}
+
+// Age returns the time since the document and the evacuated domains were known to be
+// the newest, or false if they never were.
+func (b *Board) Age(now ident.Instant) (time.Duration, bool) {
+	age, known := b.copy.Age(now)
+	evacuationAge, evacuationKnown := b.evacuationCopy.Age(now)
+	return max(age, evacuationAge), known && evacuationKnown
+}
+
+// stale reports whether what this host holds is older than other hosts accept.
+func (b *Board) stale(now ident.Instant) bool {
+	return b.copy.Stale(now) || b.evacuationCopy.Stale(now)
+}
 
 // Document returns the newest document, with version 0 if there is none.
 func (b *Board) Document() Document { return b.document }
@@ -173,7 +211,7 @@
 			delete(b.reports, id)
 		}
 	}
-	stale := b.copy.Stale(now)
+	stale := b.stale(now)
 	changed = stale && !b.wasStale
 	b.wasStale = stale
 	return b.leading && b.SetRoster(b.allHosts()) || changed
--- a/pkg/board/event.go
+++ b/pkg/board/event.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/jujubethread/jujubethread/pkg/evac"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 	"github.com/jujubethread/jujubethread/pkg/rules"
@@ -56,6 +57,10 @@
 	ListAge int64 `cbor:",omitempty"`
 	// Roster is the digest of its roster, 0 to request a full copy.
 	Roster uint64
+	// Evacuation is the revision of its set of evacuated domains. Hosts of the
+	// release before refuse messages that have this field or those of the reply;
+	// both are absent until the first evacuation.
+	Evacuation evac.Revision `cbor:",omitempty"`
 	// DirectDigest is the digest of the hosts that poll the polling host itself,
 	// and DirectHosts lists them unless the last reply confirmed that digest.
 	DirectDigest uint64 `cbor:"Here,omitempty"`
@@ -71,9 +76,13 @@
 // Reply holds what is newer than the polling host's state.
 type Reply struct {
 	Document *Document `cbor:",omitempty"`
+	// Evacuated is the set of evacuated domains if it is newer than that of the
+	// polling host, and EvacuationRevision its revision in any case.
+	Evacuated          *evac.Set     `cbor:",omitempty"`
+	EvacuationRevision evac.Revision `cbor:",omitempty"`
 	// Version is the version of the control host's document. Age is the time in
-	// milliseconds since that was known to be the newest version, -1 if it never
-	// was, and Waited how long the poll waited for this answer.
+	// milliseconds since that and EvacuationRevision were known to be the newest,
+	// -1 if they never were, and Waited how long the poll waited for this answer.
 	Version rules.Version
 	Age     int64
 	Waited  int64 `cbor:",omitempty"`
@@ -129,8 +138,8 @@
 	return f.Sum64()
 }
 
-// ConfirmedAt returns when the document of the control host was known to be the
-// newest, on the clock of the polling host, which sent its poll at sentAt. It is
+// ConfirmedAt returns when the document and the evacuated domains of the control host
+// were known to be the newest, on the clock of the polling host, which sent its poll at sentAt. It is
 // false if that was never known.
 func (r *Reply) ConfirmedAt(sentAt ident.Instant) (ident.Instant, bool) {
 	if r.Age < 0 {
--- a/pkg/board/poll.go
+++ b/pkg/board/poll.go
@@ -13,9 +13,11 @@
 	// settled is the document that a host which follows the replicated log must
 	// have had when it polled.
 	settled rules.Version
-	// openedAt is when the poll arrived, and stale is set if the board was stale.
-	openedAt ident.Instant
-	stale    bool
+	// openedAt is when the poll arrived. stale is set if the board was stale, and
+	// unconfirmed if its age was unknown.
+	openedAt    ident.Instant
+	stale       bool
+	unconfirmed bool
 	// Deadline is when the poll is answered in any case.
 	Deadline ident.Instant
 }
@@ -23,12 +25,14 @@
 // Open records a poll that arrived at now.
 func (b *Board) Open(now ident.Instant, in *Request) *Poll {
 	b.recordRequest(now, in)
+	_, known := b.Age(now)
 	p := &Poll{
-		request:  in,
-		settled:  b.settled.Version(now),
-		openedAt: now,
-		stale:    b.copy.Stale(now),
-		Deadline: now.Add(PollWait),
+		request:     in,
+		settled:     b.settled.Version(now),
+		openedAt:    now,
+		stale:       b.stale(now),
+		unconfirmed: !known,
+		Deadline:    now.Add(PollWait),
 	}
 	switch {
 	case in.AtOnce:
@@ -40,11 +44,13 @@
 }
 
 // Answer returns the answer to a poll, and whether it is due: there is an
-// update, the board has become stale, or the poll has reached its deadline.
+// update, the board has become stale or was confirmed for the first time, or the
+// poll has reached its deadline.
 func (b *Board) Answer(now ident.Instant, p *Poll) (r *Reply, due bool) {
 	in := p.request
-	stale := b.copy.Stale(now)
-	due = now >= p.Deadline || stale && !p.stale
+	stale := b.stale(now)
+	age, known := b.Age(now)
+	due = now >= p.Deadline || stale && !p.stale || known && p.unconfirmed
 	r = &Reply{
 		Version:      b.document.Version,
 		Age:          -1,
@@ -52,10 +58,17 @@
 		ListAge:      -1,
 		Leader:       b.leader,
 		DirectDigest: b.reports[in.From.ID].digest,
+
+		EvacuationRevision: b.evacuation.Revision,
 	}
-	if age, known := b.copy.Age(now); known {
+	if known {
 		r.Age = age.Milliseconds()
 	}
+	// A set is small: a host that follows the log gets it here as well.
+	if b.evacuation.Revision > in.Evacuation {
+		s := b.evacuation
+		r.Evacuated, due = &s, true
+	}
 	if b.listRead {
 		r.ListAge = now.Sub(b.listReadAt).Milliseconds()
 	}
--- a/pkg/board/poll_test.go
+++ b/pkg/board/poll_test.go
@@ -1,13 +1,16 @@
 package board_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/jujubethread/jujubethread/pkg/board"
+	"github.com/jujubethread/jujubethread/pkg/evac"
 	"github.com/jujubethread/jujubethread/pkg/follow"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
@@ -146,7 +149,7 @@
 	is.Equal(confirmedAt, at(7000+300-800))
 
 	follower := board.New()
-	follower.Confirm(r.Version, confirmedAt)
+	follower.Confirm(r.Version, r.EvacuationRevision, confirmedAt)
 	_, known = follower.Age(at(8000))
 	is.True(!known) // it does not have the version yet
 	follower.SetDocument(at(8100), board.Document{Version: 3})
@@ -154,3 +157,127 @@
 	is.True(known)
 	is.Equal(age, 1700*time.Millisecond)
 }
+
+func evacuated(r evac.Revision, domains ...ident.Domain) evac.Set {
+	return evac.Set{
+		Revision: r,
+		Domains:  domains,
+	}
+}
+
+// Guards against a change of the evacuated domains alone that waits for the end of a
+// poll, also for a host that gets documents from the replicated log, and against an
+// older set that is offered, or answered again and again.
+func TestEvacuationReachesEachPollAtOnce(t *testing.T) {
+	is := is.New(t)
+	for _, follows := range []bool{false, true} {
+		b := board.New()
+		request := board.Request{From: board.Host{ID: "h", Kind: board.Control}, Follows: follows}
+		p := b.Open(0, &request)
+		r, due := b.Answer(0, p)
+		is.True(!due)
+		is.True(r.Evacuated == nil)
+		is.True(b.SetEvacuation(evacuated(2, "a")))
+		is.True(!b.SetEvacuation(evacuated(2, "b")))
+		is.True(!b.SetEvacuation(evacuated(1)))
+		is.Equal(b.Evacuation(), evacuated(2, "a"))
+		r, due = b.Answer(1, p)
+		is.True(due)
+		is.Equal(*r.Evacuated, evacuated(2, "a"))
+		is.Equal(r.EvacuationRevision, evac.Revision(2))
+		for _, held := range []evac.Revision{2, 3} {
+			request.Evacuation = held
+			r, due = b.Answer(1, b.Open(1, &request))
+			is.True(!due)
+			is.True(r.Evacuated == nil)
+			is.Equal(r.EvacuationRevision, evac.Revision(2))
+		}
+	}
+}
+
+// Guards against a control host that counts as current although it lacks an evacuation
+// that its leader has, or that has the newest document and an evacuation of unknown age.
+func TestAgeCoversTheEvacuation(t *testing.T) {
+	is := is.New(t)
+	b := board.New()
+	b.SetDocument(0, board.Document{Version: 3})
+	is.True(!b.Confirm(3, 5, 100))
+	_, known := b.Age(200)
+	is.True(!known)
+	p := b.Open(200, &board.Request{Version: 3, Evacuation: 5})
+	_, due := b.Answer(200, p)
+	is.True(!due)
+	b.SetEvacuation(evacuated(5, "a"))
+	r, due := b.Answer(300, p)
+	is.True(due) // an entry host that starts waits for the first confirmation
+	is.Equal(r.Age, int64(0))
+
+	now := ident.Instant(follow.StaleAge)
+	is.True(!b.Confirm(3, 6, now))
+	p = b.Open(now+50, &board.Request{Version: 3, Evacuation: 5})
+	is.True(b.Sweep(now + 101)) // revision 6 is missing for StaleAge
+	r, due = b.Answer(now+101, p)
+	is.True(due)
+	is.Equal(r.Age, follow.StaleAge.Milliseconds())
+	b.SetEvacuation(evacuated(6))
+	age, known := b.Age(now + 101)
+	is.True(known)
+	is.Equal(age, 101*time.Nanosecond)
+}
+
+// Guards against a host that takes back an evacuation, or an end of one, since it polls
+// a control host that has restarted with older state, or several of them in turn.
+func TestNoHostGoesBackToAnOlderEvacuation(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		boards := []*board.Board{board.New(), board.New(), board.New()}
+		history := []evac.Set{{}}
+		var held evac.Set
+		now := ident.Instant(0)
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(100 * time.Millisecond)
+			i := rapid.IntRange(0, len(boards)-1).Draw(rt, "control host")
+			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			case 0: // an order, at one host first
+				s := history[len(history)-1]
+				if s.Contains("a") {
+					s = s.End("a")
+				} else {
+					s, _ = s.Start("a")
+				}
+				history = append(history, s)
+				boards[i].SetEvacuation(s)
+			case 1: // a replay of the log, from any snapshot on
+				boards[i].SetEvacuation(history[rapid.IntRange(0, len(history)-1).Draw(rt, "state")])
+			case 2: // a restart
+				boards[i] = board.New()
+			case 3:
+				r, _ := boards[i].Answer(now, boards[i].Open(now, &board.Request{Evacuation: held.Revision, AtOnce: true}))
+				if r.Evacuated == nil {
+					continue
+				}
+				if r.Evacuated.Revision <= held.Revision {
+					rt.Fatalf("revision %d is offered to a host with %d", r.Evacuated.Revision, held.Revision)
+				}
+				held = *r.Evacuated
+				if want := history[held.Revision]; held.Contains("a") != want.Contains("a") {
+					rt.Fatalf("%v is offered, the order was %v", held, want)
+				}
+			}
+		}
+	})
+}
+
+// Guards against messages that hosts of the release before refuse although no evacuation
+// has been ordered yet: unknown fields are errors there.
+func TestMessagesWithoutAnEvacuationAreThoseOfTheReleaseBefore(t *testing.T) {
+	is := is.New(t)
+	for _, message := range []any{board.Request{}, board.Reply{}} {
+		raw, err := cbor.Marshal(message)
+		is.NoErr(err)
+		var fields map[string]any
+		is.NoErr(cbor.Unmarshal(raw, &fields))
+		for name := range fields {
+			is.True(!strings.HasPrefix(name, "Evacuat"))
+		}
+	}
+}
