Apply evacuations on entry hosts

Cause: entry hosts have to learn of evacuations, and must not call an evacuated domain because they have just started.

Change: the watcher polls with its revision and passes newer sets to the engine. A host whose own domain is evacuated has no local coverage, so that it is not ready while it is cut off from the others. Metrics tier_evacuated_domains and control_evacuated_domains.

Result: go test ./internal/front ./internal/tier passes.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -109,10 +109,12 @@
 	// servingDelegated counts the queries in progress for other hosts.
 	servingDelegated sync.WaitGroup
 
-	table    atomic.Pointer[rules.Table]
-	hasList  atomic.Bool
-	draining atomic.Bool
-	closing  atomic.Bool
+	table   atomic.Pointer[rules.Table]
+	hasList atomic.Bool
+	// knowsEvacuation is set once it is known which domains are evacuated.
+	knowsEvacuation atomic.Bool
+	draining        atomic.Bool
+	closing         atomic.Bool
 	// serving is cancelled once a stopping host gives up what other hosts have not
 	// answered.
 	serving    context.Context //nolint:containedctx // it belongs to the host, not to a call
@@ -122,7 +124,7 @@
 	endsAt atomic.Int64
 	// The values of the gauges; listReadAt, and confirmedAt of the configuration,
 	// are in Unix nanoseconds.
-	requestsRunning, upstreams, hosts, limited, suspects, leaving, paused, listReadAt, confirmedAt atomic.Int64
+	requestsRunning, upstreams, evacuated, hosts, limited, suspects, leaving, paused, listReadAt, confirmedAt atomic.Int64
 	// lastUnreadyReason is the reason at the last readiness check, empty if ready.
 	lastUnreadyReason atomic.Pointer[string]
 	// isolated is set while no other domain is reachable, localCoverage while
@@ -290,6 +292,8 @@
 	switch {
 	case f.draining.Load():
 		return "it stops"
+	case !f.knowsEvacuation.Load():
+		return "it does not know yet which domains are evacuated"
 	case f.table.Load() == nil:
 		return "it has no configuration yet"
 	case !f.hasList.Load():
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -108,6 +108,9 @@
 		f.stepEngine(relay.At(ev, f.now()))
 		f.pruneConnections(ev.Upstreams)
 		f.localCoverage.Store(f.engine.Local())
+	case relay.Evacuated:
+		f.stepEngine(relay.At(ev, f.now()))
+		f.localCoverage.Store(f.engine.Local())
 	case relay.Gatherers, relay.Abandoned, relay.Stopping, relay.Hosts:
 		f.stepEngine(relay.At(ev, f.now()))
 	case nil:
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -131,6 +131,7 @@
 		f.gauge.Connections.Update(float64(f.pool.Dials()))
 		f.gauge.Running.Update(float64(f.requestsRunning.Load()))
 		f.gauge.Upstreams.Update(float64(f.upstreams.Load()))
+		f.gauge.Evacuated.Update(float64(f.evacuated.Load()))
 		f.gauge.Limited.Update(float64(f.limited.Load()))
 		f.gauge.Suspects.Update(float64(f.suspects.Load()))
 		f.gauge.Leaving.Update(float64(f.leaving.Load()))
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -45,7 +45,12 @@
 	// could not be read and is not to be sent again.
 	stated rules.Version
 	// copy is the age of the configuration.
-	copy       follow.Copy[rules.Version]
+	copy follow.Copy[rules.Version]
+	// evacuation holds the evacuated domains. The configuration waits in held until
+	// they are known.
+	evacuation evacuation
+	held       *board.Document
+
 	list       board.List
 	listReadAt ident.Instant
 	hosts      []board.Host
@@ -153,6 +158,8 @@
 		ListAge: p.sentAt.Sub(w.listReadAt).Milliseconds(),
 		Roster:  w.roster,
 		AtOnce:  e.AtOnce,
+
+		Evacuation: w.evacuation.set.Revision,
 	}
 	go func() {
 		end := pollEnd{attempt: e.Attempt}
@@ -186,12 +193,14 @@
 		f.inputs <- input{rejoined: true}
 	}
 	r := &e.reply
+	confirmedAt, confirmed := r.ConfirmedAt(p.sentAt)
+	w.applyEvacuation(r, p, confirmed)
 	if r.Document != nil {
 		w.install(*r.Document, p.source)
 	}
-	confirmedAt, confirmed := r.ConfirmedAt(p.sentAt)
 	if confirmed {
 		w.copy.Confirm(r.Version, confirmedAt)
+		w.evacuation.copy.Confirm(r.EvacuationRevision, confirmedAt)
 	}
 	w.applyList(r, p)
 	controls, changed := w.applyRoster(r, p)
@@ -210,9 +219,11 @@
 func (w *watcher) reportAge() {
 	f := w.front
 	age, known := w.copy.Age(w.now())
-	if !known {
+	evacuationAge, evacuationKnown := w.evacuation.copy.Age(w.now())
+	if !known || !evacuationKnown {
 		return
 	}
+	age = max(age, evacuationAge)
 	f.confirmedAt.Store(time.Now().Add(-age).UnixNano())
 	if outdated := age > outdatedAge; outdated != w.outdated {
 		w.outdated = outdated
@@ -226,6 +237,16 @@
 		return
 	}
 	w.stated = d.Version
+	if !f.knowsEvacuation.Load() {
+		w.held = &d
+		return
+	}
+	w.activate(d, source)
+}
+
+// activate puts a document in force.
+func (w *watcher) activate(d board.Document, source string) {
+	f := w.front
 	raw, err := board.Unpack(d.Packed)
 	if err != nil {
 		f.log.Error("configuration cannot be unpacked", "Version", d.Version, "Error", err.Error())
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -32,6 +32,7 @@
 //	| document_age_seconds | gauge  |             | time since that was known to be the newest    |
 //	| list_age_seconds  | gauge     |             | age of the list of upstreams                  |
 //	| upstreams         | gauge     |             | upstreams in the list                         |
+//	| evacuated_domains | gauge     |             | evacuated domains, whether listed or not      |
 //	| hosts             | gauge     |             | entry hosts that share the budgets            |
 //	| ready             | gauge     |             | 1 while readiness checks get 200              |
 //	| log_lines_dropped | gauge     |             | log lines dropped since the process started   |
@@ -104,6 +105,7 @@
 	VersionAge  tally.Gauge
 	ListAge     tally.Gauge
 	Upstreams   tally.Gauge
+	Evacuated   tally.Gauge
 	Hosts       tally.Gauge
 	Ready       tally.Gauge
 	Dropped     tally.Gauge
@@ -142,6 +144,7 @@
 		VersionAge:     scope.Gauge("document_age_seconds"),
 		ListAge:        scope.Gauge("list_age_seconds"),
 		Upstreams:      scope.Gauge("upstreams"),
+		Evacuated:      scope.Gauge("evacuated_domains"),
 		Hosts:          scope.Gauge("hosts"),
 		Ready:          scope.Gauge("ready"),
 		Dropped:        scope.Gauge("log_lines_dropped"),
