--- a/internal/front/watch_test.go
+++ b/internal/front/watch_test.go
@@ -36,6 +36,12 @@
 }
 
 func startControlHost(t *testing.T, domain ident.Domain) *controlHost {
+	t.Helper()
+	return startControlHostThat(t, domain, false)
+}
+
+// startControlHostThat starts a control host that has lost the leader or has it.
+func startControlHostThat(t *testing.T, domain ident.Domain, lostLeader bool) *controlHost {
 	t.Helper()
 	is := is.New(t)
 	s, err := link.NewServer(link.Config{})
@@ -51,6 +57,7 @@
 			Link:   lis.Addr().String(),
 		},
 	}
+	c.lostLeader.Store(lostLeader)
 	c.Register(s)
 	run(t, func(ctx context.Context) error { return s.Serve(ctx, lis) })
 	run(t, func(ctx context.Context) error {
--- a/internal/tier/tier_test.go
+++ b/internal/tier/tier_test.go
@@ -39,9 +39,12 @@
 	port int
 	// stop and ended have one element per daemon, control hosts first.
 	stop []context.CancelFunc
-	// atWork is the number of calls that upstreams run.
-	atWork atomic.Int64
-	ended  []chan struct{}
+	// atWork is the number of calls that upstreams run, and called the number that
+	// those of domains a and b have got.
+	atWork  atomic.Int64
+	calledA atomic.Int64
+	calledB atomic.Int64
+	ended   []chan struct{}
 }
 
 // largePath is a query that all shards but shard-3 answer at once, with largeSize
@@ -57,6 +60,11 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.atWork.Add(1)
 		defer s.atWork.Add(-1)
+		if strings.HasSuffix(name, "-a") {
+			s.calledA.Add(1)
+		} else {
+			s.calledB.Add(1)
+		}
 		duration := work
 		if r.URL.Path == largePath && !strings.HasPrefix(name, "shard-3") {
 			duration = 0
