Evacuate domains in the soak

Cause: the soak did not cover evacuations.

Change: an operator for each of the two domains evacuates and withdraws at random. A leaf of a domain that was evacuated over 5 s before may get no call while no host has had a fault for 9 s; restarts are no fault. Planted faults show that the check finds them. The log field of the ordered domain is Evacuated, as each line has a field Domain.

--- a/internal/core/evacuation.go
+++ b/internal/core/evacuation.go
@@ -120,7 +120,7 @@
 	if a.Kind == config.Accepted {
 		err = proto.Unmarshal(a.Data, &result)
 	}
-	c.log.Info("evacuation was ordered", "Domain", string(domain), "Withdrawn", cmd.End != "", "Outcome", a.Kind, "Remedy", a.Remedy,
+	c.log.Info("evacuation was ordered", "Evacuated", string(domain), "Withdrawn", cmd.End != "", "Outcome", a.Kind, "Remedy", a.Remedy,
 		"Revision", uint64(result.Revision), "Full", result.Full)
 	switch {
 	case a.Kind != config.Accepted:
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -35,6 +35,8 @@
 	ruleExit     = "EXIT"
 	ruleGone     = "GONE"
 	ruleLimit    = "LIMIT"
+
+	ruleEvacuation = "EVAC"
 )
 
 const (
--- a/internal/soak/leaf_test.go
+++ b/internal/soak/leaf_test.go
@@ -203,6 +203,7 @@
 	request := r.Header.Get("Request-Id")
 	h.Set("Request-Id", request)
 	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", l.running.Load(), leafSlots))
+	l.cluster.checkEvacuated(l, request)
 	if want := r.Header.Get("Expected-Instance"); want != "" && want != id {
 		h.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -230,6 +230,24 @@
 		{"call to an upstream that began to drain", "", func(cl *cluster, _ *host) {
 			cl.checkDrain(&leaf{cluster: cl, draining: time.Now()}, "1")
 		}},
+		{"call to an evacuated upstream", ruleEvacuation, func(cl *cluster, _ *host) {
+			cl.evacuations.set("a", true)
+			cl.evacuations.since["a"] = time.Now().Add(-evacuationTime)
+			cl.checkEvacuated(&leaf{cluster: cl, domain: "a"}, "1")
+		}},
+		{"call to an evacuated upstream after a fault", "", func(cl *cluster, h *host) {
+			h.recordFault(0, false)
+			cl.evacuations.set("a", true)
+			cl.evacuations.since["a"] = time.Now().Add(-evacuationTime)
+			cl.checkEvacuated(&leaf{cluster: cl, domain: "a"}, "1")
+		}},
+		{"call to an upstream whose evacuation is new, withdrawn or of another domain", "", func(cl *cluster, _ *host) {
+			cl.evacuations.set("a", true)
+			cl.evacuations.set("b", false)
+			for _, domain := range []string{"a", "b", "c"} {
+				cl.checkEvacuated(&leaf{cluster: cl, domain: domain}, "1")
+			}
+		}},
 		{"request that ran and was not answered", ruleLost, func(cl *cluster, h *host) {
 			cl.history.recordRun("s", execution{id: "1", service: "desk"})
 			cl.checkLost(h, "1", time.Now(), hung)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -93,6 +93,8 @@
 	stops    atomic.Int64
 	group    sync.WaitGroup
 
+	evacuations evacuations
+
 	// moveMu is locked while a leaf is replaced, signalMu while processes are
 	// stopped, frozen or restarted.
 	moveMu   sync.Mutex
@@ -251,6 +253,12 @@
 	}
 	operatorRNG := rand.New(rand.NewPCG(seed, 5))
 	group.Go(func() { cl.operate(faultCtx, operatorRNG) })
+	for domain, rest := range map[string]time.Duration{
+		"a": 12 * time.Second, // all upstreams of the mark routes are there
+		"b": 4 * time.Second,
+	} {
+		group.Go(func() { cl.evacuate(faultCtx, rand.New(rand.NewPCG(seed, uint64(domain[0]))), domain, rest) })
+	}
 	cl.injectFaults(faultCtx, rand.New(rand.NewPCG(seed, 6)))
 	cl.awaitHealthy(prober, rng, recoveryLimit)
 	stop()
@@ -279,7 +287,7 @@
 func (cl *cluster) report(t *testing.T) {
 	t.Helper()
 	cl.history.mu.Lock()
-	t.Logf("seed %d: %d requests, %d runs, %d configurations", cl.seed, len(cl.history.requests), len(cl.history.runs), len(cl.operator.acks))
+	t.Logf("seed %d: %d requests, %d runs, %d configurations, %d calls while a domain was evacuated", cl.seed, len(cl.history.requests), len(cl.history.runs), len(cl.operator.acks), cl.evacuations.checked)
 	cl.history.mu.Unlock()
 	violations := cl.history.allViolations()
 	if len(violations) == 0 {
