Document evacuations

Result: go test ./internal/story passes, which compares the messages and tests that the pages name with the code.

--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -21,6 +21,8 @@
 var stateMessages = map[string]bool{
 	"configuration is in force":           true,
 	"list of upstreams is in use":         true,
+	"evacuated domains are in force":      true,
+	"evacuated domains were received":     true,
 	"suspicion against a request changed": true,
 	"limit of an upstream changed":        true,
 	"departure of an upstream changed":    true,
