--- a/internal/core/evacuation_test.go
+++ b/internal/core/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -60,6 +61,7 @@
 		}
 		cfg := config(t, address, free(t), n < len(links), links...)
 		cfg.MaxDiskFailures = 1
+		cfg.Metrics = free(t)
 		g.hosts = append(g.hosts, &member{cfg: cfg})
 	}
 	for _, m := range g.hosts {
@@ -146,6 +148,22 @@
 	}
 }
 
+// awaitMetric waits until the metrics of a host have a line.
+func (g *group) awaitMetric(m *member, line string) {
+	g.t.Helper()
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		res, err := http.Get("http://" + m.cfg.Metrics)
+		if err != nil {
+			continue
+		}
+		page, err := io.ReadAll(res.Body)
+		if res.Body.Close() == nil && err == nil && strings.Contains(string(page), line) {
+			return
+		}
+	}
+	g.t.Fatalf("the metrics of %s have no line %q", m.cfg.Link, line)
+}
+
 // Guards against an order that is lost, counted twice or refused although it is valid,
 // and against one that does not reach a control host outside the replicated log.
 func TestEvacuationIsAcknowledgedOnce(t *testing.T) {
@@ -162,6 +180,7 @@
 	g.acknowledge(g.hosts[3], http.MethodPost, "b%2Dc")
 	for _, m := range g.hosts {
 		g.await(m, reachTime, "2 [a b-c]")
+		g.awaitMetric(m, "control_evacuated_domains 2\n")
 	}
 	g.acknowledge(g.hosts[1], http.MethodDelete, "a")
 	g.acknowledge(g.hosts[2], http.MethodDelete, "a")
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -155,11 +155,7 @@
 		e.arrive(ev)
 	case Gatherers:
 		e.advanceTo(ev.Now)
-		e.gatherers = make(map[ident.Domain]bool, len(ev.Domains))
-		for _, d := range ev.Domains {
-			e.gatherers[d] = true
-		}
-		e.helpers = ev.Helpers
+		e.setGatherers(ev)
 	case DelegateEnded:
 		e.advanceTo(ev.Now)
 		e.delegateEnded(ev)
@@ -273,6 +269,14 @@
 	}
 }
 
+func (e *Engine) setGatherers(ev Gatherers) {
+	e.gatherers = make(map[ident.Domain]bool, len(ev.Domains))
+	for _, d := range ev.Domains {
+		e.gatherers[d] = true
+	}
+	e.helpers = ev.Helpers
+}
+
 func (e *Engine) advanceAll() {
 	for _, q := range slices.Clone(e.order) {
 		if !q.done {
