--- a/internal/core/evacuation_test.go
+++ b/internal/core/evacuation_test.go
@@ -11,12 +11,16 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/jujubethread/jujubethread/internal/core"
 	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/proto"
+	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/internal/watch"
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/evac"
+	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
@@ -274,3 +278,55 @@
 	}
 	g.t.Fatalf("%s does not vote again", m.cfg.Link)
 }
+
+// Guards against a member that restarts from a snapshot and the rest of the log and has
+// another set than one that has applied all of it, and against one that distributes an
+// older set after a restart than it did before.
+func TestSnapshotAndReplayAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		boards := []*watch.State{watch.NewState(), watch.NewState()}
+		whole, restored := state.NewSet(core.NewEvacuationPart(boards[0])), state.NewSet(core.NewEvacuationPart(boards[1]))
+		apply := func(s *state.Set, command []byte) {
+			raw, err := proto.Marshal(state.Command{Part: "evacuation", Data: command})
+			if err == nil {
+				_, err = s.Apply(raw)
+			}
+			if err != nil {
+				rt.Fatal(err)
+			}
+		}
+		n := rapid.IntRange(0, 20).Draw(rt, "orders")
+		at := rapid.IntRange(0, n).Draw(rt, "snapshot")
+		last := evac.Revision(0)
+		for i := range n + 1 {
+			if i == at {
+				raw, err := whole.Freeze()()
+				if err != nil {
+					rt.Fatal(err)
+				}
+				if err := restored.Restore(raw); err != nil {
+					rt.Fatal(err)
+				}
+			}
+			if i == n {
+				break
+			}
+			command, err := core.EvacuationCommand(rapid.Bool().Draw(rt, "start"), ident.Domain(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain")))
+			if err != nil {
+				rt.Fatal(err)
+			}
+			apply(whole, command)
+			if i >= at {
+				apply(restored, command)
+			}
+			if r := boards[0].Evacuation().Revision; r < last {
+				rt.Fatalf("revision %d follows %d", r, last)
+			}
+			last = boards[0].Evacuation().Revision
+		}
+		a, b := boards[0].Evacuation(), boards[1].Evacuation()
+		if a.Revision != b.Revision || !slices.Equal(a.Domains, b.Domains) {
+			rt.Fatalf("%v, but %v after a snapshot", a, b)
+		}
+	})
+}
