--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -37,6 +37,8 @@
 	ruleLimit    = "LIMIT"
 	ruleTenant   = "TENANT"
 	ruleDenied   = "DENIED"
+
+	ruleEvacuation = "EVAC"
 )
 
 const (
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -72,6 +72,9 @@
 	// until which it counts as overloaded.
 	overloadedUntil map[ident.Service]ident.Instant
 
+	// evacuated are the domains whose upstreams are not called.
+	evacuated map[ident.Domain]bool
+
 	// quota is this host's share of the limits that upstreams name.
 	quota *quota.Share
 	byKey map[quota.Key]*upstream
@@ -146,16 +149,15 @@
 		e.advanceTo(ev.Now)
 		e.hosts, e.teams, e.gathers = max(1, ev.Count), max(1, ev.Gatherers), ev.Gathers
 		e.quota.SetHosts(e.hosts)
+	case Evacuated:
+		e.advanceTo(ev.Now)
+		e.evacuate(ev.Domains)
 	case Arrive:
 		e.advanceTo(ev.Now)
 		e.arrive(ev)
 	case Gatherers:
 		e.advanceTo(ev.Now)
-		e.gatherers = make(map[ident.Domain]bool, len(ev.Domains))
-		for _, d := range ev.Domains {
-			e.gatherers[d] = true
-		}
-		e.helpers = ev.Helpers
+		e.setGatherers(ev)
 	case DelegateEnded:
 		e.advanceTo(ev.Now)
 		e.delegateEnded(ev)
@@ -277,6 +279,14 @@
 	e.limitCold()
 }
 
+func (e *Engine) setGatherers(ev Gatherers) {
+	e.gatherers = make(map[ident.Domain]bool, len(ev.Domains))
+	for _, d := range ev.Domains {
+		e.gatherers[d] = true
+	}
+	e.helpers = ev.Helpers
+}
+
 func (e *Engine) advanceAll() {
 	for _, q := range slices.Clone(e.order) {
 		if !q.done {
