--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -74,6 +74,8 @@
 	roundTrip time.Duration
 	// ejectedUntil is when an overloaded host may be used again.
 	ejectedUntil ident.Instant
+	// lostAt is when the host stopped to answer.
+	lostAt ident.Instant
 }
 
 // Selector is the view that one entry host has of the gatherers of all domains.
@@ -94,6 +96,10 @@
 	// answers of its domain's gatherers.
 	isolated      bool
 	isolatedSince ident.Instant
+	// own is the number of entry hosts in this domain, ownSince when the gatherers
+	// of this domain last changed.
+	own      int
+	ownSince ident.Instant
 }
 
 // New returns a Selector for the given entry host. It knows no other host yet.
@@ -126,7 +132,8 @@
 	s.helpers = nil
 	for d, list := range domains {
 		s.lastListed[d] = now
-		wanted := (len(list) + hostsPerGatherer - 1) / hostsPerGatherer
+		live := len(list)
+		wanted := (live + hostsPerGatherer - 1) / hostsPerGatherer
 		list = slices.DeleteFunc(list, func(h Host) bool { return h.Draining })
 		slices.SortFunc(list, func(x, y Host) int { return cmp.Compare(Hash(string(x.ID)), Hash(string(y.ID))) })
 		wanted = min(wanted, len(list))
@@ -134,12 +141,16 @@
 		if d != s.domain {
 			continue
 		}
+		s.own = live
 		if own := slices.IndexFunc(domains[d], s.isSelf); own >= 0 {
 			for i := wanted + own; i < len(list); i += wanted {
 				s.helpers = append(s.helpers, list[i])
 			}
 		}
 	}
+	if !slices.EqualFunc(s.gatherers[s.domain], domains[s.domain], func(x, y Host) bool { return x.ID == y.ID }) {
+		s.ownSince = now
+	}
 	s.gatherers = domains
 	s.isGatherer = slices.ContainsFunc(domains[s.domain], s.isSelf)
 }
@@ -281,6 +292,9 @@
 // now, and whether that has changed.
 func (s *Selector) RecordPing(h Host, ev Ping) (usable, changed bool) {
 	st := s.state(h.ID)
+	if st.answered && !ev.Answered {
+		st.lostAt = ev.Now
+	}
 	st.answered = ev.Answered
 	if h.Domain == s.domain && ev.Answered && !s.isGatherer {
 		s.setIsolated(ev.Now, ev.Isolated)
