Judge by most hosts of a domain whether an owner is cut off

Cause: a domain with few hosts has a single gatherer. Cut off from the others it reached half of the gatherers, itself, and went on to earn the domain's part of a limit while the next gatherer did the same.

--- a/pkg/allot/allot_test.go
+++ b/pkg/allot/allot_test.go
@@ -82,7 +82,7 @@
 		h = f.host(owners[0].ID)
 	}
 	pause := time.Duration(100+rng.IntN(5000)) * time.Millisecond
-	switch rng.IntN(10) {
+	switch rng.IntN(11) {
 	case 0:
 		h.pausedUntil = f.now + pause
 		return "pause " + string(h.id)
@@ -121,7 +121,10 @@
 	case 8:
 		c.domain = h.d
 		return "callers in " + string(h.d)
+	case 9:
+		c.only = h
+		return "callers at " + string(h.id)
 	}
-	c.domain = ""
+	c.domain, c.only = "", nil
 	return "callers everywhere"
 }
--- a/pkg/allot/fleet_test.go
+++ b/pkg/allot/fleet_test.go
@@ -68,7 +68,9 @@
 	limit  allot.Limit
 	demand float64
 	// domain is where all its callers are; empty means everywhere.
-	domain   ident.Domain
+	domain ident.Domain
+	// only, if set, is the host where all callers are.
+	only     *host
 	sent     []time.Duration
 	entitled int
 	lost     int
@@ -238,7 +240,7 @@
 			})
 		}
 	}
-	if h.selector.ReachesHalf() {
+	if h.selector.ReachesMost() {
 		h.owner.Confirm(f.instant())
 	}
 	f.at(pingInterval, h, h.ping)
@@ -278,7 +280,10 @@
 			return
 		}
 		h := f.hosts[f.rng.IntN(len(f.hosts))]
-		for h.down || c.domain != "" && h.d != c.domain {
+		if c.only != nil {
+			h = c.only
+		}
+		for c.only == nil && (h.down || c.domain != "" && h.d != c.domain) {
 			h = f.hosts[f.rng.IntN(len(f.hosts))]
 		}
 		c.tokens = min(c.limit.Burst, c.tokens+(f.now-c.at).Seconds()*c.limit.Rate)
--- a/pkg/allot/owner.go
+++ b/pkg/allot/owner.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// confirmTime is how long an owner goes on to earn after it last reached half of
-	// its domain's gatherers. It covers a ping that times out after 320 ms and the
+	// confirmTime is how long an owner goes on to earn after it last reached most of
+	// its domain. It covers a ping that times out after 320 ms and the
 	// interval of 150 ms.
 	confirmTime = 500 * time.Millisecond
 
@@ -74,7 +74,7 @@
 	buckets map[ident.Account]*bucket
 	last    Stamp
 	// earnsFrom and earnsUntil are the time in which this host has reached, without
-	// interruption, half of the gatherers of its domain.
+	// interruption, most of its domain.
 	earnsFrom, earnsUntil ident.Instant
 }
 
@@ -107,7 +107,7 @@
 	}
 }
 
-// Confirm records that this host reaches half of the gatherers of its domain.
+// Confirm records that this host reaches most of its domain.
 func (o *Owner) Confirm(now ident.Instant) {
 	if o.earnsUntil < now {
 		o.earnsFrom = now.Add(settleTime)
@@ -227,7 +227,7 @@
 }
 
 // earn adds what a bucket has earned since it was last used. It earns its rate while
-// this host has led long enough and reached half of the gatherers; at other times it
+// this host has led long enough and reached most of its domain; at other times it
 // earns spareRate until it holds start.
 func (o *Owner) earn(now ident.Instant, leading time.Duration, b *bucket) {
 	from := max(b.at, o.earnsFrom, now.Add(min(0, handoverTime-leading)))
--- a/pkg/gather/account.go
+++ b/pkg/gather/account.go
@@ -56,17 +56,18 @@
 	return list
 }
 
-// ReachesHalf reports whether this host is a gatherer and at least half of the gatherers
-// of its domain, itself included, answer its pings.
-func (s *Selector) ReachesHalf() bool {
-	list := s.gatherers[s.domain]
+// ReachesMost reports whether this host is a gatherer and more than half of its domain
+// answer its pings, judged by itself, the other gatherers and its helpers. A domain with
+// few hosts has a single gatherer, which knows by its helpers that it is cut off.
+func (s *Selector) ReachesMost() bool {
+	list := slices.Concat(s.gatherers[s.domain], s.helpers)
 	reached := 0
 	for _, h := range list {
 		if s.isSelf(h) || s.states[h.ID] != nil && s.states[h.ID].answered {
 			reached++
 		}
 	}
-	return s.isGatherer && 2*reached >= len(list)
+	return s.isGatherer && 2*reached > len(list)
 }
 
 // DomainHosts returns the number of entry hosts in the domain of this host.
--- a/pkg/gather/account_test.go
+++ b/pkg/gather/account_test.go
@@ -49,7 +49,6 @@
 	for _, o := range list {
 		second.RecordPing(o.Host, ping(300, 1))
 	}
-	is.True(second.ReachesHalf())
 	is.Equal(second.LeadsAccount(at(5000), "x"), at(0).Sub(0))
 	second.RecordPing(list[0].Host, gather.Ping{Now: at(6000)})
 	second.RecordPing(list[0].Host, gather.Ping{Now: at(6500)})
@@ -67,7 +66,7 @@
 
 // Guards against an owner that goes on to grant requests although it is cut off from
 // its domain, where another host has taken its place.
-func TestHostThatIsCutOffReachesFewGatherers(t *testing.T) {
+func TestHostThatIsCutOffReachesFew(t *testing.T) {
 	is := is.New(t)
 	all := hosts(41, "a")
 	s := gather.New("nobody", "a")
@@ -75,16 +74,21 @@
 	list := s.AccountOwners("a", "x")
 	s = gather.New(list[0].ID, "a")
 	s.SetHosts(0, all)
-	is.True(!s.ReachesHalf()) // it has heard of none yet
-	for _, o := range list[:3] {
-		s.RecordPing(o.Host, ping(0, 1))
+	is.True(!s.ReachesMost()) // it has heard of none yet
+	others := s.PingTargets()
+	is.True(len(others) >= 10) // five gatherers and some helpers
+	for i, h := range others {
+		is.Equal(s.ReachesMost(), 2*(i+1) > len(others)+1)
+		s.RecordPing(h, ping(0, 1))
 	}
-	is.True(s.ReachesHalf())
-	s.RecordPing(list[1].Host, gather.Ping{Now: at(500)})
-	is.True(!s.ReachesHalf())
+	is.True(s.ReachesMost())
+	for _, h := range others {
+		s.RecordPing(h, gather.Ping{Now: at(500)})
+	}
+	is.True(!s.ReachesMost())
 	is.Equal(s.DomainHosts(), 41)
 
 	outsider := gather.New("nobody", "a")
 	outsider.SetHosts(0, hosts(3, "a"))
-	is.True(!outsider.ReachesHalf())
+	is.True(!outsider.ReachesMost())
 }
