Limit requests of accounts at entry hosts

Cause: an account may have a limit that all entry hosts keep together.

Change: before a request of a limited account is delegated or run, its host asks the owner of the account in its domain with a datagram, the next gatherer after 0.6 of the time without an answer, and decides by a small share of its own after a tenth of the route's target and 16 ms. A request over the limit gets 429 with Retry-After; one that is refused as not run returns its quota. Owners in different domains lend each other requests. Settings quota-window, quota-overage, quota-slack and domains; off without the first or the last. Requests have no account yet: a field that tests set stands for the keys.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/pipe"
 	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/allot"
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/gossip"
@@ -70,6 +71,10 @@
 	// Extra is the budget of retries and hedges of each service, shared by all
 	// hosts.
 	Extra budget.Config
+	// Quota is what the limits of accounts have in common; the zero value is for none.
+	Quota allot.Config
+	// Domains are all failure domains.
+	Domains []ident.Domain
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// Metrics is the address on which metrics are served; empty disables them.
@@ -96,6 +101,10 @@
 	// owner divides the limits of this domain's upstreams while this host is
 	// their owner.
 	owner *quota.Owner
+	// limits are those of accounts, nil if they are not limited.
+	limits *accountLimits
+	// accountOf returns the account of a caller's request, nil for none.
+	accountOf func(*http.Request) *rules.Account
 	// gossip spreads facts to the other hosts, at gossipPeers.
 	gossip      *gossip.Spreader
 	gossipPeers map[ident.HostID]netip.AddrPort
@@ -167,12 +176,15 @@
 			Seed:   rand.Uint64(),
 		}),
 		owner:   quota.NewOwner(),
+		limits:  newAccountLimits(cfg.Quota),
 		gossip:  gossip.New(rand.Uint64()),
 		inputs:  make(chan input, inputQueueSize),
 		queries: make(map[ident.QueryID]*request),
 		calls:   make(map[ident.AttemptID]*callState),
 		seeds:   make(chan []string, 1),
 
+		accountOf: func(*http.Request) *rules.Account { return nil },
+
 		serving:    serving,
 		endServing: endServing,
 	}, nil
--- a/internal/front/limit.go
+++ b/internal/front/limit.go
@@ -97,6 +97,10 @@
 // receive decodes a datagram of another host and queues it for the loop. A
 // message that cannot be decoded comes from another release and is ignored.
 func (f *Front) receive(b []byte, from netip.AddrPort) {
+	if b[0] >= kindAsk && b[0] <= kindLoan {
+		f.receiveAccount(b, from)
+		return
+	}
 	var in input
 	var err error
 	switch b[0] {
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -93,6 +93,32 @@
 	return p.selector.Owner(d)
 }
 
+// accountOwners returns the hosts of a domain that may keep the limit of an account, the
+// preferred one first.
+func (p *peers) accountOwners(d ident.Domain, a ident.Account) []gather.Owner {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.selector.AccountOwners(d, a)
+}
+
+func (p *peers) leadsAccount(now ident.Instant, a ident.Account) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.selector.LeadsAccount(now, a)
+}
+
+func (p *peers) reachesMost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.selector.ReachesMost()
+}
+
+func (p *peers) domainHosts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.selector.DomainHosts()
+}
+
 func (p *peers) helper(id ident.HostID) (gather.Host, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/front/ping.go
+++ b/internal/front/ping.go
@@ -176,6 +176,7 @@
 		}
 		p.send(b, to)
 	}
+	f.tickAccounts()
 	if isolated := f.peers.isolated(now); isolated != f.isolated.Load() {
 		f.isolated.Store(isolated)
 		f.log.Info("contact with other domains changed", "Alone", isolated)
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/gauge"
 	"github.com/jujubethread/jujubethread/internal/pipe"
+	"github.com/jujubethread/jujubethread/pkg/allot"
 	"github.com/jujubethread/jujubethread/pkg/blame"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
@@ -52,6 +53,10 @@
 	shardSubset bool
 	// roundTrip is the round-trip time to the caller, 0 if unknown.
 	roundTrip time.Duration
+	// account is the caller's account, nil for none; token counts the request in its
+	// limit.
+	account *rules.Account
+	token   allot.Token
 	// groups are the replies of other hosts, by the engine's group number.
 	groups map[int]*delegateReply
 	// ctx ends the calls to those hosts; it is set with the first call.
@@ -148,6 +153,10 @@
 		reply:     make(chan reply, 1),
 		started:   started,
 		roundTrip: callerRoundTrip(r),
+		account:   f.accountOf(r),
+	}
+	if !f.withinLimit(r.Context(), w, q) {
+		return
 	}
 	if t := f.table.Load(); t != nil && limit > f.now().Sub(started) {
 		if route := t.Find(q.host, q.path); route != nil && route.Gathers() {
@@ -279,6 +288,9 @@
 	case relay.TimedOut:
 		status = http.StatusGatewayTimeout
 	}
+	if notRun(e.Status) {
+		f.returnQuota(q)
+	}
 	f.log.Info("request is not served", "Request", string(q.id), "Status", status, "Reason", e.Reason, "Version", f.version())
 	w.Header()["Content-Length"] = []string{"0"}
 	w.WriteHeader(status)
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -25,6 +25,12 @@
 //	| leaving_upstreams | gauge     |             | upstreams that have said that they leave      |
 //	| paused_upstreams  | gauge     |             | upstreams that want no calls from this host   |
 //	| pauses            | counter   |             | answers that asked for such a pause           |
+//	| requests_over_limit | counter |             | requests refused since the limit of their     |
+//	|                   |           |             | account was used up                           |
+//	| grant_requests    | counter   |             | questions to owners of accounts               |
+//	| grants_in_time    | counter   |             | answers to them that requests waited for      |
+//	| account_loans     | counter   |             | loans to owners in other domains              |
+//	| local_decisions   | counter   |             | requests that no owner answered for           |
 //	| connections       | gauge     |             | connections opened to upstreams since the     |
 //	|                   |           |             | process started                               |
 //	| requests_running  | gauge     |             | callers' and delegated requests in progress   |
@@ -88,11 +94,17 @@
 	callSeconds    tally.Histogram
 	delegated      map[string]tally.Counter
 
-	// Ejected, Withheld, Crashers and Pauses are incremented; the others are set to
-	// the current value.
-	Ejected     tally.Counter
-	Withheld    tally.Counter
-	Pauses      tally.Counter
+	// Counters are incremented, gauges set to the current value.
+	Ejected  tally.Counter
+	Withheld tally.Counter
+	Pauses   tally.Counter
+
+	OverLimit      tally.Counter
+	GrantRequests  tally.Counter
+	GrantsInTime   tally.Counter
+	Loans          tally.Counter
+	LocalDecisions tally.Counter
+
 	Leaving     tally.Gauge
 	Paused      tally.Gauge
 	Limited     tally.Gauge
@@ -132,6 +144,11 @@
 		Withheld:       scope.Counter("calls_withheld"),
 		Crashers:       scope.Counter("crashers"),
 		Pauses:         scope.Counter("pauses"),
+		OverLimit:      scope.Counter("requests_over_limit"),
+		GrantRequests:  scope.Counter("grant_requests"),
+		GrantsInTime:   scope.Counter("grants_in_time"),
+		Loans:          scope.Counter("account_loans"),
+		LocalDecisions: scope.Counter("local_decisions"),
 		Leaving:        scope.Gauge("leaving_upstreams"),
 		Paused:         scope.Gauge("paused_upstreams"),
 		Suspects:       scope.Gauge("suspects"),
--- a/internal/tier/option.go
+++ b/internal/tier/option.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/pkg/allot"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
@@ -60,6 +61,10 @@
 
 	// Extra is the budget of retries and hedges of an entry host.
 	Extra budget.Config
+	// Quota is what the limits of accounts over all entry hosts have in common, Domains
+	// all failure domains. Accounts are limited if both are set.
+	Quota   allot.Config
+	Domains []ident.Domain
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace    time.Duration
 	LogLevel string
@@ -76,7 +81,7 @@
 	o := &Options{}
 	fs := flag.NewFlagSet("tier "+command, flag.ContinueOnError)
 	fs.SetOutput(out)
-	var name, domain, seeds, ports string
+	var name, domain, seeds, ports, domains string
 	fs.StringVar(&o.SettingsFile, "config", "", "settings file")
 	fs.StringVar(&name, "name", "", "name of this host")
 	fs.StringVar(&domain, "domain", "", "failure domain of this host")
@@ -94,6 +99,10 @@
 	fs.Float64Var(&o.Extra.Ratio, "extra-ratio", 0.2, "retries and hedges allowed per request to a service (entry)")
 	fs.Float64Var(&o.Extra.Slack, "extra-slack", 0, "retries and hedges allowed per window regardless of requests, over all hosts (entry)")
 	fs.DurationVar(&o.Extra.Window, "extra-window", 10*time.Second, "window over which retries and hedges are counted (entry)")
+	fs.DurationVar(&o.Quota.Window, "quota-window", 0, "window over which limits of accounts hold; 0s for no limits (entry)")
+	fs.Float64Var(&o.Quota.Overage, "quota-overage", 0, "fraction by which all entry hosts together may exceed the limit of an account (entry)")
+	fs.Float64Var(&o.Quota.Slack, "quota-slack", 0, "requests per window by which they may exceed it as well (entry)")
+	fs.StringVar(&domains, "domains", "", "all failure domains, separated by commas; without them there are no limits of accounts (entry)")
 	fs.DurationVar(&o.Grace, "grace", 6*time.Second, "time from SIGTERM to SIGKILL (entry)")
 	fs.StringVar(&o.Metrics, "metrics", "", "address where metrics are served")
 	fs.StringVar(&o.LogLevel, "log-level", "info", "debug, info, warn or error")
@@ -106,6 +115,7 @@
 		return nil, err
 	}
 	o.Name, o.Domain, o.Seeds = ident.HostID(name), ident.Domain(domain), splitList(seeds)
+	o.setDomains(splitList(domains))
 	firstPort, _, _ := strings.Cut(ports, ",")
 	port, err := strconv.ParseUint(strings.TrimSpace(firstPort), 10, 16)
 	if err != nil || port == 0 {
@@ -115,6 +125,19 @@
 	return o, o.validate(command)
 }
 
+// setDomains sets the failure domains. This host's own is always one of them.
+func (o *Options) setDomains(names []string) {
+	for _, name := range names {
+		o.Domains = append(o.Domains, ident.Domain(name))
+	}
+	if len(o.Domains) > 0 {
+		o.Domains = append(o.Domains, o.Domain)
+	}
+	slices.Sort(o.Domains)
+	o.Domains = slices.Compact(o.Domains)
+	o.Quota.Domains = len(o.Domains)
+}
+
 func splitList(list string) []string {
 	var items []string
 	for item := range strings.SplitSeq(list, ",") {
@@ -163,6 +186,9 @@
 	case o.MaxDiskFailures < 0:
 		return errors.Errorf("lost is %d: use 0 or more", o.MaxDiskFailures)
 	}
+	if err := o.Quota.Check(); err != nil {
+		return err
+	}
 	return errors.Wrap(o.Extra.Check(), "budget of retries and hedges")
 }
 
--- a/internal/tier/option_test.go
+++ b/internal/tier/option_test.go
@@ -11,7 +11,10 @@
 	"unicode"
 	"unicode/utf8"
 
+	"github.com/matryer/is"
+
 	"github.com/jujubethread/jujubethread/internal/tier"
+	"github.com/jujubethread/jujubethread/pkg/allot"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
@@ -26,6 +29,8 @@
 		"extra-window 0s", "extra-window 1ns", "extra-window -1s", "extra-window 2562047h",
 		"extra-ratio NaN", "extra-ratio +Inf", "extra-ratio -1", "extra-ratio 1e308",
 		"extra-slack NaN", "extra-slack -Inf", "extra-slack 1e308",
+		"quota-window 5s\ndomains a,b", "quota-window -1s\ndomains a", "quota-window 1ns\ndomains ,", "quota-window 2562047h\ndomains a",
+		"quota-overage NaN", "quota-overage -1", "quota-overage 1e308", "quota-slack +Inf", "quota-slack -1",
 		"ports 0,1", "ports 99999,1", "ports -1", "ports 7380", "ports x",
 		"grace -1s", "lost -1", "name a\tb", "domain a\x00b", "name \xff", "ip [::1", "seeds ,a,:,b:1", "log-level loud",
 	} {
@@ -49,6 +54,9 @@
 			if r := w.Remaining(now, 1); math.IsNaN(r) || math.IsInf(r, 0) || r < 0 {
 				t.Errorf("%s: %v extra calls under %+v", command, r, o.Extra)
 			}
+			if q := o.Quota; q.Check() != nil || q.Validity() <= 0 || q.Domains != len(o.Domains) {
+				t.Errorf("%s: limits of accounts under %+v in %v", command, q, o.Domains)
+			}
 			if o.LinkPort < 1 || o.LinkPort > 65535 || o.Grace < 0 || o.MaxDiskFailures < 0 {
 				t.Errorf("%s: port %d, grace %s, %d disks", command, o.LinkPort, o.Grace, o.MaxDiskFailures)
 			}
@@ -58,3 +66,75 @@
 		}
 	})
 }
+
+// Guards against a deployment without some of the values for limits of accounts, whose
+// settings file then has empty lines and sections, and whose hosts do not start, or start
+// with limits that nobody has set.
+func TestSettingsOfAccountLimits(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		lines   string
+		enabled bool
+		quota   allot.Config
+		domains []ident.Domain
+	}{
+		{
+			name:  "nothing",
+			lines: "\n\n\ndomains ,\n",
+		},
+		{
+			name:    "domains only",
+			lines:   "\n\n\ndomains ,d,e,f\n",
+			quota:   allot.Config{Domains: 3},
+			domains: []ident.Domain{"d", "e", "f"},
+		},
+		{
+			name:  "no domains",
+			lines: "quota-window 5s\nquota-overage 0.1\nquota-slack 20\ndomains ,\n",
+			quota: allot.Config{
+				Window:  5 * time.Second,
+				Overage: 0.1,
+				Slack:   20,
+			},
+		},
+		{
+			name:    "all",
+			lines:   "quota-window 5s\nquota-overage 0.1\nquota-slack 20\ndomains ,f,e\n",
+			enabled: true,
+			quota: allot.Config{
+				Window:  5 * time.Second,
+				Overage: 0.1,
+				Slack:   20,
+				Domains: 3,
+			},
+			domains: []ident.Domain{"d", "e", "f"}, // its own too
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			file := filepath.Join(t.TempDir(), "settings")
+			is.NoErr(os.WriteFile(file, []byte(entrySettings+c.lines), 0o600))
+			o, err := tier.Parse("entry", []string{"-config", file}, io.Discard)
+			is.NoErr(err)
+			is.Equal(o.Quota.Enabled(), c.enabled)
+			is.Equal(o.Quota, c.quota)
+			is.Equal(o.Domains, c.domains)
+		})
+	}
+}
+
+// Guards against a template whose lines for optional values are not of the form that the
+// test above parses.
+func TestTemplateOfEntryHosts(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("../../deploy/entry.conf")
+	is.NoErr(err)
+	for _, line := range []string{
+		"{{#Bounds.QuotaWindowS}}quota-window {{Bounds.QuotaWindowS}}s{{/Bounds.QuotaWindowS}}",
+		"{{#Bounds.QuotaOverage}}quota-overage {{Bounds.QuotaOverage}}{{/Bounds.QuotaOverage}}",
+		"{{#Bounds.QuotaSlack}}quota-slack {{Bounds.QuotaSlack}}{{/Bounds.QuotaSlack}}",
+		"domains ,{{#Zones}}{{@}}{{,}}{{/Zones}}",
+	} {
+		is.True(strings.Contains(string(raw), line+"\n"))
+	}
+}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -147,6 +147,9 @@
 			Grace:  o.Grace,
 			Log:    log,
 
+			Quota:   o.Quota,
+			Domains: o.Domains,
+
 			Metrics: o.Metrics,
 			Dropped: queue.Dropped,
 		})
