Test limits of accounts at the scale that they are for

The emulated roster keeps hosts for 3 s as control hosts do; before, it forgot paused domains and brought them back too late.

--- a/pkg/allot/fleet_test.go
+++ b/pkg/allot/fleet_test.go
@@ -16,8 +16,9 @@
 const (
 	pingInterval = 150 * time.Millisecond
 	pingTimeout  = 320 * time.Millisecond
-	// rosterDelay is how long a host must be down or paused until it is not listed.
-	rosterDelay = 3 * time.Second
+	// rosterDelay is how long a host must be out of reach until it is not listed.
+	rosterDelay  = 3 * time.Second
+	listInterval = 500 * time.Millisecond
 )
 
 var settings = allot.Config{
@@ -54,7 +55,11 @@
 	down        bool
 	pausedUntil time.Duration
 	// side is the part of the network that it is on.
-	side     int
+	side int
+	// heard is when the roster last heard of it.
+	heard time.Duration
+	// behind is the time until which it has the earlier configuration.
+	behind   time.Duration
 	selector *gather.Selector
 	owner    *allot.Owner
 	holder   *allot.Holder
@@ -65,8 +70,10 @@
 
 // customer is an account with its callers.
 type customer struct {
-	limit  allot.Limit
-	demand float64
+	limit allot.Limit
+	// earlier is the limit at hosts with the earlier configuration.
+	earlier allot.Limit
+	demand  float64
 	// domain is where all its callers are; empty means everywhere.
 	domain ident.Domain
 	// only, if set, is the host where all callers are.
@@ -106,7 +113,7 @@
 }
 
 // newFleet returns hosts that have run for some seconds without callers.
-func newFleet(seed uint64, perDomain int, accounts []*customer) *fleet {
+func newFleet(seed uint64, hosts int, accounts []*customer) *fleet {
 	f := &fleet{
 		rng:      rand.New(rand.NewPCG(seed, 3)),
 		accounts: accounts,
@@ -114,15 +121,13 @@
 	f.delay = func() time.Duration {
 		return 2*time.Millisecond + time.Duration(f.rng.Int64N(int64(6*time.Millisecond)))
 	}
-	for _, d := range []ident.Domain{"a", "b", "c"} {
-		for i := range perDomain {
-			h := &host{
-				fleet: f,
-				id:    ident.HostID(fmt.Sprintf("%s-%d", d, i)),
-				d:     d,
-			}
-			f.hosts = append(f.hosts, h)
-		}
+	for i := range hosts {
+		d := []ident.Domain{"a", "b", "c"}[i%3]
+		f.hosts = append(f.hosts, &host{
+			fleet: f,
+			id:    ident.HostID(fmt.Sprintf("%s-%d", d, i/3)),
+			d:     d,
+		})
 	}
 	f.list()
 	for _, h := range f.hosts {
@@ -132,7 +137,6 @@
 		c.tokens = c.limit.Burst
 		f.arrive(c)
 	}
-	f.at(0, nil, f.list)
 	f.run(5 * time.Second)
 	for _, c := range accounts {
 		c.sent, c.entitled, c.lost, c.refused = nil, 0, 0, 0
@@ -181,26 +185,27 @@
 
 func (f *fleet) instant() ident.Instant { return ident.Instant(time.Hour + f.now) }
 
-// list tells hosts that are on side 0 which hosts are alive.
+// list tells hosts on side 0 which hosts are alive: those that were within rosterDelay.
 func (f *fleet) list() {
-	f.roster = nil
+	var roster []gather.Host
 	for _, h := range f.hosts {
-		if h.side == 0 && !h.down && f.now >= h.pausedUntil || h.pinged == nil {
-			f.roster = append(f.roster, gather.Host{
+		if h.side == 0 && !h.down && f.now >= h.pausedUntil {
+			h.heard = f.now
+		}
+		if f.now-h.heard <= rosterDelay {
+			roster = append(roster, gather.Host{
 				ID:     h.id,
 				Domain: h.d,
 			})
 		}
 	}
-	roster := f.roster
+	f.roster = roster
 	for _, h := range f.hosts {
 		if h.side == 0 && h.selector != nil {
-			f.at(rosterDelay+time.Duration(f.rng.Int64N(int64(300*time.Millisecond))), h, func() { h.selector.SetHosts(f.instant(), roster) })
+			f.at(time.Duration(f.rng.Int64N(int64(300*time.Millisecond))), h, func() { h.selector.SetHosts(f.instant(), roster) })
 		}
 	}
-	if f.now > 0 || len(f.events.list) > 0 {
-		f.at(time.Second, nil, f.list)
-	}
+	f.at(listInterval, nil, f.list)
 }
 
 // start starts a new process.
@@ -326,6 +331,9 @@
 func (h *host) request(c *customer, done func(bool, allot.Token)) {
 	f := h.fleet
 	l := c.limit
+	if f.now < h.behind {
+		l = c.earlier
+	}
 	t, d, _, extra := h.holder.Take(f.instant(), l.Account)
 	if d != allot.Undecided {
 		done(d == allot.Allowed, t)
