--- a/pkg/allot/allot.go
+++ b/pkg/allot/allot.go
@@ -120,19 +120,17 @@
 	window, hold := c.Window.Seconds(), c.hold().Seconds()
 	domains := float64(max(1, c.Domains))
 	rate := l.Rate * min(1, (1+c.Overage)*window/(window+hold))
-	margin := max(0, (1+c.Overage)*(l.Rate*window+l.Burst)+c.Slack/2-l.Burst-rate*(window+hold))
 	p := part{
-		rate:     rate / domains,
-		capacity: (l.Burst + c.Slack/2) / domains,
+		rate: rate / domains,
+		// A bucket that never holds a whole request would refuse all. If burst and
+		// slack are so small, the margin covers the rest as far as it can.
+		capacity: max(1, (l.Burst+c.Slack/2)/domains),
 		held:     rate * hold / domains,
 	}
+	margin := max(0, (1+c.Overage)*(l.Rate*window+l.Burst)+c.Slack-domains*p.capacity-rate*(window+hold))
 	p.start = min(p.capacity, margin/2/domains)
 	p.spareRate = p.start / (startWindows * window)
 	p.localRate = margin / 4 / window / domains
-	// A bucket that never holds a whole request would refuse all.
-	if p.capacity < 1 {
-		p.capacity = min(1, p.capacity+margin/4/domains)
-	}
 	return p
 }
 
--- a/pkg/allot/owner.go
+++ b/pkg/allot/owner.go
@@ -123,11 +123,7 @@
 func (o *Owner) Ask(now ident.Instant, leading time.Duration, a Ask) Answer {
 	b := o.bucket(now, leading, a.Limit)
 	if b.level < 1 {
-		after := b.part.capacity // a full bucket holds less than one request
-		if after >= 1 {
-			after = (1 - b.level) / b.part.rate
-		}
-		return Answer{After: min(max(seconds(after), minAfter), o.cfg.Window)}
+		return Answer{After: min(max(seconds((1-b.level)/b.part.rate), minAfter), o.cfg.Window)}
 	}
 	n := 1 + min(max(0, a.Extra), int((b.level-1)*extraShare))
 	return Answer{
@@ -150,7 +146,7 @@
 	b.nextLoan = now.Add(dryInterval)
 	return Borrow{
 		Limit: b.limit,
-		Want:  (b.part.capacity - b.level) / float64(max(1, o.cfg.Domains-1)),
+		Want:  max((b.part.capacity-b.level)/float64(max(1, o.cfg.Domains-1)), 1-b.level),
 		Have:  b.level,
 	}, true
 }
@@ -163,11 +159,11 @@
 	}
 	b := o.bucket(now, leading, in.Limit)
 	have := finite(in.Have)
-	loan := min(finite(in.Want), (b.level-have)/2)
+	loan := (b.level - have) / 2
 	if have < 1 {
 		loan = max(loan, min(b.level, 1-have))
 	}
-	if loan < minLoan {
+	if loan = min(loan, finite(in.Want)); loan < minLoan {
 		return 0
 	}
 	b.take(now, loan, o)
