--- a/pkg/allot/step_test.go
+++ b/pkg/allot/step_test.go
@@ -64,7 +64,7 @@
 // Guards against an owner that is cut off, has been cut off until now, or leads only
 // since now, and grants the domain's part beside the host that stands in for it.
 func TestOwnerEarnsOnlyWhileItLeads(t *testing.T) {
-	l := limit(30, 5) // 10 a second in each domain, 5 at once
+	l := limit(30, 20) // 10 a second in each domain, and 10 at once
 	for _, c := range []struct {
 		name string
 		// confirmed are the times of confirmation in ms after the bucket was emptied;
@@ -85,7 +85,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			o := settled(l, 0)
-			is.Equal(drain(o, 0, time.Hour, l), 5)
+			is.Equal(drain(o, 0, time.Hour, l), 10)
 			for n := c.from; n <= c.to; n += 150 {
 				o.Confirm(ms(n))
 			}
@@ -131,6 +131,48 @@
 	is.Equal(drain(late, 251, time.Hour, l), 0)
 }
 
+// Guards against requests that are granted, not run, returned and granted again, and pile
+// up while the bucket goes on to earn: all would reach upstreams at once when they can.
+func TestReturnedQuotaDoesNotPileUp(t *testing.T) {
+	is := is.New(t)
+	l := limit(30, 5)
+	o := settled(l, 0)
+	var open []allot.Answer
+	for n := 0; n < 6000; n += 240 {
+		o.Confirm(ms(n))
+		o.Confirm(ms(n + 120))
+		var next []allot.Answer
+		take := func() {
+			for {
+				a := o.Ask(ms(n), time.Hour, allot.Ask{Limit: l})
+				if a.Requests == 0 {
+					return
+				}
+				next = append(next, a)
+			}
+		}
+		take()
+		for _, a := range open {
+			o.Return(ms(n), l.Account, a.Stamp, a.Requests)
+			take()
+		}
+		open = next
+		is.True(len(open) <= 5+3) // the bucket, and 10 a second for the hold time
+	}
+}
+
+// Guards against a host with an older configuration that brings an older limit back.
+func TestNewestLimitHolds(t *testing.T) {
+	is := is.New(t)
+	earlier, now := limit(30, 50), limit(3, 5)
+	now.Version = 2
+	o := settled(earlier, 0)
+	is.True(o.Ask(ms(0), time.Hour, allot.Ask{Limit: now}).Requests == 1)
+	is.Equal(drain(o, 0, time.Hour, earlier), 4)
+	o.Confirm(ms(400))
+	is.Equal(drain(o, 800, time.Hour, earlier), 0) // 1 a second
+}
+
 // Guards against loans that make more of a limit: one that is lost, comes late, or is
 // given by a host that does not keep the account.
 func TestLoansMoveRequests(t *testing.T) {
