Wait the whole time for the only owner of a domain

Cause: in a domain with one gatherer there is no second host to ask, and a request was decided after 0.6 of its wait. Found by reading.

Change: without a second owner the first has the whole time. A warning at the start if the window is set and the failure domains are not. A test with an owner that never answers and is then replaced.

--- a/internal/front/allot.go
+++ b/internal/front/allot.go
@@ -229,7 +229,10 @@
 	defer f.leave(w)
 	owners := f.peers.accountOwners(f.cfg.Domain, in.Limit.Account)
 	owners = owners[:min(len(owners), cap(w.answers))]
-	first := wait * secondAskPercent / 100
+	first := wait
+	if len(owners) > 1 {
+		first = wait * secondAskPercent / 100
+	}
 	timer := time.NewTimer(first)
 	defer timer.Stop()
 	if len(owners) > 0 {
--- a/internal/front/allot_test.go
+++ b/internal/front/allot_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/jujubethread/jujubethread/pkg/allot"
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/budget"
+	"github.com/jujubethread/jujubethread/pkg/gather"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/rules"
 )
@@ -159,3 +161,51 @@
 	defer service.mu.Unlock()
 	is.True(len(service.runs) >= served)
 }
+
+// Guards against a host that holds requests while the owner of an account is silent, lets
+// them all pass, or does not begin to count itself once the owner is gone.
+func TestSilentOwnerIsReplaced(t *testing.T) {
+	is := is.New(t)
+	_, control := startSlowService(t, "a", 0)
+	self, get := startLimited(t, "one", control.host.Link, &rules.Account{
+		Name:  "x",
+		Rate:  10,
+		Burst: 6,
+	})
+	silent, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	owner := board.Host{
+		Kind:   board.Entry,
+		Domain: "a",
+		Link:   silent.LocalAddr().String(),
+	}
+	for i := 0; owner.ID == "" || gather.Hash(string(owner.ID)) > gather.Hash(string(self.ID)); i++ {
+		owner.ID = ident.HostID(fmt.Sprint("silent-", i)) // the only gatherer of two hosts
+	}
+	control.SetRoster([]board.Host{control.host, self, owner})
+	waitFor := func(wanted int) {
+		for deadline := time.Now().Add(15 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+			switch status, _ := get("/many/x"); {
+			case status == wanted:
+				return
+			case time.Now().After(deadline):
+				t.Fatalf("status %d instead of %d", status, wanted)
+			}
+		}
+	}
+	waitFor(http.StatusTooManyRequests)
+	served := 0
+	for range 100 {
+		status, after := get("/many/x")
+		if status == http.StatusOK {
+			served++
+		} else {
+			is.Equal(status, http.StatusTooManyRequests)
+			is.True(after != "")
+		}
+	}
+	is.True(served <= 6) // the share of hosts without an owner
+	control.SetRoster([]board.Host{control.host, self})
+	waitFor(http.StatusOK)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -205,6 +205,9 @@
 // progress are answered or the grace time is nearly over.
 func (f *Front) Run(ctx context.Context) error {
 	f.log.Info("entry host starts", "Front", f.cfg.Front, "Seeds", f.cfg.Seeds)
+	if f.cfg.Quota.Window > 0 && f.limits == nil {
+		f.log.Warn("accounts are not limited; set all failure domains")
+	}
 	raw, err := net.Listen("tcp", f.cfg.Front)
 	if err != nil {
 		return errors.Wrapf(err, "cannot listen for callers on %s", f.cfg.Front)
