Pass the table and the account to the check of account limits

Cause: the account and the version of its limit must come from the same table, also once keys decide about the account.

Change: withinLimit takes both, and a request holds its token only.

--- a/internal/front/allot.go
+++ b/internal/front/allot.go
@@ -156,36 +156,25 @@
 
 func (l *accountLimits) now() ident.Instant { return ident.Instant(clock.Now().Sub(l.start)) }
 
-// limitIn returns the limit of an account under a table that may be newer than the one
-// that the account comes from.
-func limitIn(t *rules.Table, a *rules.Account) (allot.Limit, bool) {
-	for i := range t.Doc.Accounts {
-		if current := &t.Doc.Accounts[i]; current.Name == a.Name {
-			return allot.LimitOf(current, t.Version())
-		}
-	}
-	return allot.LimitOf(a, 0)
-}
-
-// withinLimit reports whether a request is within the limit of its account, and answers
-// it otherwise. It counts the request.
-func (f *Front) withinLimit(ctx context.Context, w http.ResponseWriter, q *request) bool {
-	t := f.table.Load()
-	if t == nil || q.account == nil {
+// withinLimit reports whether a request is within the limit that its account has under a
+// table, and answers it otherwise. It counts the request. account is nil for none.
+func (f *Front) withinLimit(ctx context.Context, w http.ResponseWriter, q *request, t *rules.Table, account *rules.Account) bool {
+	limit, limited := allot.LimitOf(account, t.Version())
+	if f.limits == nil || !limited {
 		return true
 	}
 	var target time.Duration
 	if route := t.Find(q.host, q.path); route != nil {
 		target = route.Target
 	}
-	ok, after := f.allow(ctx, q, t, target)
+	ok, after := f.allow(ctx, q, limit, target)
 	if !ok && ctx.Err() != nil {
 		f.gauge.Request(gauge.Left, f.now().Sub(q.started))
 		closeUnanswered()
 	}
 	if !ok {
 		f.gauge.OverLimit.Inc(1)
-		f.countRefusal(q.account.Name)
+		f.countRefusal(limit.Account)
 		platform.SetRetryAfter(w.Header(), after)
 		w.Header()["Content-Length"] = []string{"0"}
 		w.WriteHeader(http.StatusTooManyRequests)
@@ -193,17 +182,9 @@
 	return ok
 }
 
-// allow counts a request in the limit of its account. If that is used up, it returns
-// when to try again.
-func (f *Front) allow(ctx context.Context, q *request, t *rules.Table, target time.Duration) (ok bool, retryAfter time.Duration) {
+// allow counts a request in a limit. If that is used up, it returns when to try again.
+func (f *Front) allow(ctx context.Context, q *request, limit allot.Limit, target time.Duration) (ok bool, retryAfter time.Duration) {
 	l := f.limits
-	if l == nil || q.account == nil {
-		return true, 0
-	}
-	limit, limited := limitIn(t, q.account)
-	if !limited {
-		return true, 0
-	}
 	l.mu.Lock()
 	token, decision, after, extra := l.holder.Take(l.now(), limit.Account)
 	l.mu.Unlock()
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -53,10 +53,8 @@
 	shardSubset bool
 	// roundTrip is the round-trip time to the caller, 0 if unknown.
 	roundTrip time.Duration
-	// account is the caller's account, nil for none; token counts the request in its
-	// limit.
-	account *rules.Account
-	token   allot.Token
+	// token counts the request in the limit of its account.
+	token allot.Token
 	// groups are the replies of other hosts, by the engine's group number.
 	groups map[int]*delegateReply
 	// ctx ends the calls to those hosts; it is set with the first call.
@@ -153,9 +151,8 @@
 		reply:     make(chan reply, 1),
 		started:   started,
 		roundTrip: callerRoundTrip(r),
-		account:   f.accountOf(r),
 	}
-	if !f.withinLimit(r.Context(), w, q) {
+	if t := f.table.Load(); t != nil && !f.withinLimit(r.Context(), w, q, t, f.accountOf(r)) {
 		return
 	}
 	if t := f.table.Load(); t != nil && limit > f.now().Sub(started) {
