Merge limits of accounts over all hosts

The limit is checked in answer, after the permit and before the request begins, with the account and version of the permit's table.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/pipe"
 	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/allot"
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/gossip"
@@ -70,6 +71,10 @@
 	// Extra is the budget of retries and hedges of each service, shared by all
 	// hosts.
 	Extra budget.Config
+	// Quota is what the limits of accounts have in common; the zero value is for none.
+	Quota allot.Config
+	// Domains are all failure domains.
+	Domains []ident.Domain
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// Metrics is the address on which metrics are served; empty disables them.
@@ -96,6 +101,8 @@
 	// owner divides the limits of this domain's upstreams while this host is
 	// their owner.
 	owner *quota.Owner
+	// limits are those of accounts, nil if they are not limited.
+	limits *accountLimits
 	// gossip spreads facts to the other hosts, at gossipPeers.
 	gossip      *gossip.Spreader
 	gossipPeers map[ident.HostID]netip.AddrPort
@@ -170,6 +177,7 @@
 			Seed:   rand.Uint64(),
 		}),
 		owner:   quota.NewOwner(),
+		limits:  newAccountLimits(cfg.Quota),
 		gossip:  gossip.New(rand.Uint64()),
 		inputs:  make(chan input, inputQueueSize),
 		queries: make(map[ident.QueryID]*request),
@@ -197,6 +205,9 @@
 // progress are answered or the grace time is nearly over.
 func (f *Front) Run(ctx context.Context) error {
 	f.log.Info("entry host starts", "Front", f.cfg.Front, "Seeds", f.cfg.Seeds)
+	if f.cfg.Quota.Window > 0 && f.limits == nil {
+		f.log.Warn("accounts are not limited; set all failure domains")
+	}
 	raw, err := net.Listen("tcp", f.cfg.Front)
 	if err != nil {
 		return errors.Wrapf(err, "cannot listen for callers on %s", f.cfg.Front)
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/gauge"
 	"github.com/jujubethread/jujubethread/internal/pipe"
+	"github.com/jujubethread/jujubethread/pkg/allot"
 	"github.com/jujubethread/jujubethread/pkg/blame"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
@@ -58,6 +59,8 @@
 	shardSubset bool
 	// roundTrip is the round-trip time to the caller, 0 if unknown.
 	roundTrip time.Duration
+	// token counts the request in the limit of its account.
+	token allot.Token
 	// groups are the replies of other hosts, by the engine's group number.
 	groups map[int]*delegateReply
 	// ctx ends the calls to those hosts; it is set with the first call.
@@ -188,7 +191,11 @@
 // answer serves a request and writes the answer. It writes none, and returns the reason,
 // if the permit of the request is withdrawn meanwhile.
 func (f *Front) answer(w http.ResponseWriter, r *http.Request, q *request, pm *permit, limit time.Duration) error {
+	if !f.withinLimit(r.Context(), w, q, pm) {
+		return nil
+	}
 	if err := f.permits.begin(pm); err != nil {
+		f.returnQuota(q)
 		return err
 	}
 	if limit > f.now().Sub(q.started) && pm.route != nil && pm.route.Gathers() {
@@ -334,6 +341,9 @@
 	case relay.TimedOut:
 		status = http.StatusGatewayTimeout
 	}
+	if notRun(e.Status) {
+		f.returnQuota(q)
+	}
 	f.log.Info("request is not served", "Request", string(q.id), "Status", status, "Reason", e.Reason, "Version", f.version())
 	w.Header()["Content-Length"] = []string{"0"}
 	w.WriteHeader(status)
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -23,6 +23,7 @@
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
+	"github.com/jujubethread/jujubethread/pkg/rules"
 	"github.com/jujubethread/jujubethread/platform"
 )
 
@@ -59,9 +60,27 @@
 
 // startSlowService starts a service and a control host that names it, with the
 // routes /once/ and /many/ to it and /shard/ over it as the only shard.
+// slowDocument returns the configuration of a slowService, with further fields.
+func slowDocument(t *testing.T, version rules.Version, more string) board.Document {
+	t.Helper()
+	route := func(path, kind, to string) string {
+		return fmt.Sprintf(`{"Name":%q,"Host":"a.example","PathPrefix":%q,"Kind":%q,"TimeoutMs":15000,"TargetLatencyMs":500,"Priority":1,"MaxAttempts":1,%s}`,
+			path, path, kind, to)
+	}
+	packed, err := board.Pack([]byte(fmt.Sprintf(`{"Version":%d,"Routes":[%s],"Services":[{"Name":"s","MaxConnections":1}],"Limits":{}%s}`, version, strings.Join([]string{
+		route("/once/", "unsafe", `"Service":"s"`),
+		route("/many/", "safe", `"Service":"s"`),
+		route("/shard/", "safe", `"Gather":["s"],"TopK":1,"MinShardRatio":1`),
+	}, ","), more)))
+	is.New(t).NoErr(err)
+	return board.Document{
+		Version: version,
+		Packed:  packed,
+	}
+}
+
 func startSlowService(t *testing.T, domain ident.Domain, work time.Duration) (*slowService, *controlHost) {
 	t.Helper()
-	is := is.New(t)
 	s := &slowService{
 		domain: domain,
 		work:   work,
@@ -69,21 +88,8 @@
 	}
 	srv := httptest.NewServer(s)
 	t.Cleanup(srv.Close)
-	route := func(path, kind, to string) string {
-		return fmt.Sprintf(`{"Name":%q,"Host":"a.example","PathPrefix":%q,"Kind":%q,"TimeoutMs":15000,"TargetLatencyMs":500,"Priority":1,"MaxAttempts":1,%s}`,
-			path, path, kind, to)
-	}
-	packed, err := board.Pack([]byte(`{"Version":1,"Routes":[` + strings.Join([]string{
-		route("/once/", "unsafe", `"Service":"s"`),
-		route("/many/", "safe", `"Service":"s"`),
-		route("/shard/", "safe", `"Gather":["s"],"TopK":1,"MinShardRatio":1`),
-	}, ",") + `],"Services":[{"Name":"s","MaxConnections":1}],"Limits":{}}`))
-	is.NoErr(err)
 	c := startControlHost(t, domain)
-	c.SetDocument(board.Document{
-		Version: 1,
-		Packed:  packed,
-	})
+	c.SetDocument(slowDocument(t, 1, ""))
 	c.SetList(board.NewList([]relay.Upstream{{
 		ID:      "u",
 		Service: "s",
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -30,6 +30,12 @@
 //	| pauses            | counter   |             | answers that asked for such a pause           |
 //	| upstreams_down    | counter   |             | upstreams with a slow start that began to     |
 //	|                   |           |             | count as down on this host                    |
+//	| requests_over_limit | counter |             | requests refused since the limit of their     |
+//	|                   |           |             | account was used up                           |
+//	| grant_requests    | counter   |             | questions to owners of accounts               |
+//	| grants_in_time    | counter   |             | answers to them that requests waited for      |
+//	| account_loans     | counter   |             | loans to owners in other domains              |
+//	| local_decisions   | counter   |             | requests that no owner answered for           |
 //	| connections       | gauge     |             | connections opened to upstreams since the     |
 //	|                   |           |             | process started                               |
 //	| requests_running  | gauge     |             | callers' and delegated requests in progress   |
@@ -101,12 +107,18 @@
 	delegated      map[string]tally.Counter
 	keysRefused    map[string]tally.Counter
 
-	// Ejected, Withheld, Crashers, Pauses and Downs are incremented; the others are set
-	// to the current value.
-	Ejected     tally.Counter
-	Withheld    tally.Counter
-	Pauses      tally.Counter
-	Downs       tally.Counter
+	// Counters are incremented, gauges set to the current value.
+	Ejected  tally.Counter
+	Withheld tally.Counter
+	Pauses   tally.Counter
+	Downs    tally.Counter
+
+	OverLimit      tally.Counter
+	GrantRequests  tally.Counter
+	GrantsInTime   tally.Counter
+	Loans          tally.Counter
+	LocalDecisions tally.Counter
+
 	Leaving     tally.Gauge
 	Paused      tally.Gauge
 	Limited     tally.Gauge
@@ -149,6 +161,11 @@
 		Crashers:       scope.Counter("crashers"),
 		Pauses:         scope.Counter("pauses"),
 		Downs:          scope.Counter("upstreams_down"),
+		OverLimit:      scope.Counter("requests_over_limit"),
+		GrantRequests:  scope.Counter("grant_requests"),
+		GrantsInTime:   scope.Counter("grants_in_time"),
+		Loans:          scope.Counter("account_loans"),
+		LocalDecisions: scope.Counter("local_decisions"),
 		Leaving:        scope.Gauge("leaving_upstreams"),
 		Paused:         scope.Gauge("paused_upstreams"),
 		Suspects:       scope.Gauge("suspects"),
