Bound what callers hold of an entry host

Headers had a fixed limit of 64 KB, idle connections one of 75 s, whatever the configuration said. A caller that sent a line end after its answer and then waited kept its connection for good, since package accept put off the close.

internal/guard wraps the connections of callers. It counts the bytes and lines of heads before net/http parses them, reserves bodies as they are read, requests while they run and answers while they are sent, and closes the connections that pkg/memory names. The limits and timeouts of the configuration in force apply; a body or answer without progress ends after 10 s. The settings memory and descriptors give the bounds and the limit of the garbage collector.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -113,3 +113,18 @@
 	}
 	return c.TCPConn.Close()
 }
+
+// Abort closes the connection also while the server is reading a request from it. What
+// arrives is discarded.
+func (c *conn) Abort() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	if c.kept {
+		c.listener.kept.Done()
+	}
+	return c.TCPConn.Close()
+}
--- a/internal/front/delegate.go
+++ b/internal/front/delegate.go
@@ -251,6 +251,11 @@
 	if f.closing.Load() {
 		return &delegateReply{Declined: true}, nil
 	}
+	release, ok := f.guard.Admit(len(in.Body) + len(in.Head))
+	defer release()
+	if !ok {
+		return &delegateReply{Declined: true}, nil
+	}
 	f.servingDelegated.Add(1)
 	defer f.servingDelegated.Done()
 	q := &request{
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/accept"
 	"github.com/jujubethread/jujubethread/internal/gauge"
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/pipe"
 	"github.com/jujubethread/jujubethread/internal/watch"
@@ -77,6 +78,10 @@
 	Log     *slog.Logger
 	// Dropped returns the number of log lines dropped so far.
 	Dropped func() int64
+	// Memory is the memory of the host in MB, and Descriptors the number of its
+	// descriptors; 0 means the defaults of package guard.
+	Memory      int
+	Descriptors int
 }
 
 // Front is an entry host.
@@ -88,7 +93,9 @@
 	client *link.Client
 	pool   *pipe.Pool
 	gauge  *gauge.Gauge
-	peers  *peers
+	// guard bounds what callers hold.
+	guard *guard.Guard
+	peers *peers
 	// returnLag estimates the return latency of gatherers' answers: the time from
 	// an answer's due time at the gatherer to its arrival here.
 	returnLag sharedLag
@@ -145,7 +152,7 @@
 	}
 	cfg.Bind = cmp.Or(cfg.Bind, cfg.Link)
 	serving, endServing := context.WithCancel(context.Background())
-	return &Front{
+	f := &Front{
 		cfg:    cfg,
 		log:    cfg.Log,
 		start:  time.Now(),
@@ -175,7 +182,24 @@
 
 		serving:    serving,
 		endServing: endServing,
-	}, nil
+	}
+	bounds := guard.Bounds(cfg.Memory, cfg.Descriptors)
+	bounds.Limits, bounds.Dropped, bounds.Log = f.callerLimits, f.gauge.CallerDropped, cfg.Log
+	f.guard = guard.New(bounds)
+	return f, nil
+}
+
+// callerLimits returns the limits of the configuration in force.
+func (f *Front) callerLimits() guard.Limits {
+	t := f.table.Load()
+	if t == nil {
+		return guard.Limits{}
+	}
+	return guard.Limits{
+		HeadBytes:   t.Doc.Limits.HeaderBytes,
+		HeadTimeout: t.Doc.Limits.HeaderTimeout,
+		IdleTimeout: t.Doc.Limits.IdleTimeout,
+	}
 }
 
 // SetSeeds replaces the seeds; Run uses them from its next poll on.
@@ -206,7 +230,8 @@
 		return err
 	}
 	srv := f.server()
-	srv.ConnState = lis.ConnState
+	callers := f.guard.Wrap(lis)
+	srv.ConnState = callers.ConnState(lis.ConnState)
 	checks := &http.Server{
 		Handler:           http.HandlerFunc(f.serveReady),
 		ReadHeaderTimeout: readyTimeout,
@@ -219,7 +244,7 @@
 	g.Go(func() error { return f.serveLink(tctx) })
 	g.Go(func() error { return f.pingPeers(tctx) })
 	g.Go(func() error { return f.serveMetrics(tctx) })
-	g.Go(func() error { return serveError(srv.Serve(lis), "callers") })
+	g.Go(func() error { return serveError(srv.Serve(callers), "callers") })
 	g.Go(func() error { return serveError(checks.Serve(ready), "readiness checks") })
 	g.Go(func() error {
 		defer end()
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -129,6 +129,9 @@
 		}
 		f.gauge.Ready.Update(ready)
 		f.gauge.Connections.Update(float64(f.pool.Dials()))
+		connections, held := f.guard.Usage()
+		f.gauge.CallerConnections.Update(float64(connections))
+		f.gauge.CallerBytes.Update(float64(held))
 		f.gauge.Running.Update(float64(f.requestsRunning.Load()))
 		f.gauge.Upstreams.Update(float64(f.upstreams.Load()))
 		f.gauge.Limited.Update(float64(f.limited.Load()))
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/jujubethread/jujubethread/internal/gauge"
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/pipe"
 	"github.com/jujubethread/jujubethread/pkg/blame"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -21,12 +18,8 @@
 const (
 	readyTimeout = 2 * time.Second
 
-	// headerTimeout, idleTimeout and maxHeader always apply; maxBody applies if
-	// the configuration sets no limit.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 75 * time.Second
-	maxHeader     = 64 << 10 // bytes
-	maxBody       = 1 << 20  // bytes
+	// maxBody applies if the configuration sets no limit.
+	maxBody = 1 << 20 // bytes
 
 	// closingRetry is the Retry-After of refusals by a host that is stopping or cut
 	// off.
@@ -45,6 +38,8 @@
 	head  string
 	body  []byte
 	reply chan reply
+	// conn is the connection of the caller, nil if another host delegated the request.
+	conn  *guard.Conn
 	calls []ident.AttemptID
 	// started is when the request arrived at this host; shardSubset is set if
 	// another host requested only some shards of its query.
@@ -87,23 +82,16 @@
 
 func (f *Front) server() *http.Server {
 	return &http.Server{
-		Handler:           http.HandlerFunc(f.serve),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
-		},
+		Handler:        http.HandlerFunc(f.serve),
+		MaxHeaderBytes: guard.MaxHeaderBytes, // the guard has the limits and timeouts in force
+		ConnContext:    guard.ConnContext,
 	}
 }
 
-// connKey is the key of the connection in the context of a request.
-type connKey struct{}
-
 // callerRoundTrip returns the round-trip time to the caller, 0 if unknown.
 func callerRoundTrip(r *http.Request) time.Duration {
-	c, ok := r.Context().Value(connKey{}).(net.Conn)
-	if !ok {
+	c := guard.Of(r)
+	if c == nil {
 		return 0
 	}
 	return roundTrip(c)
@@ -125,15 +113,9 @@
 	if t := f.table.Load(); t != nil && t.Doc.Limits.BodyBytes > 0 {
 		maxBytes = t.Doc.Limits.BodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	body, err := guard.ReadBody(w, r, maxBytes)
 	if err != nil {
-		status := http.StatusBadRequest
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		f.log.Info("request could not be read", "Request", string(id), "Status", status, "Error", err.Error())
-		w.WriteHeader(status)
+		f.refuseUnread(w, id, err)
 		return
 	}
 	q := &request{
@@ -146,9 +128,14 @@
 		head:      platform.Forwarded(r.Header),
 		body:      body,
 		reply:     make(chan reply, 1),
+		conn:      guard.Of(r),
 		started:   started,
 		roundTrip: callerRoundTrip(r),
 	}
+	if !guard.Of(r).Complete(len(body) + len(q.head)) {
+		f.refuseUnread(w, id, guard.ErrNoMemory)
+		return
+	}
 	if t := f.table.Load(); t != nil && limit > f.now().Sub(started) {
 		if route := t.Find(q.host, q.path); route != nil && route.Gathers() {
 			if f.cutOff() {
@@ -188,6 +175,21 @@
 	f.writeReply(w, q, rep)
 }
 
+// refuseUnread answers a request that could not be read, or for which there is no
+// memory. It has not run.
+func (f *Front) refuseUnread(w http.ResponseWriter, id ident.RequestID, err error) {
+	status := guard.Status(err)
+	f.log.Info("request could not be read", "Request", string(id), "Status", status, "Error", err.Error())
+	if status == http.StatusServiceUnavailable {
+		guard.Refuse(w)
+		return
+	}
+	if status == http.StatusRequestTimeout {
+		w.Header()["Connection"] = []string{"close"}
+	}
+	w.WriteHeader(status)
+}
+
 // closeUnanswered ends a handler, and closes the connection of a caller that has closed
 // it, or its sending side. If the handler returned, net/http would write an empty 200.
 func closeUnanswered() { panic(http.ErrAbortHandler) }
@@ -223,6 +225,7 @@
 		o := rep.outcomes[0]
 		platform.AnswerHeaders(h, o.Header)
 		h["Content-Length"] = []string{itoa(len(o.Body))}
+		q.conn.Answer(len(o.Body))
 		w.WriteHeader(o.Answer.Status)
 		f.writeBody(w, q, o.Body)
 	case relay.Merge:
@@ -237,6 +240,7 @@
 	h := w.Header()
 	platform.SetMerged(h, stamps, missing)
 	h["Content-Length"] = []string{itoa(len(body))}
+	q.conn.Answer(len(body))
 	w.WriteHeader(http.StatusOK)
 	f.writeBody(w, q, body)
 }
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -27,6 +27,11 @@
 //	| pauses            | counter   |             | answers that asked for such a pause           |
 //	| connections       | gauge     |             | connections opened to upstreams since the     |
 //	|                   |           |             | process started                               |
+//	| caller_connections | gauge    |             | open connections of callers                   |
+//	| caller_bytes      | gauge     |             | memory that callers hold, as it is counted    |
+//	| callers_dropped   | counter   | reason      | connections closed, or requests refused, since|
+//	|                   |           |             | the memory or connections for callers are     |
+//	|                   |           |             | used up: Slow, Unused, Full                   |
 //	| requests_running  | gauge     |             | callers' and delegated requests in progress   |
 //	| document_version  | gauge     |             | version of the active configuration           |
 //	| document_age_seconds | gauge  |             | time since that was known to be the newest    |
@@ -45,6 +50,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/jujubethread/jujubethread/pkg/memory"
 )
 
 // reportInterval is the interval at which values are copied to the served page.
@@ -87,6 +94,7 @@
 	calls          map[string]tally.Counter
 	callSeconds    tally.Histogram
 	delegated      map[string]tally.Counter
+	callersDropped map[memory.Reason]tally.Counter
 
 	// Ejected, Withheld, Crashers and Pauses are incremented; the others are set to
 	// the current value.
@@ -100,13 +108,17 @@
 	Suspects    tally.Gauge
 	Connections tally.Gauge
 	Running     tally.Gauge
-	Version     tally.Gauge
-	VersionAge  tally.Gauge
-	ListAge     tally.Gauge
-	Upstreams   tally.Gauge
-	Hosts       tally.Gauge
-	Ready       tally.Gauge
-	Dropped     tally.Gauge
+	// CallerConnections and CallerBytes are what callers use.
+	CallerConnections tally.Gauge
+	CallerBytes       tally.Gauge
+
+	Version    tally.Gauge
+	VersionAge tally.Gauge
+	ListAge    tally.Gauge
+	Upstreams  tally.Gauge
+	Hosts      tally.Gauge
+	Ready      tally.Gauge
+	Dropped    tally.Gauge
 }
 
 // New returns metrics that are updated until Close. results lists the values of
@@ -138,13 +150,18 @@
 		Limited:        scope.Gauge("limited_upstreams"),
 		Connections:    scope.Gauge("connections"),
 		Running:        scope.Gauge("requests_running"),
-		Version:        scope.Gauge("document_version"),
-		VersionAge:     scope.Gauge("document_age_seconds"),
-		ListAge:        scope.Gauge("list_age_seconds"),
-		Upstreams:      scope.Gauge("upstreams"),
-		Hosts:          scope.Gauge("hosts"),
-		Ready:          scope.Gauge("ready"),
-		Dropped:        scope.Gauge("log_lines_dropped"),
+
+		callersDropped:    make(map[memory.Reason]tally.Counter),
+		CallerConnections: scope.Gauge("caller_connections"),
+		CallerBytes:       scope.Gauge("caller_bytes"),
+
+		Version:    scope.Gauge("document_version"),
+		VersionAge: scope.Gauge("document_age_seconds"),
+		ListAge:    scope.Gauge("list_age_seconds"),
+		Upstreams:  scope.Gauge("upstreams"),
+		Hosts:      scope.Gauge("hosts"),
+		Ready:      scope.Gauge("ready"),
+		Dropped:    scope.Gauge("log_lines_dropped"),
 	}
 	for _, o := range outcomes {
 		tagged := scope.Tagged(map[string]string{"outcome": string(o)})
@@ -157,9 +174,16 @@
 	for _, r := range []string{Answered, Declined, Lost} {
 		g.delegated[r] = scope.Tagged(map[string]string{"result": r}).Counter("handed")
 	}
+	for _, r := range []memory.Reason{memory.Slow, memory.Unused, memory.Full} {
+		g.callersDropped[r] = scope.Tagged(map[string]string{"reason": r.String()}).Counter("callers_dropped")
+	}
 	return g
 }
 
+// CallerDropped counts a connection that was closed, or a request that was refused, for
+// lack of memory or connections for callers.
+func (g *Gauge) CallerDropped(why memory.Reason) { g.callersDropped[why].Inc(1) }
+
 // Request counts a request that ended on this host and records its duration.
 func (g *Gauge) Request(o Outcome, took time.Duration) {
 	g.requests[o].Inc(1)
--- a/internal/tier/option.go
+++ b/internal/tier/option.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"io"
+	"math"
 	"net"
 	"slices"
 	"strconv"
@@ -14,6 +15,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
@@ -63,6 +65,10 @@
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace    time.Duration
 	LogLevel string
+	// Memory is the memory of this host in MB, and Descriptors the number of its
+	// descriptors; 0 means that they are not known.
+	Memory      int
+	Descriptors int
 	// Metrics is the address where metrics are served; empty means none.
 	Metrics string
 
@@ -96,6 +102,8 @@
 	fs.DurationVar(&o.Extra.Window, "extra-window", 10*time.Second, "window over which retries and hedges are counted (entry)")
 	fs.DurationVar(&o.Grace, "grace", 6*time.Second, "time from SIGTERM to SIGKILL (entry)")
 	fs.StringVar(&o.Metrics, "metrics", "", "address where metrics are served")
+	fs.Var((*optionalCount)(&o.Memory), "memory", "memory of this host in MB; without it callers may hold 512 MB")
+	fs.Var((*optionalCount)(&o.Descriptors), "descriptors", "file descriptors of this host; default is the limit of the process")
 	fs.StringVar(&o.LogLevel, "log-level", "info", "debug, info, warn or error")
 	err := ff.Parse(fs, args,
 		ff.WithEnvVarPrefix("JUJUBETHREAD"),
@@ -115,6 +123,27 @@
 	return o, o.validate(command)
 }
 
+// optionalCount is a number that a deployment may leave out: its template then has no
+// value, or keeps the placeholder.
+type optionalCount int
+
+// String implements flag.Value.
+func (c *optionalCount) String() string { return strconv.Itoa(int(*c)) }
+
+// Set implements flag.Value.
+func (c *optionalCount) Set(text string) error {
+	*c = 0
+	if text = strings.TrimSpace(text); text == "" || strings.HasPrefix(text, "{{") {
+		return nil
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || value < 0 || value > math.MaxInt32 || value != value {
+		return errors.Errorf("invalid number %q: use one from 0 to %d", text, math.MaxInt32)
+	}
+	*c = optionalCount(value)
+	return nil
+}
+
 func splitList(list string) []string {
 	var items []string
 	for item := range strings.SplitSeq(list, ",") {
@@ -160,6 +189,10 @@
 	switch {
 	case o.Grace < 0:
 		return errors.Errorf("grace is %s: use 0s or more", o.Grace)
+	case o.Memory > 0 && o.Memory < guard.MinMemory:
+		return errors.Errorf("memory is %d: use %d MB or more, or 0 for the default", o.Memory, guard.MinMemory)
+	case o.Descriptors > 0 && o.Descriptors < guard.MinDescriptors:
+		return errors.Errorf("descriptors is %d: use %d or more, or 0 for the default", o.Descriptors, guard.MinDescriptors)
 	case o.MaxDiskFailures < 0:
 		return errors.Errorf("lost is %d: use 0 or more", o.MaxDiskFailures)
 	}
--- a/internal/tier/option_test.go
+++ b/internal/tier/option_test.go
@@ -11,6 +11,7 @@
 	"unicode"
 	"unicode/utf8"
 
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/tier"
 	"github.com/jujubethread/jujubethread/pkg/budget"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -27,7 +28,7 @@
 		"extra-ratio NaN", "extra-ratio +Inf", "extra-ratio -1", "extra-ratio 1e308",
 		"extra-slack NaN", "extra-slack -Inf", "extra-slack 1e308",
 		"ports 0,1", "ports 99999,1", "ports -1", "ports 7380", "ports x",
-		"grace -1s", "lost -1", "name a\tb", "domain a\x00b", "name \xff", "ip [::1", "seeds ,a,:,b:1", "log-level loud",
+		"grace -1s", "lost -1", "memory", "memory {{Limits.MemoryMb}}", "memory -1", "memory NaN", "memory 1", "memory 1e300", "descriptors 3", "descriptors", "name a\tb", "domain a\x00b", "name \xff", "ip [::1", "seeds ,a,:,b:1", "log-level loud",
 	} {
 		f.Add(entrySettings + line + "\n")
 	}
@@ -52,6 +53,9 @@
 			if o.LinkPort < 1 || o.LinkPort > 65535 || o.Grace < 0 || o.MaxDiskFailures < 0 {
 				t.Errorf("%s: port %d, grace %s, %d disks", command, o.LinkPort, o.Grace, o.MaxDiskFailures)
 			}
+			if o.Memory < 0 || o.Descriptors < 0 || guard.Bounds(o.Memory, o.Descriptors).Bytes <= 0 {
+				t.Errorf("%s: %d MB, %d descriptors", command, o.Memory, o.Descriptors)
+			}
 			if text := string(o.Name) + string(o.Domain); !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl) {
 				t.Errorf("%s: host %q in %q", command, o.Name, o.Domain)
 			}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -19,6 +19,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/core"
 	"github.com/jujubethread/jujubethread/internal/front"
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/logs"
 	"github.com/jujubethread/jujubethread/internal/story"
 )
@@ -119,6 +120,7 @@
 	if err != nil {
 		return err
 	}
+	guard.SetMemoryLimit(o.Memory)
 	d, err := newDaemon(args[0], o, log, queue)
 	if err != nil {
 		return err
@@ -149,6 +151,9 @@
 
 			Metrics: o.Metrics,
 			Dropped: queue.Dropped,
+
+			Memory:      o.Memory,
+			Descriptors: o.Descriptors,
 		})
 	}
 	return core.New(core.Config{
