Prefer new connections to requests that are not whole

With all connections taken by requests that had stalled for less than a second, new connections were closed: callers that stall and connect again could keep all others out. A new connection now displaces the one with the least progress among those whose request is not whole. An ordinary request is whole within milliseconds, and is not dropped then.

--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -105,6 +105,12 @@
 	return now.Sub(e.since) - time.Duration(e.progress)*time.Second/expectedRate
 }
 
+// isSlow reports whether a connection is in arrears. Only waits that are up to the
+// caller count: a request that is whole is never slow.
+func (e *entry) isSlow(now ident.Instant) bool {
+	return (e.stage == silent || e.stage == reading || e.stage == writing) && e.arrears(now) > patience
+}
+
 // Budget is the reducer for one process.
 type Budget struct {
 	cfg     Config
@@ -145,8 +151,13 @@
 	var drops []Drop
 	if b.open > b.cfg.Connections {
 		spare := b.cfg.Connections / spareFraction
-		drops = b.dropSlow(now, func() bool { return b.open > b.cfg.Connections-spare })
-		drops = append(drops, b.dropUnused(id, func() bool { return b.open > b.cfg.Connections })...)
+		drops = b.dropAmong(now, func() bool { return b.open > b.cfg.Connections-spare }, func(e *entry) bool { return e.isSlow(now) }, byArrears)
+		// A fresh connection is among those that give way, since an ordinary request is
+		// whole within milliseconds: else callers that stall for less than patience, and
+		// then connect again, would keep all others out.
+		over := func() bool { return b.open > b.cfg.Connections }
+		drops = append(drops, b.dropAmong(now, over, func(e *entry) bool { return e.id != id && (e.stage == silent || e.stage == reading) }, byArrears)...)
+		drops = append(drops, b.dropUnused(id, over)...)
 	}
 	if b.open > b.cfg.Connections {
 		return append(drops, b.drop(id, Full))
@@ -276,23 +287,26 @@
 	return append(drops, b.dropUnused(e.id, over)...)
 }
 
-// dropSlow drops connections in arrears while more is wanted. Only waits that are up
-// to their callers count: a request that is whole is never dropped.
+// dropSlow drops connections in arrears while more is wanted.
 func (b *Budget) dropSlow(now ident.Instant, more func() bool) []Drop {
-	return b.dropAmong(now, more, func(e *entry) bool {
-		return (e.stage == silent || e.stage == reading || e.stage == writing) && e.arrears(now) > patience
-	})
+	return b.dropAmong(now, more, func(e *entry) bool { return e.isSlow(now) }, bySize)
 }
 
 // dropUnfinished drops any connections whose requests or answers are not whole.
 func (b *Budget) dropUnfinished(now ident.Instant, more func() bool) []Drop {
-	return b.dropAmong(now, more, func(e *entry) bool { return e.stage == reading || e.stage == writing })
+	return b.dropAmong(now, more, func(e *entry) bool { return e.stage == reading || e.stage == writing }, bySize)
 }
 
-// dropAmong drops the connections that give way first, those with the least progress
-// for their age. Connections that hold less than the average of these come last: to
-// close them frees little, and most ordinary requests are among them.
-func (b *Budget) dropAmong(now ident.Instant, more func() bool, among func(*entry) bool) []Drop {
+// The order in which connections give way: those with the least progress for their age
+// first. With bySize, those that hold less than the average come last: to close them
+// frees little memory, and most ordinary requests are among them.
+const (
+	byArrears = false
+	bySize    = true
+)
+
+// dropAmong drops some connections in this order while more is wanted.
+func (b *Budget) dropAmong(now ident.Instant, more func() bool, among func(*entry) bool, order bool) []Drop {
 	if !more() {
 		return nil
 	}
@@ -305,7 +319,7 @@
 		}
 	}
 	small := func(e *entry) int {
-		if e.held*int64(len(list)) < sum {
+		if order == bySize && e.held*int64(len(list)) < sum {
 			return 1
 		}
 		return 0
