Bound what callers hold of an entry host of the product's protocol

internal/host took any number of connections: with descriptors set to 64, 100 open requests all stayed open. Its listener gets the guard, with its own limits and timeouts; bodies reserve memory as they are decoded.

A control host now reserves room for one largest document, 25 MB, instead of 32 MB.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,7 +100,7 @@
 // finds room, with its copies.
 func operatorGuard(cfg Config) *guard.Guard {
 	bounds := guard.Bounds(cfg.Memory, cfg.Descriptors)
-	bounds.Bytes = max(bounds.Bytes, 4*maxDocumentBytes)
+	bounds.Bytes = max(bounds.Bytes, 3*maxDocumentBytes+1<<20)
 	bounds.StallTimeout = operatorStallTimeout
 	bounds.Log = cfg.Log
 	return guard.New(bounds)
--- a/internal/guard/bounds.go
+++ b/internal/guard/bounds.go
@@ -5,12 +5,13 @@
 	"syscall"
 )
 
+// The smallest settings with which a process serves requests of the usual limits.
 const (
-	// MinMemory and MinDescriptors are the smallest settings with which a process
-	// serves requests of the usual limits.
 	MinMemory      = 48 // MB
 	MinDescriptors = 64
+)
 
+const (
 	// baseBytes is what an entry host uses without callers: its code, the
 	// configuration and the state of a few hundred upstreams. 16 to 28 MB were measured.
 	baseBytes = 24 << 20
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -113,7 +113,7 @@
 // writeRefusal answers in place of the server, which has not parsed the request. The
 // server has written all of the earlier answers.
 func (c *Conn) writeRefusal(status string) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+status+"\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 }
 
@@ -143,7 +143,7 @@
 	written := 0
 	for {
 		piece := p[written:min(len(p), written+writePiece)]
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.guard.cfg.StallTimeout))
+		_ = c.SetWriteDeadline(time.Now().Add(c.guard.cfg.StallTimeout))
 		n, err := c.Conn.Write(piece)
 		written += n
 		if err != nil || written >= len(p) {
@@ -185,7 +185,7 @@
 		_ = a.Abort()
 		return
 	}
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 // finish begins the time between two requests.
@@ -281,6 +281,33 @@
 	}
 }
 
+// Body returns a reader of the body of a request that reserves its memory, for handlers
+// that decode it from a stream: twice what is read, as their buffers grow.
+func Body(r *http.Request) io.Reader {
+	c := Of(r)
+	if c == nil {
+		return r.Body
+	}
+	return &bodyReader{
+		conn: c,
+		from: r.Body,
+	}
+}
+
+type bodyReader struct {
+	conn *Conn
+	from io.Reader
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.from.Read(p)
+	if b.conn.evicted.Load() || n > 0 && !b.conn.hold(n, 2*int64(n)) {
+		return 0, ErrNoMemory
+	}
+	return n, err
+}
+
 // Status returns the status with which a request is answered whose body could not be
 // read.
 func Status(err error) int {
--- a/internal/host/call.go
+++ b/internal/host/call.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/span"
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/engine"
@@ -76,7 +77,18 @@
 func decodeBody[T any](h *Host, w http.ResponseWriter, r *http.Request, limit int, out *T) *requestError {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(h.config.BodyTimeout))
-	err := wire.DecodeStrict(http.MaxBytesReader(w, r.Body, int64(limit)+1), limit, out)
+	r.Body = http.MaxBytesReader(w, r.Body, int64(limit)+1)
+	err := wire.DecodeStrict(guard.Body(r), limit, out)
+	if err == nil && !guard.Of(r).Complete(0) {
+		err = guard.ErrNoMemory
+	}
+	if errors.Is(err, guard.ErrNoMemory) {
+		w.Header().Set("Connection", "close")
+		return &requestError{
+			status: http.StatusServiceUnavailable,
+			remedy: guard.ErrNoMemory.Error(),
+		}
+	}
 	if err != nil {
 		return newRequestError(err)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -32,6 +32,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jujubethread/jujubethread/internal/dial"
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/span"
 	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/pkg/config"
@@ -68,6 +69,10 @@
 	// MaxHeader and MaxBody bound a request, in bytes.
 	MaxHeader int
 	MaxBody   int
+	// Memory is the memory of the host in MB, and Descriptors the number of its
+	// descriptors; 0 means the defaults of package guard.
+	Memory      int
+	Descriptors int
 	// MaxRequests bounds the requests in flight; further ones are refused as
 	// NotRun.
 	MaxRequests int
@@ -123,6 +128,7 @@
 	loop         *loop
 	client       *dial.Client
 	server       *http.Server
+	callers      *guard.Listener
 	activeConfig atomic.Pointer[config.State]
 	// newestConfig belongs to followControl.
 	newestConfig *config.State
@@ -163,12 +169,22 @@
 	h.client = dial.New(c.Dial)
 	h.loop = newLoop(c.Engine, h.client, c.Control)
 	h.server = &http.Server{
-		Handler:           h.routes(),
-		ReadHeaderTimeout: c.HeaderTimeout,
-		IdleTimeout:       c.IdleTimeout,
-		MaxHeaderBytes:    c.MaxHeader,
-		ErrorLog:          slog.NewLogLogger(c.Log.Handler(), slog.LevelWarn),
+		Handler:        h.routes(),
+		MaxHeaderBytes: guard.MaxHeaderBytes, // the guard has the limits and timeouts
+		ErrorLog:       slog.NewLogLogger(c.Log.Handler(), slog.LevelWarn),
+		ConnContext:    guard.ConnContext,
 	}
+	bounds := guard.Bounds(c.Memory, c.Descriptors)
+	bounds.StallTimeout, bounds.Log = c.WriteTimeout, c.Log
+	bounds.Limits = func() guard.Limits {
+		return guard.Limits{
+			HeadBytes:   c.MaxHeader,
+			HeadTimeout: c.HeaderTimeout,
+			IdleTimeout: c.IdleTimeout,
+		}
+	}
+	h.callers = guard.New(bounds).Wrap(c.Listener)
+	h.server.ConnState = h.callers.ConnState(nil)
 	h.server.RegisterOnShutdown(func() { close(h.listenerClosed) })
 	return h, nil
 }
@@ -186,7 +202,7 @@
 	group.Go(func() error { return h.loop.run(runCtx) })
 	group.Go(func() error { return h.followControl(runCtx) })
 	group.Go(func() error {
-		if err := h.server.Serve(h.config.Listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := h.server.Serve(h.callers); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "listener for callers failed: restart the host")
 		}
 		return nil
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/stats"
 	"github.com/jujubethread/jujubethread/internal/wire"
 	"github.com/jujubethread/jujubethread/pkg/engine"
@@ -56,6 +57,9 @@
 func (h *Host) withWriteDeadline(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.config.WriteTimeout))
+		if r.ContentLength == 0 {
+			guard.Of(r).Complete(0) // nothing follows that the guard could wait for
+		}
 		next.ServeHTTP(w, r)
 	})
 }
