--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -297,16 +297,18 @@
 	return b.dropAmong(now, more, func(e *entry) bool { return e.stage == reading || e.stage == writing }, bySize)
 }
 
-// The order in which connections give way: those with the least progress for their age
-// first. With bySize, those that hold less than the average come last: to close them
-// frees little memory, and most ordinary requests are among them.
+// order is the order in which connections give way: those with the least progress for
+// their age first. In bySize, those that hold less than the average come last: to close
+// them frees little memory, and most ordinary requests are among them.
+type order uint8
+
 const (
-	byArrears = false
-	bySize    = true
+	byArrears order = iota
+	bySize
 )
 
 // dropAmong drops some connections in this order while more is wanted.
-func (b *Budget) dropAmong(now ident.Instant, more func() bool, among func(*entry) bool, order bool) []Drop {
+func (b *Budget) dropAmong(now ident.Instant, more func() bool, among func(*entry) bool, by order) []Drop {
 	if !more() {
 		return nil
 	}
@@ -319,7 +321,7 @@
 		}
 	}
 	small := func(e *entry) int {
-		if order == bySize && e.held*int64(len(list)) < sum {
+		if by == bySize && e.held*int64(len(list)) < sum {
 			return 1
 		}
 		return 0
