--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -16,6 +16,10 @@
 	"github.com/jujubethread/jujubethread/platform"
 )
 
+// unreadTimeout is how long the body of a request that is refused for its key may take
+// after the answer.
+const unreadTimeout = 5 * time.Second
+
 // Reasons for which a request is not served, or no longer.
 var (
 	errNoTable    = errors.New("this host does not hold the configuration yet")
@@ -207,7 +211,7 @@
 	rc := http.NewResponseController(w)
 	// If one of these fails, the answer follows the body or the connection is broken.
 	_ = rc.EnableFullDuplex()
-	_ = rc.SetReadDeadline(time.Now().Add(headerTimeout))
+	_ = rc.SetReadDeadline(time.Now().Add(unreadTimeout))
 	answer()
 	_ = rc.Flush()
 	// The body must be read here: net/http would begin to read the next request while it
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -38,6 +38,11 @@
 //	| local_decisions   | counter   |             | requests that no owner answered for           |
 //	| connections       | gauge     |             | connections opened to upstreams since the     |
 //	|                   |           |             | process started                               |
+//	| caller_connections | gauge    |             | open connections of callers                   |
+//	| caller_bytes      | gauge     |             | memory that callers hold, as it is counted    |
+//	| callers_dropped   | counter   | reason      | connections closed, or requests refused, since|
+//	|                   |           |             | the memory or connections for callers are     |
+//	|                   |           |             | used up: Slow, Unused, Full                   |
 //	| requests_running  | gauge     |             | callers' and delegated requests in progress   |
 //	| document_version  | gauge     |             | version of the active configuration           |
 //	| document_age_seconds | gauge  |             | time since that was known to be the newest    |
@@ -57,6 +62,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/jujubethread/jujubethread/pkg/memory"
 )
 
 // reportInterval is the interval at which values are copied to the served page.
@@ -106,6 +113,7 @@
 	callSeconds    tally.Histogram
 	delegated      map[string]tally.Counter
 	keysRefused    map[string]tally.Counter
+	callersDropped map[memory.Reason]tally.Counter
 
 	// Counters are incremented, gauges set to the current value.
 	Ejected  tally.Counter
@@ -134,6 +142,9 @@
 	Hosts       tally.Gauge
 	Ready       tally.Gauge
 	Dropped     tally.Gauge
+	// CallerConnections and CallerBytes are what callers use.
+	CallerConnections tally.Gauge
+	CallerBytes       tally.Gauge
 }
 
 // New returns metrics that are updated until Close. results lists the values of
@@ -180,6 +191,10 @@
 		Hosts:          scope.Gauge("hosts"),
 		Ready:          scope.Gauge("ready"),
 		Dropped:        scope.Gauge("log_lines_dropped"),
+
+		callersDropped:    make(map[memory.Reason]tally.Counter),
+		CallerConnections: scope.Gauge("caller_connections"),
+		CallerBytes:       scope.Gauge("caller_bytes"),
 	}
 	for _, o := range outcomes {
 		tagged := scope.Tagged(map[string]string{"outcome": string(o)})
@@ -195,9 +210,16 @@
 	for _, r := range []string{Unknown, Revoked} {
 		g.keysRefused[r] = scope.Tagged(map[string]string{"reason": r}).Counter("keys_refused")
 	}
+	for _, r := range []memory.Reason{memory.Slow, memory.Unused, memory.Full} {
+		g.callersDropped[r] = scope.Tagged(map[string]string{"reason": r.String()}).Counter("callers_dropped")
+	}
 	return g
 }
 
+// CallerDropped counts a connection that was closed, or a request that was refused, for
+// lack of memory or connections for callers.
+func (g *Gauge) CallerDropped(why memory.Reason) { g.callersDropped[why].Inc(1) }
+
 // Request counts a request that ended on this host and records its duration.
 func (g *Gauge) Request(o Outcome, took time.Duration) {
 	g.requests[o].Inc(1)
--- a/internal/tier/option_test.go
+++ b/internal/tier/option_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/tier"
 	"github.com/jujubethread/jujubethread/pkg/allot"
 	"github.com/jujubethread/jujubethread/pkg/budget"
@@ -32,7 +33,7 @@
 		"quota-window 5s\ndomains a,b", "quota-window -1s\ndomains a", "quota-window 1ns\ndomains ,", "quota-window 2562047h\ndomains a",
 		"quota-overage NaN", "quota-overage -1", "quota-overage 1e308", "quota-slack +Inf", "quota-slack -1",
 		"ports 0,1", "ports 99999,1", "ports -1", "ports 7380", "ports x",
-		"grace -1s", "lost -1", "name a\tb", "domain a\x00b", "name \xff", "ip [::1", "seeds ,a,:,b:1", "log-level loud",
+		"grace -1s", "lost -1", "memory", "memory {{Limits.MemoryMb}}", "memory -1", "memory NaN", "memory 1", "memory 1e300", "descriptors 3", "descriptors", "name a\tb", "domain a\x00b", "name \xff", "ip [::1", "seeds ,a,:,b:1", "log-level loud",
 	} {
 		f.Add(entrySettings + line + "\n")
 	}
@@ -60,6 +61,9 @@
 			if o.LinkPort < 1 || o.LinkPort > 65535 || o.Grace < 0 || o.MaxDiskFailures < 0 {
 				t.Errorf("%s: port %d, grace %s, %d disks", command, o.LinkPort, o.Grace, o.MaxDiskFailures)
 			}
+			if o.Memory < 0 || o.Descriptors < 0 || guard.Bounds(o.Memory, o.Descriptors).Bytes <= 0 {
+				t.Errorf("%s: %d MB, %d descriptors", command, o.Memory, o.Descriptors)
+			}
 			if text := string(o.Name) + string(o.Domain); !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl) {
 				t.Errorf("%s: host %q in %q", command, o.Name, o.Domain)
 			}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -19,6 +19,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/core"
 	"github.com/jujubethread/jujubethread/internal/front"
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/logs"
 	"github.com/jujubethread/jujubethread/internal/story"
 )
@@ -123,6 +124,7 @@
 	if err != nil {
 		return err
 	}
+	guard.SetMemoryLimit(o.Memory)
 	d, err := newDaemon(args[0], o, log, queue)
 	if err != nil {
 		return err
@@ -156,6 +158,9 @@
 
 			Metrics: o.Metrics,
 			Dropped: queue.Dropped,
+
+			Memory:      o.Memory,
+			Descriptors: o.Descriptors,
 		})
 	}
 	return core.New(core.Config{
@@ -170,6 +175,8 @@
 		MaxDiskFailures: o.MaxDiskFailures,
 		ListAddress:     o.ListAddress,
 		Metrics:         o.Metrics,
+		Memory:          o.Memory,
+		Descriptors:     o.Descriptors,
 		Log:             log,
 	})
 }
