Admit searches as upstreams respond

Cause: above their capacity, upstreams shed some sub-queries of almost every search, which then fails after it has run at most shards.

Change: pkg/gate decides when a search that a caller sends begins at the host that gathers. Its limit follows how long the usual shard waits at the upstreams, and falls if they shed calls, or are expected to be late, at more shards than an answer may miss. Answers to delegated shards report both. A search waits for a quarter of its target at most and is then refused with a delay that follows from the refused before it. More urgent searches do not count less urgent ones. Callers that come back too late for the target get a tenth of the work while others wait, else they would soon get all of it. internal/swarm has upstreams with slots, queues and pauses, and callers that come back once.

--- a/internal/front/delegate.go
+++ b/internal/front/delegate.go
@@ -66,7 +66,11 @@
 	Shards []int `cbor:",omitempty"`
 	// Tried lists the calls made for the requested shards that are missing.
 	Tried []relay.Tried `cbor:",omitempty"`
-	Body  []byte        `cbor:",omitempty"`
+	// UsualMicros is the time that the usual shard took, 0 if unknown. Shed is the
+	// number of shards at which upstreams shed calls.
+	UsualMicros int64  `cbor:",omitempty"`
+	Shed        int    `cbor:",omitempty"`
+	Body        []byte `cbor:",omitempty"`
 	// Refusal is set if the query was not served. AfterMicros is then the pause
 	// before a retry, and Reason is logged by the entry host that delegated.
 	Refusal     relay.Refusal `cbor:",omitempty"`
@@ -234,6 +238,7 @@
 			out, err = f.callGatherer(ctx, to, in)
 			ev.Lost = err != nil && !link.NotRun(err)
 			ev.Answered, ev.Tried = out.Shards, out.Tried
+			ev.Usual, ev.Shed = time.Duration(out.UsualMicros)*time.Microsecond, out.Shed
 		}
 		f.inputs <- input{
 			event:     ev,
@@ -293,6 +298,7 @@
 		}
 		if in.Shards != nil {
 			out.Shards, out.Tried = e.Shards, e.Tried
+			out.UsualMicros, out.Shed = e.Usual.Microseconds(), e.Shed
 		}
 		return out, nil
 	case relay.Refuse:
@@ -300,6 +306,8 @@
 			Declined:    e.Status == relay.NoVersion || e.Stopping,
 			Refusal:     e.Status,
 			Tried:       e.Tried,
+			UsualMicros: e.Usual.Microseconds(),
+			Shed:        e.Shed,
 			AfterMicros: e.After.Microseconds(),
 			Reason:      e.Reason,
 		}, nil
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -58,6 +58,21 @@
 	Loss float64
 	// Faults is the number of cuts and restarts.
 	Faults int
+	// Replicas and Domains are the number of upstreams for each shard, and of
+	// failure domains; 0 for two.
+	Replicas int
+	Domains  int
+	// Slots, if set, is how many calls an upstream runs at once. Further ones wait
+	// in a queue of queueLength, and it rejects those beyond that.
+	Slots int
+	// MinShards is the share of the shards that an answer must have, 0 for 0.75.
+	MinShards float64
+	// Down is, for each replica, the number of shards whose upstream of that number is
+	// down for the whole run, and Slow the same for upstreams that are slow.
+	Down []int
+	Slow []Slowness
+	// Flows are callers that come in addition to PerSecond.
+	Flows []Flow
 	// Deaf hosts do not see limits and hear nothing of other hosts, which breaks
 	// both rules.
 	Deaf bool
@@ -79,6 +94,8 @@
 	// Calls counts the calls to upstreams with a limit, from touchTime after it was
 	// named.
 	Calls int
+	// Flows are the results of Setup.Flows.
+	Flows []FlowResult
 	// Violations describes the first broken rules.
 	Violations []string
 }
@@ -160,6 +177,7 @@
 	s.planNotices(total)
 	s.send(setup.PerSecond, blame.Print{}, total)
 	s.send(setup.CrashersPerSecond, crasher, total)
+	s.sendFlows()
 	for range setup.Faults {
 		s.after(time.Duration(s.rng.Int64N(int64(total))), s.fault)
 	}
@@ -243,7 +261,7 @@
 			Name:           name,
 			MaxConnections: 4000,
 		})
-		for j := range 2 {
+		for j := range s.replicas() {
 			u := &upstream{
 				swarm:  s,
 				toldAt: make(map[*host]ident.Instant),
@@ -252,8 +270,8 @@
 					ID:      upstreamID(i, j),
 					Service: name,
 					Address: fmt.Sprintf("%s-%d:1", name, j),
-					Domain:  domainOf(j),
-					Slots:   1000,
+					Domain:  s.domainOf(j),
+					Slots:   s.slots(),
 				},
 			}
 			if i < s.setup.LimitedShards && j == 0 {
@@ -263,6 +281,7 @@
 		}
 	}
 	d.Routes = []rules.Route{route}
+	s.addLoadRoutes(d)
 	return rules.NewTable(d)
 }
 
@@ -270,7 +289,11 @@
 	return ident.Upstream(fmt.Sprintf("shard-%d-%d", shard, replica))
 }
 
-func domainOf(i int) ident.Domain { return ident.Domain(rune('a' + i%2)) }
+func (s *Swarm) domainOf(i int) ident.Domain {
+	return ident.Domain(rune('a' + i%max(2, s.setup.Domains)))
+}
+
+func (s *Swarm) replicas() int { return max(2, s.setup.Replicas) }
 
 func (s *Swarm) extra() budget.Config {
 	return budget.Config{
@@ -309,9 +332,11 @@
 	wakeAt  ident.Instant
 	gossips ident.Instant
 	prints  map[ident.QueryID]blame.Print
+	// visits are the queries of Setup.Flows in progress here.
+	visits map[ident.QueryID]*visit
 }
 
-func (h *host) domain() ident.Domain { return domainOf(h.index) }
+func (h *host) domain() ident.Domain { return h.swarm.domainOf(h.index) }
 
 func (h *host) id() ident.HostID { return ident.HostID(fmt.Sprint(h.index)) }
 
@@ -321,6 +346,7 @@
 	h.life++
 	h.faultAt, h.wakeAt, h.gossips = s.now, 0, 0
 	h.prints = make(map[ident.QueryID]blame.Print)
+	h.visits = make(map[ident.QueryID]*visit)
 	h.engine = relay.New(relay.Config{
 		Domain: h.domain(),
 		Hosts:  s.setup.Hosts,
@@ -341,7 +367,7 @@
 	})
 	var list []relay.Upstream
 	for i := range s.setup.Shards {
-		for j := range 2 {
+		for j := range s.replicas() {
 			list = append(list, s.upstreams[upstreamID(i, j)].entry)
 		}
 	}
@@ -388,6 +414,9 @@
 func (h *host) step(ev relay.Event) {
 	s := h.swarm
 	for _, f := range h.engine.Step(ev) {
+		if h.endVisit(f) {
+			continue
+		}
 		switch f := f.(type) {
 		case relay.Call:
 			h.call(f)
@@ -431,9 +460,12 @@
 
 func (h *host) call(c relay.Call) {
 	s := h.swarm
-	life, print := h.life, h.prints[c.Query]
+	life, print, work := h.life, h.prints[c.Query], workTime
+	if v := h.visits[c.Query]; v != nil {
+		work = v.flow.Work
+	}
 	s.after(hop, func() {
-		s.upstreams[c.Upstream.ID].serve(h, print, func(ev relay.Ended) {
+		s.upstreams[c.Upstream.ID].serve(h, print, work, func(ev relay.Ended) {
 			if life == h.life {
 				ev.Now, ev.Attempt = s.now, c.Attempt
 				h.step(ev)
--- a/internal/swarm/upstream.go
+++ b/internal/swarm/upstream.go
@@ -39,10 +39,18 @@
 	leaveAt             ident.Instant
 	busyFrom, busyUntil ident.Instant
 	told                map[*host]told
+	// running and waiting are the calls in its slots and in its queue. Its work
+	// takes slow times as long as usual until slowUntil.
+	running   int
+	waiting   []func()
+	slow      float64
+	slowUntil ident.Instant
+	// pauseAt is when its first pause begins.
+	pauseAt ident.Instant
 }
 
 // serve runs one call. done gets its end.
-func (u *upstream) serve(h *host, print blame.Print, done func(relay.Ended)) {
+func (u *upstream) serve(h *host, print blame.Print, work time.Duration, done func(relay.Ended)) {
 	s := u.swarm
 	if s.now < u.downUntil {
 		s.after(hop, func() { done(relay.Ended{Result: relay.Unsent}) })
@@ -53,6 +61,10 @@
 	if u.turnsAway(h, done) {
 		return
 	}
+	if s.setup.Slots > 0 {
+		u.enqueue(work, done)
+		return
+	}
 	boot := u.boots
 	if print == crasher {
 		if n := len(s.crashes); n >= maxCrashes && s.now > s.crashes[maxCrashes-1].Add(touchTime) && h.inTouch() {
--- /dev/null
+++ b/pkg/gate/gate.go
@@ -0,0 +1,497 @@
+// Package gate decides how many searches over shards a host has in progress at once,
+// and which of those that wait comes next. A search is admitted as a whole or not at
+// all: one whose sub-queries have run at most shards and then fails for the others
+// has wasted their work.
+//
+// The limit follows how upstreams respond. It grows while searches are answered well
+// before their targets, and shrinks when the usual shard of a search takes a large
+// part of the target, or when upstreams shed calls at more shards than an answer may
+// miss. Each host adapts alone. All of them see the same upstreams, grow by the same
+// amounts and shrink by the same factors, so that their limits approach each other.
+//
+// A Gate has no clock and does no I/O; it is not safe for concurrent use. It is
+// designed for some hundred searches a second on each host.
+package gate
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+)
+
+const (
+	// initialLimit is the limit at the start, in searches. A host that gathers has
+	// about 0.3 searches in progress at the usual load, and four in bursts.
+	initialLimit = 6.0
+
+	// minLimit is the lowest limit, in searches. Below one, a search is admitted each
+	// time that the usual shard takes, divided by the limit.
+	minLimit = 0.1
+
+	// maxUnused is how far the limit may exceed the most that was in progress of late,
+	// as a factor. A limit that grows without being reached would admit a flood.
+	maxUnused = 2.0
+
+	// peakHalfLife is the half-life of that most, and of the largest cost of a search.
+	peakHalfLife = 2 * time.Second
+
+	// growth is by how many searches the limit grows during the time of one search, if
+	// nothing waits at the upstreams.
+	growth = 0.5
+
+	// maxCut bounds how far one decision lowers the limit, and shedCut is the factor
+	// when upstreams shed calls.
+	maxCut  = 0.6
+	shedCut = 0.7
+
+	// usualShare is the part of the target that the usual shard of a search may take.
+	// The slowest of many shards takes about three times as long.
+	usualShare = 0.3
+
+	// waitFactor is how long the usual shard may wait at least, as a multiple of its
+	// latency without load, for routes that need most of their target without any.
+	waitFactor = 1.5
+
+	// usualWeight is the weight of a new sample in the average of the time that the
+	// usual shard takes.
+	usualWeight = 0.1
+
+	// routeTime is how long after its last search a route counts as in use.
+	routeTime = 2 * time.Second
+
+	// baseRise is the rate, in 1/s, at which the latency without load is taken to
+	// rise if all answers take longer. An overload of some seconds hardly moves it.
+	baseRise = 0.03
+
+	// maxLevels bounds the priorities that are told apart; accounts and routes have
+	// a handful.
+	maxLevels = 16
+
+	// maxWaiting bounds the searches that wait. More would not be reached in the time
+	// that they may wait.
+	maxWaiting = 64
+
+	// minAfter and maxAfter bound the time that refused callers are told to wait.
+	// Callers that wait longer would miss the targets of all routes.
+	minAfter = 50 * time.Millisecond
+	maxAfter = time.Second
+
+	// afterSpread is the part of that time that is random, so that callers that were
+	// refused together do not come back together.
+	afterSpread = 0.3
+
+	// lateShare is the part of the admitted work that is for late searches while others
+	// wait. If all callers that come back went first, then under overload these would
+	// soon be all that are served, and no answer would come in time.
+	lateShare = 0.1
+
+	// rateTime is the time over which the rate of admitted work is averaged.
+	rateTime = time.Second
+)
+
+// Search is a query over shards.
+type Search struct {
+	Query ident.QueryID
+	// Priority ranks the search; 0 is the most urgent.
+	Priority int
+	Account  ident.Account
+	// Cost is the work of the search at the upstreams, in nanoseconds.
+	Cost float64
+	// Returned is set if the caller was refused before, Late if no answer can be
+	// expected before the target.
+	Returned bool
+	Late     bool
+	// Until is when the search must be refused if it was not admitted.
+	Until ident.Instant
+}
+
+// Verdict is what becomes of a search.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Admitted searches begin now.
+	Admitted Verdict = iota + 1
+	// Waiting searches are admitted or refused by Due.
+	Waiting
+	// Refused searches do not run.
+	Refused
+)
+
+// Decision is the verdict on one search.
+type Decision struct {
+	Query   ident.QueryID
+	Verdict Verdict
+	// After is how long the caller of a refused search should wait.
+	After time.Duration
+}
+
+// Sample is what an ended search shows.
+type Sample struct {
+	// Route identifies the kind of search, Target is its target.
+	Route  string
+	Target time.Duration
+	// Usual is the time that the usual shard took, 0 if unknown.
+	Usual time.Duration
+	// Short is set if upstreams shed calls at more shards than an answer may miss.
+	Short bool
+}
+
+// level is what concerns searches of one priority: the cost in progress of those that
+// are as urgent or more, and the time before which none is admitted. Less urgent ones
+// do not count, so that they cannot keep out more urgent ones; as these count for
+// them, they get what is left of the limit.
+type level struct {
+	priority   int
+	inProgress float64
+	nextStart  ident.Instant
+}
+
+// running is an admitted search.
+type running struct {
+	priority int
+	began    ident.Instant
+	cost     float64
+	left     float64
+}
+
+type waiting struct {
+	Search
+	arrived ident.Instant
+}
+
+// Gate is the state of one host.
+type Gate struct {
+	rand    *rand.Rand
+	now     ident.Instant
+	running map[ident.QueryID]*running
+	queue   []waiting
+	// inProgress is the cost of the running searches, unit the largest cost of a
+	// search of late.
+	inProgress float64
+	unit       float64
+	// limit is in searches of the cost unit, peak the most of them in progress of
+	// late, and highest the largest limit of late.
+	limit, peak, highest float64
+	// usual is the time that the usual shard takes, in nanoseconds.
+	usual float64
+	// levels are the priorities that were seen, most urgent first.
+	levels []level
+	// cutAt is when the limit was last lowered.
+	cutAt ident.Instant
+	// base is the latency of the usual shard of each route without load.
+	base map[string]*base
+	// rate is the admitted cost per second, nextSlot when the callers that were
+	// refused so far have come back and were served.
+	rate     float64
+	rateAt   ident.Instant
+	nextSlot ident.Instant
+	// lateCredit is the cost of late searches that may go before others.
+	lateCredit float64
+}
+
+// base is what is known of a route: the latency of the usual shard without load, and
+// how long it may wait, both in nanoseconds.
+type base struct {
+	latency float64
+	mayWait float64
+	at      ident.Instant
+}
+
+// New returns a Gate. The seed spreads the times that callers are told to wait.
+func New(seed uint64) *Gate {
+	return &Gate{
+		rand:    rand.New(rand.NewPCG(seed, 3)),
+		running: make(map[ident.QueryID]*running),
+		base:    make(map[string]*base),
+		limit:   initialLimit,
+		highest: initialLimit,
+	}
+}
+
+// advance sets the clock and lets averages decay.
+func (g *Gate) advance(now ident.Instant) {
+	if now <= g.now {
+		return
+	}
+	keep := math.Exp2(-float64(now.Sub(g.now)) / float64(peakHalfLife))
+	g.unit *= keep
+	g.peak *= keep
+	g.highest = max(g.limit, g.highest*keep)
+	g.now = now
+}
+
+// Offer decides on a search that has arrived.
+func (g *Gate) Offer(now ident.Instant, s Search) Decision {
+	g.advance(now)
+	w := waiting{
+		Search:  s,
+		arrived: now,
+	}
+	first := !slices.ContainsFunc(g.queue, func(o waiting) bool { return !g.precedes(&w, &o) })
+	if first && g.fits(s) {
+		g.admit(s)
+		return Decision{
+			Query:   s.Query,
+			Verdict: Admitted,
+		}
+	}
+	if now >= s.Until {
+		return g.refuse(s)
+	}
+	g.queue = append(g.queue, w)
+	return Decision{
+		Query:   s.Query,
+		Verdict: Waiting,
+	}
+}
+
+// fits reports whether a search can be admitted beside those in progress.
+func (g *Gate) fits(s Search) bool {
+	g.unit = max(g.unit, s.Cost)
+	l := g.level(s.Priority)
+	return g.now >= l.nextStart && (l.inProgress <= 0 || l.inProgress+s.Cost <= g.limit*g.unit)
+}
+
+func (g *Gate) admit(s Search) {
+	g.running[s.Query] = &running{
+		priority: s.Priority,
+		began:    g.now,
+		cost:     s.Cost,
+		left:     s.Cost,
+	}
+	g.inProgress += s.Cost
+	g.peak = max(g.peak, g.inProgress/g.unit)
+	for i := range g.levels {
+		if l := &g.levels[i]; l.priority >= s.Priority {
+			l.inProgress += s.Cost
+			if g.limit < 1 {
+				l.nextStart = g.now.Add(time.Duration(g.usual * s.Cost / (g.unit * g.limit)))
+			}
+		}
+	}
+	g.countRate(s.Cost)
+	if g.lateCredit += lateShare * s.Cost; s.Late {
+		g.lateCredit -= s.Cost
+	}
+	g.lateCredit = max(-g.unit, min(g.lateCredit, g.unit))
+}
+
+// countRate adds to the average rate of admitted work.
+func (g *Gate) countRate(cost float64) {
+	g.rate *= math.Exp(-g.now.Sub(g.rateAt).Seconds() / rateTime.Seconds())
+	g.rateAt = g.now
+	g.rate += cost / rateTime.Seconds()
+}
+
+// refuse tells a caller to come back when those that were refused before it have
+// been served, at the present rate.
+func (g *Gate) refuse(s Search) Decision {
+	g.countRate(0)
+	after := minAfter
+	if g.rate > 0 {
+		g.nextSlot = max(g.nextSlot, g.now).Add(time.Duration(s.Cost / (lateShare * g.rate) * float64(time.Second)))
+		g.nextSlot = min(g.nextSlot, g.now.Add(maxAfter))
+		after = max(after, g.nextSlot.Sub(g.now))
+	}
+	spread := 1 - afterSpread*g.rand.Float64()
+	return Decision{
+		Query:   s.Query,
+		Verdict: Refused,
+		After:   max(minAfter, time.Duration(spread*float64(after))),
+	}
+}
+
+// Reduce records that a share of a running search, between 0 and 1, is done.
+func (g *Gate) Reduce(id ident.QueryID, share float64) {
+	if r := g.running[id]; r != nil {
+		g.reduce(r, min(r.left, share*r.cost))
+	}
+}
+
+func (g *Gate) reduce(r *running, done float64) {
+	r.left -= done
+	g.inProgress -= done
+	for i := range g.levels {
+		if l := &g.levels[i]; l.priority >= r.priority {
+			l.inProgress -= done
+		}
+	}
+}
+
+// level returns the level of a priority. Beyond maxLevels, the least urgent ones share
+// a level.
+func (g *Gate) level(priority int) *level {
+	i, found := slices.BinarySearchFunc(g.levels, priority, func(l level, p int) int { return l.priority - p })
+	if found || len(g.levels) >= maxLevels && i == len(g.levels) {
+		return &g.levels[min(i, len(g.levels)-1)]
+	}
+	l := level{priority: priority}
+	if i > 0 {
+		l.inProgress, l.nextStart = g.levels[i-1].inProgress, g.levels[i-1].nextStart
+	}
+	g.levels = slices.Insert(g.levels, i, l)
+	return &g.levels[i]
+}
+
+// End removes a search, whether it runs or waits.
+func (g *Gate) End(now ident.Instant, id ident.QueryID) {
+	g.advance(now)
+	if r := g.running[id]; r != nil {
+		g.reduce(r, r.left)
+		delete(g.running, id)
+	}
+	if len(g.running) == 0 {
+		// Ends what rounding has left.
+		g.inProgress = 0
+		for i := range g.levels {
+			g.levels[i].inProgress = 0
+		}
+	}
+	g.queue = slices.DeleteFunc(g.queue, func(w waiting) bool { return w.Query == id })
+}
+
+// Observe adapts the limit to what a running search shows. It is called before End.
+func (g *Gate) Observe(now ident.Instant, id ident.QueryID, s Sample) {
+	g.advance(now)
+	r := g.running[id]
+	if r == nil {
+		return
+	}
+	load := 0.0
+	if s.Usual > 0 {
+		load = g.observeUsual(s)
+	}
+	switch {
+	case s.Short:
+		g.cut(r, shedCut)
+	case load > 1:
+		g.cut(r, max(maxCut, 1/load))
+	case s.Usual > 0:
+		g.limit += growth * (1 - load) * r.cost / (g.unit * g.limit)
+		g.limit = min(g.limit, max(initialLimit, maxUnused*g.peak))
+	}
+}
+
+// observeUsual returns how long the usual shard waited, as a multiple of how long that
+// of any route in use may wait: all wait in the same queues.
+func (g *Gate) observeUsual(s Sample) float64 {
+	usual := float64(s.Usual)
+	g.usual += usualWeight * (usual - g.usual)
+	b := g.base[s.Route]
+	if b == nil {
+		b = &base{latency: usual}
+		g.base[s.Route] = b
+	}
+	b.latency *= 1 + baseRise*min(1, g.now.Sub(b.at).Seconds())
+	b.latency = min(b.latency, usual)
+	b.at = g.now
+	b.mayWait = max(usualShare*float64(s.Target)-b.latency, waitFactor*b.latency)
+	mayWait := b.mayWait
+	for _, o := range g.base {
+		if g.now.Sub(o.at) < routeTime {
+			mayWait = min(mayWait, o.mayWait)
+		}
+	}
+	return (usual - b.latency) / mayWait
+}
+
+// cut lowers the limit, once for all searches that began before it was last lowered.
+func (g *Gate) cut(r *running, factor float64) {
+	if r.began < g.cutAt || g.now < g.cutAt.Add(time.Duration(g.usual)) {
+		return
+	}
+	// A limit that is not reached admits as much as before if it is lowered a little.
+	g.limit = max(minLimit, factor*min(g.limit, max(minLimit, g.peak)))
+	g.cutAt = g.now
+}
+
+// Next returns when Due has to be called at the latest, and false if nothing waits.
+func (g *Gate) Next() (next ident.Instant, found bool) {
+	for _, w := range g.queue {
+		if !found || w.Until < next {
+			next, found = w.Until, true
+		}
+	}
+	for _, l := range g.levels {
+		if found && l.nextStart > g.now {
+			next = min(next, l.nextStart)
+		}
+	}
+	return next, found
+}
+
+// Due returns the decision on one waiting search, and false if there is none to make.
+func (g *Gate) Due(now ident.Instant) (Decision, bool) {
+	if len(g.queue) == 0 {
+		return Decision{}, false
+	}
+	g.advance(now)
+	best := 0
+	for i := range g.queue {
+		if g.precedes(&g.queue[i], &g.queue[best]) {
+			best = i
+		}
+	}
+	if s := g.queue[best].Search; g.fits(s) {
+		g.queue = slices.Delete(g.queue, best, best+1)
+		g.admit(s)
+		return Decision{
+			Query:   s.Query,
+			Verdict: Admitted,
+		}, true
+	}
+	for i := range g.queue {
+		if s := g.queue[i].Search; now >= s.Until {
+			g.queue = slices.Delete(g.queue, i, i+1)
+			return g.refuse(s), true
+		}
+	}
+	if len(g.queue) > maxWaiting {
+		last := 0
+		for i := range g.queue {
+			if g.precedes(&g.queue[last], &g.queue[i]) {
+				last = i
+			}
+		}
+		s := g.queue[last].Search
+		g.queue = slices.Delete(g.queue, last, last+1)
+		return g.refuse(s), true
+	}
+	return Decision{}, false
+}
+
+// precedes orders waiting searches: by priority, then those that can be in time, then
+// those whose callers were refused before, then by arrival.
+func (g *Gate) precedes(a, b *waiting) bool {
+	switch {
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
+	case a.Late != b.Late:
+		return b.Late != (g.lateCredit > 0)
+	case a.Returned != b.Returned:
+		return a.Returned
+	}
+	return a.arrived < b.arrived
+}
+
+// Status is the state of a Gate for logs and metrics.
+type Status struct {
+	// Limit is in searches of the largest cost, Highest its largest value of late.
+	Limit, Highest float64
+	// Running is the number of searches in progress, Waiting of those that wait.
+	Running, Waiting int
+}
+
+// Status returns the present state.
+func (g *Gate) Status() Status {
+	return Status{
+		Limit:   g.limit,
+		Highest: g.highest,
+		Running: len(g.running),
+		Waiting: len(g.queue),
+	}
+}
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/jujubethread/jujubethread/pkg/blame"
 	"github.com/jujubethread/jujubethread/pkg/budget"
+	"github.com/jujubethread/jujubethread/pkg/gate"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/notice"
 	"github.com/jujubethread/jujubethread/pkg/quota"
@@ -78,6 +79,9 @@
 	departures *notice.Departures
 	pauses     *notice.Pauses
 
+	// gate decides when queries over shards begin.
+	gate *gate.Gate
+
 	// blame holds which requests crashed upstreams.
 	blame *blame.Table
 
@@ -113,6 +117,7 @@
 		quota:           quota.NewShare(),
 		departures:      notice.NewDepartures(),
 		pauses:          notice.NewPauses(cfg.Seed),
+		gate:            gate.New(cfg.Seed),
 		blame:           blame.NewTable(),
 		overloadedUntil: make(map[ident.Service]ident.Instant),
 		queries:         make(map[ident.QueryID]*query),
@@ -179,6 +184,7 @@
 		e.advanceTo(ev.Now)
 		e.advanceAll()
 	}
+	e.passGate()
 	e.report()
 	return e.effects
 }
@@ -190,6 +196,9 @@
 // Next returns when the next Tick is due, and false if none is.
 func (e *Engine) Next() (ident.Instant, bool) {
 	next, found := e.quota.Next()
+	if at, ok := e.gate.Next(); ok && (!found || at < next) {
+		next, found = at, true
+	}
 	for _, q := range e.order {
 		if !found || q.wake < next {
 			next, found = q.wake, true
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -146,6 +146,10 @@
 	Answered []int
 	// Tried lists the calls made for the shards that the answer lacks.
 	Tried []Tried
+	// Usual is how long the other host took for the usual shard, 0 if unknown, and
+	// Shed is the number of shards at which upstreams shed calls.
+	Usual time.Duration
+	Shed  int
 	// Lost is set if the host may have received the Delegate but did not answer.
 	// Any of the shards may then have been called.
 	Lost bool
@@ -384,6 +388,10 @@
 	// the others if the query was delegated to this host.
 	Shards []int
 	Tried  []Tried
+	// Usual and Shed are those of DelegateEnded, if the query was delegated to this
+	// host.
+	Usual time.Duration
+	Shed  int
 	// Detail is set if parts are missing or the answer is late.
 	Detail *Detail
 }
@@ -400,8 +408,10 @@
 	// another host may serve it.
 	Stopping bool
 	// Tried lists the calls for each shard of a query that was delegated to this
-	// host.
+	// host. Usual and Shed are those of DelegateEnded.
 	Tried []Tried
+	Usual time.Duration
+	Shed  int
 	// Detail is set if a route was found.
 	Detail *Detail
 }
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -62,6 +62,9 @@
 		Tried:  e.tried(q),
 		Detail: e.detail(q),
 	}
+	if q.sub && q.startedAt > 0 {
+		r.Usual, r.Shed = e.usualTime(q)
+	}
 	switch {
 	case q.condemned && sent:
 		r.Status, r.Reason = Failed, CrasherReason
@@ -144,6 +147,9 @@
 		Shards:   make([]int, 0, answered),
 		Tried:    e.tried(q),
 	}
+	if q.sub && q.startedAt > 0 {
+		m.Usual, m.Shed = e.usualTime(q)
+	}
 	if m.Missing > 0 || e.now >= q.target {
 		m.Detail = e.detail(q)
 	}
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -22,6 +22,9 @@
 	due ident.Instant
 	// rest is set if the group consists of shards that an earlier one left out.
 	rest bool
+	// usual and shed are those of the other host's answer.
+	usual time.Duration
+	shed  int
 	// sent is set once the group has been delegated.
 	sent bool
 }
@@ -168,7 +171,10 @@
 	if g.ended {
 		return
 	}
-	g.ended = true
+	g.ended, g.usual, g.shed = true, ev.Usual, ev.Shed
+	if !g.rest {
+		e.gate.Reduce(q.id, float64(len(g.parts))/float64(len(q.parts)))
+	}
 	if !ev.Lost && !g.rest && len(ev.Tried) > 0 {
 		e.delegateLag.Learn(e.now.Sub(g.due))
 	}
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/jujubethread/jujubethread/pkg/blame"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -52,6 +53,16 @@
 	// are not yet held against the request.
 	crashes   int
 	crashedOn *upstream
+	// waitsAtGate is set until the gate admits the query, which must be refused at
+	// refuseBy otherwise. returned is set if its caller was refused before.
+	waitsAtGate bool
+	refuseBy    ident.Instant
+	returned    bool
+	// startedAt is when the first calls were made, answers the number of parts that
+	// calls of this host have answered, usual the time until half of them were.
+	startedAt ident.Instant
+	answers   int
+	usual     time.Duration
 	// held is set once crashes are held against the request by this query.
 	held bool
 	// condemned is set once the request is refused.
@@ -79,6 +90,8 @@
 	group *group
 	// counted is set if the request is counted in the budget of the service.
 	counted bool
+	// shed is set if an upstream has shed a call, as it had too many.
+	shed bool
 	// crashed is set if an upstream crashed under a call.
 	crashed bool
 	// exhausted is set while no further call can be made.
@@ -217,7 +230,7 @@
 	e.begin(q)
 }
 
-// begin sends a query to the upstreams of all its parts, or delegates them.
+// begin starts a query as soon as the gate admits it.
 func (e *Engine) begin(q *query) {
 	if e.now >= q.deadline {
 		e.advance(q)
@@ -232,6 +245,17 @@
 			})
 			return
 		}
+		if !e.offer(q) {
+			return
+		}
+	}
+	e.start(q)
+}
+
+// start sends a query to the upstreams of all its parts, or delegates them.
+func (e *Engine) start(q *query) {
+	q.startedAt = e.now
+	if q.route.Gathers() {
 		e.delegateShards(q)
 		if !e.skipHopeless(q) {
 			return
@@ -283,6 +307,8 @@
 	if ev.HasPriority {
 		q.priority = ev.Priority
 	}
+	q.refuseBy = began.Add(refuseTime(r, ev))
+	q.returned = spent >= time.Duration(returnedShare*float64(retryAfter))
 	e.endWithHost(q)
 	if q.draw == 0 {
 		q.draw = quota.Draw(e.rand.Uint64())
@@ -333,6 +359,9 @@
 		e.finish(q, true)
 		return
 	}
+	if q.waitsAtGate {
+		return
+	}
 	q.wake = q.deadline
 	for _, p := range q.parts {
 		if q.suspect && q.inFlight() > 0 {
@@ -479,12 +508,14 @@
 		p.arrivals, p.runs = p.arrivals+1, p.runs+1
 		if p.success == nil {
 			p.success = a
+			e.recordAnswered(q)
 		}
 	case Bad:
 		p.arrivals, p.runs = p.arrivals+1, p.runs+1
 		p.failure = a
 	case Rejected:
 		p.arrivals++
+		p.recordShed(ev)
 	case Lost:
 		p.arrivals, p.runs = p.arrivals+1, p.runs+1
 	case Unsent:
@@ -513,7 +544,7 @@
 }
 
 func (q *query) waitsFor(s ident.Service) bool {
-	return !q.done && slices.ContainsFunc(q.parts, func(p *part) bool { return p.service == s && p.waits() })
+	return !q.done && !q.waitsAtGate && slices.ContainsFunc(q.parts, func(p *part) bool { return p.service == s && p.waits() })
 }
 
 // waits reports whether the part has no call in flight but may send one.
@@ -555,6 +586,7 @@
 
 func (e *Engine) end(q *query) {
 	e.shareCrashes(q)
+	e.leaveGate(q)
 	q.done = true
 	delete(e.queries, q.id)
 	e.order = slices.DeleteFunc(e.order, func(o *query) bool { return o == q })
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -128,7 +128,7 @@
 func (e *Engine) countWaiting(arrived *query) {
 	e.waiting = make(map[ident.Service]int)
 	for _, q := range e.order {
-		if q == arrived {
+		if q == arrived || q.waitsAtGate {
 			continue
 		}
 		for _, p := range q.parts {
