Admit few late searches, and finish those that would fail

The first limit admitted 108 searches at once where 42 fit; late callers that came back got two fifths of the work; and about 4 of 100 admitted searches failed since a few shards were skipped as slow, or had no extra call left after one was shed.

Change: the first limit is 3 searches, the limit grows slowly after it was lowered and faster later, and late searches wait for their share for 300 ms after a refusal.

--- a/internal/swarm/load.go
+++ b/internal/swarm/load.go
@@ -176,7 +176,7 @@
 					id:    ident.RequestID(fmt.Sprint("v", s.lastQuery)),
 					began: s.now,
 				}
-				s.hosts[s.rng.IntN(len(s.hosts))].serveVisit(v)
+				s.hosts[s.rng.IntN(s.gatherers())].serveVisit(v)
 			})
 		}
 	}
@@ -230,7 +230,7 @@
 			return true
 		}
 		v.again = true
-		s.after(f.After, func() { s.hosts[s.rng.IntN(len(s.hosts))].serveVisit(v) })
+		s.after(f.After, func() { s.hosts[s.rng.IntN(s.gatherers())].serveVisit(v) })
 		return true
 	default:
 		return false
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -71,6 +71,9 @@
 	// down for the whole run, and Slow the same for upstreams that are slow.
 	Down []int
 	Slow []Slowness
+	// Helpers is the number of helpers of each gatherer, 0 if no host delegates
+	// queries. Hosts counts both. The first ones gather.
+	Helpers int
 	// Flows are callers that come in addition to PerSecond.
 	Flows []Flow
 	// Deaf hosts do not see limits and hear nothing of other hosts, which breaks
@@ -178,6 +181,7 @@
 	s.send(setup.PerSecond, blame.Print{}, total)
 	s.send(setup.CrashersPerSecond, crasher, total)
 	s.sendFlows()
+
 	for range setup.Faults {
 		s.after(time.Duration(s.rng.Int64N(int64(total))), s.fault)
 	}
@@ -334,6 +338,8 @@
 	prints  map[ident.QueryID]blame.Print
 	// visits are the queries of Setup.Flows in progress here.
 	visits map[ident.QueryID]*visit
+	// subs are the queries in progress here that other hosts have delegated.
+	subs map[ident.QueryID]*sub
 }
 
 func (h *host) domain() ident.Domain { return h.swarm.domainOf(h.index) }
@@ -347,6 +353,7 @@
 	h.faultAt, h.wakeAt, h.gossips = s.now, 0, 0
 	h.prints = make(map[ident.QueryID]blame.Print)
 	h.visits = make(map[ident.QueryID]*visit)
+	h.subs = make(map[ident.QueryID]*sub)
 	h.engine = relay.New(relay.Config{
 		Domain: h.domain(),
 		Hosts:  s.setup.Hosts,
@@ -378,9 +385,10 @@
 	h.step(relay.Hosts{
 		Now:       s.now,
 		Count:     s.setup.Hosts,
-		Gatherers: s.setup.Hosts,
-		Gathers:   true,
+		Gatherers: s.gatherers(),
+		Gathers:   h.index < s.gatherers(),
 	})
+	h.meetOthers()
 	h.sendGossip()
 }
 
@@ -414,7 +422,7 @@
 func (h *host) step(ev relay.Event) {
 	s := h.swarm
 	for _, f := range h.engine.Step(ev) {
-		if h.endVisit(f) {
+		if h.endVisit(f) || h.endSub(f) {
 			continue
 		}
 		switch f := f.(type) {
@@ -461,8 +469,8 @@
 func (h *host) call(c relay.Call) {
 	s := h.swarm
 	life, print, work := h.life, h.prints[c.Query], workTime
-	if v := h.visits[c.Query]; v != nil {
-		work = v.flow.Work
+	if f := h.flowOf(c.Query); f != nil {
+		work = f.Work
 	}
 	s.after(hop, func() {
 		s.upstreams[c.Upstream.ID].serve(h, print, work, func(ev relay.Ended) {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -24,8 +24,9 @@
 
 const (
 	// initialLimit is the limit at the start, in searches. A host that gathers has
-	// about 0.3 searches in progress at the usual load, and four in bursts.
-	initialLimit = 6.0
+	// about 0.1 searches in progress at the usual load, and 0.3 in bursts. Twice as
+	// many at each of 18 hosts would fill the queues of all upstreams at once.
+	initialLimit = 3.0
 
 	// minLimit is the lowest limit, in searches. Below one, a search is admitted each
 	// time that the usual shard takes, divided by the limit.
@@ -39,8 +40,12 @@
 	peakHalfLife = 2 * time.Second
 
 	// growth is by how many searches the limit grows during the time of one search, if
-	// nothing waits at the upstreams.
-	growth = 0.5
+	// nothing waits at the upstreams, just after it was lowered. It doubles in growthTime
+	// and rises on up to maxGrowth: while upstreams are full, hosts that grow fast make
+	// them shed calls; once they are not, the limit must not stay low.
+	growth     = 0.25
+	growthTime = 200 * time.Millisecond
+	maxGrowth  = 2.0
 
 	// maxCut bounds how far one decision lowers the limit, and shedCut is the factor
 	// when upstreams shed calls.
@@ -88,6 +93,10 @@
 	// soon be all that are served, and no answer would come in time.
 	lateShare = 0.1
 
+	// scarceTime is how long after a search that could be in time was refused others
+	// like it are expected to be refused.
+	scarceTime = 300 * time.Millisecond
+
 	// rateTime is the time over which the rate of admitted work is averaged.
 	rateTime = time.Second
 )
@@ -191,6 +200,9 @@
 	nextSlot ident.Instant
 	// lateCredit is the cost of late searches that may go before others.
 	lateCredit float64
+	// scarceUntil is how long other searches are expected to need what late ones would
+	// get.
+	scarceUntil ident.Instant
 }
 
 // base is what is known of a route: the latency of the usual shard without load, and
@@ -252,6 +264,9 @@
 // fits reports whether a search can be admitted beside those in progress.
 func (g *Gate) fits(s Search) bool {
 	g.unit = max(g.unit, s.Cost)
+	if s.Late && g.lateCredit <= 0 && g.now < g.scarceUntil {
+		return false
+	}
 	l := g.level(s.Priority)
 	return g.now >= l.nextStart && (l.inProgress <= 0 || l.inProgress+s.Cost <= g.limit*g.unit)
 }
@@ -290,6 +305,9 @@
 // refuse tells a caller to come back when those that were refused before it have
 // been served, at the present rate.
 func (g *Gate) refuse(s Search) Decision {
+	if !s.Late {
+		g.scarceUntil = g.now.Add(scarceTime)
+	}
 	g.countRate(0)
 	after := minAfter
 	if g.rate > 0 {
@@ -371,7 +389,8 @@
 	case load > 1:
 		g.cut(r, max(maxCut, 1/load))
 	case s.Usual > 0:
-		g.limit += growth * (1 - load) * r.cost / (g.unit * g.limit)
+		steady := min(maxGrowth, growth*(1+g.now.Sub(g.cutAt).Seconds()/growthTime.Seconds()))
+		g.limit += steady * (1 - load) * r.cost / (g.unit * g.limit)
 		g.limit = min(g.limit, max(initialLimit, maxUnused*g.peak))
 	}
 }
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -111,6 +111,8 @@
 		e.merge(q, answered)
 	case !timeout && !q.sub && answered+pending < minParts && e.askForRest(q, minParts-answered-pending):
 		return
+	case !timeout && !q.sub && answered > 0 && answered+pending < minParts && e.revive(q, minParts-answered-pending):
+		return
 	case timeout || answered+pending < minParts || pending == 0 || q.sub && e.now >= q.target:
 		e.refuse(q, timeout)
 	default:
--- a/pkg/relay/rest.go
+++ b/pkg/relay/rest.go
@@ -44,6 +44,38 @@
 	return true
 }
 
+// revive continues parts that were skipped since no answer was expected in time, or
+// given up since the budget for extra calls was used up, if the query would fail
+// without them: a late answer serves the caller, while a failure wastes what has run.
+// It returns false if there are too few, or if the caller should rather try again.
+func (e *Engine) revive(q *query, missing int) bool {
+	limit := float64(q.deadline.Sub(q.arrived))
+	if e.now >= q.arrived.Add(time.Duration(restShare*limit)) || q.suspect || q.condemned || q.endsWithHost {
+		return false
+	}
+	var revived []*part
+	for _, p := range q.parts {
+		if e.revivable(q, p) {
+			revived = append(revived, p)
+		}
+	}
+	if len(revived) < missing {
+		return false
+	}
+	for _, p := range revived {
+		p.skipped, p.exhausted, p.pausedUntil = false, false, e.after(budgetPause)
+		q.wakeAt(p.pausedUntil)
+	}
+	return true
+}
+
+func (e *Engine) revivable(q *query, p *part) bool {
+	if p.answered() || !p.exhausted || p.paused || p.limited || p.pendingAt != nil || p.arrivals >= maxArrivals || p.runs >= max(1, q.route.Attempts) {
+		return false
+	}
+	return slices.ContainsFunc(e.services[p.service], func(u *upstream) bool { return e.callable(u) && e.now >= u.downUntil })
+}
+
 // shardsByHost are parts of a query by the host that they were delegated to: the
 // gatherer of a domain, or a helper.
 type shardsByHost struct {
