Admit accounts within their fair share first

Cause: searches were admitted by priority only.

Change: gate.Shares divides what a host admits among accounts, up to the same bound for each. While searches are refused, those of accounts beyond the bound rank after all others of their priority; those ahead may exceed the limit threefold, and the limit then falls for the account. While there is such an account the limit falls at half the signs of load, so that the others need not wait behind it. The same headroom serves urgent searches.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -71,10 +71,23 @@
 	// rise if all answers take longer. An overload of some seconds hardly moves it.
 	baseRise = 0.03
 
-	// maxLevels bounds the priorities that are told apart; accounts and routes have
-	// a handful.
+	// maxLevels bounds the ranks that are told apart: two for each priority, of which
+	// accounts and routes have a handful.
 	maxLevels = 16
 
+	// headroom is how far searches may exceed the limit while others of a higher rank
+	// come, as a factor. What they take beyond the limit goes off those, as the limit
+	// falls then, while without it a burst of them would be refused.
+	headroom = 3.0
+
+	// spared is by how much earlier the limit falls while accounts ask for more than
+	// their fair share, as a factor. At the highest load that upstreams take, the others
+	// would have to wait for them.
+	spared = 2.0
+
+	// rankTime is how long after its last search a rank counts as in use.
+	rankTime = time.Second
+
 	// maxWaiting bounds the searches that wait. More would not be reached in the time
 	// that they may wait.
 	maxWaiting = 64
@@ -145,31 +158,36 @@
 	Target time.Duration
 	// Usual is the time that the usual shard took, 0 if unknown.
 	Usual time.Duration
-	// Short is set if upstreams shed calls at more shards than an answer may miss.
-	Short bool
+	// Short is the number of shards at which upstreams shed calls, or none was expected
+	// to answer in time, as a multiple of what an answer may miss.
+	Short float64
 }
 
-// level is what concerns searches of one priority: the cost in progress of those that
-// are as urgent or more, and the time before which none is admitted. Less urgent ones
-// do not count, so that they cannot keep out more urgent ones; as these count for
-// them, they get what is left of the limit.
+// level is what concerns searches of one rank: the cost in progress of those of the
+// same or a lower rank, and the time before which none is admitted. Those of higher
+// ranks do not count, so that they cannot keep out others; they get what is left of
+// the limit.
 type level struct {
-	priority   int
+	rank       int
 	inProgress float64
 	nextStart  ident.Instant
+	// offeredAt is when a search of the rank last came, if offered is set.
+	offeredAt ident.Instant
+	offered   bool
 }
 
 // running is an admitted search.
 type running struct {
-	priority int
-	began    ident.Instant
-	cost     float64
-	left     float64
+	rank  int
+	began ident.Instant
+	cost  float64
+	left  float64
 }
 
 type waiting struct {
 	Search
 	arrived ident.Instant
+	rank    int
 }
 
 // Gate is the state of one host.
@@ -187,8 +205,11 @@
 	limit, peak, highest float64
 	// usual is the time that the usual shard takes, in nanoseconds.
 	usual float64
-	// levels are the priorities that were seen, most urgent first.
+	// levels are the ranks that were seen, in ascending order.
 	levels []level
+	shares *Shares
+	// changed is set if a waiting search may fit that did not before.
+	changed bool
 	// cutAt is when the limit was last lowered.
 	cutAt ident.Instant
 	// base is the latency of the usual shard of each route without load.
@@ -219,6 +240,7 @@
 		rand:    rand.New(rand.NewPCG(seed, 3)),
 		running: make(map[ident.QueryID]*running),
 		base:    make(map[string]*base),
+		shares:  NewShares(),
 		limit:   initialLimit,
 		highest: initialLimit,
 	}
@@ -239,13 +261,17 @@
 // Offer decides on a search that has arrived.
 func (g *Gate) Offer(now ident.Instant, s Search) Decision {
 	g.advance(now)
+	g.shares.Asked(now, s.Account, s.Cost)
 	w := waiting{
 		Search:  s,
 		arrived: now,
+		rank:    g.rank(s),
 	}
+	l := g.level(w.rank)
+	l.offered, l.offeredAt = true, now
 	first := !slices.ContainsFunc(g.queue, func(o waiting) bool { return !g.precedes(&w, &o) })
-	if first && g.fits(s) {
-		g.admit(s)
+	if first && g.fits(w.rank, s) {
+		g.admit(w.rank, s)
 		return Decision{
 			Query:   s.Query,
 			Verdict: Admitted,
@@ -255,36 +281,65 @@
 		return g.refuse(s)
 	}
 	g.queue = append(g.queue, w)
+	g.changed = true
 	return Decision{
 		Query:   s.Query,
 		Verdict: Waiting,
 	}
 }
 
+// rank returns the rank of a search: by priority, then those of accounts that have not
+// got their fair share.
+func (g *Gate) rank(s Search) int {
+	if g.now < g.scarceUntil && g.shares.Over(g.now, s.Account) {
+		return 2*s.Priority + 1
+	}
+	return 2 * s.Priority
+}
+
 // fits reports whether a search can be admitted beside those in progress.
-func (g *Gate) fits(s Search) bool {
+func (g *Gate) fits(rank int, s Search) bool {
 	g.unit = max(g.unit, s.Cost)
 	if s.Late && g.lateCredit <= 0 && g.now < g.scarceUntil {
 		return false
 	}
-	l := g.level(s.Priority)
-	return g.now >= l.nextStart && (l.inProgress <= 0 || l.inProgress+s.Cost <= g.limit*g.unit)
+	l := g.level(rank)
+	return g.now >= l.nextStart && (l.inProgress <= 0 || l.inProgress+s.Cost <= g.limitOf(l)*g.unit)
+}
+
+// limitOf returns the limit for searches of a level, with those of the levels before it.
+func (g *Gate) limitOf(l *level) float64 {
+	if last := &g.levels[len(g.levels)-1]; l != last && g.lastOffer(l.rank) {
+		return headroom * g.limit
+	}
+	return g.limit
+}
+
+// lastOffer reports whether searches of a higher rank have come of late.
+func (g *Gate) lastOffer(rank int) bool {
+	for i := range g.levels {
+		if l := &g.levels[i]; l.rank > rank && l.offered && g.now.Sub(l.offeredAt) < rankTime {
+			return true
+		}
+	}
+	return false
 }
 
-func (g *Gate) admit(s Search) {
+func (g *Gate) admit(rank int, s Search) {
+	g.shares.Got(g.now, s.Account, s.Cost)
 	g.running[s.Query] = &running{
-		priority: s.Priority,
-		began:    g.now,
-		cost:     s.Cost,
-		left:     s.Cost,
+		rank:  rank,
+		began: g.now,
+		cost:  s.Cost,
+		left:  s.Cost,
 	}
 	g.inProgress += s.Cost
 	g.peak = max(g.peak, g.inProgress/g.unit)
 	for i := range g.levels {
-		if l := &g.levels[i]; l.priority >= s.Priority {
+		if l := &g.levels[i]; l.rank >= rank {
 			l.inProgress += s.Cost
-			if g.limit < 1 {
-				l.nextStart = g.now.Add(time.Duration(g.usual * s.Cost / (g.unit * g.limit)))
+			if limit := g.limitOf(l); limit < 1 {
+				l.nextStart = g.now.Add(time.Duration(g.usual * s.Cost / (g.unit * limit)))
 			}
 		}
 	}
@@ -331,23 +386,23 @@
 }
 
 func (g *Gate) reduce(r *running, done float64) {
+	g.changed = true
 	r.left -= done
 	g.inProgress -= done
 	for i := range g.levels {
-		if l := &g.levels[i]; l.priority >= r.priority {
+		if l := &g.levels[i]; l.rank >= r.rank {
 			l.inProgress -= done
 		}
 	}
 }
 
-// level returns the level of a priority. Beyond maxLevels, the least urgent ones share
-// a level.
-func (g *Gate) level(priority int) *level {
-	i, found := slices.BinarySearchFunc(g.levels, priority, func(l level, p int) int { return l.priority - p })
+// level returns the level of a rank. Beyond maxLevels, the highest ones share a level.
+func (g *Gate) level(rank int) *level {
+	i, found := slices.BinarySearchFunc(g.levels, rank, func(l level, r int) int { return l.rank - r })
 	if found || len(g.levels) >= maxLevels && i == len(g.levels) {
 		return &g.levels[min(i, len(g.levels)-1)]
 	}
-	l := level{priority: priority}
+	l := level{rank: rank}
 	if i > 0 {
 		l.inProgress, l.nextStart = g.levels[i-1].inProgress, g.levels[i-1].nextStart
 	}
@@ -383,8 +438,11 @@
 	if s.Usual > 0 {
 		load = g.observeUsual(s)
 	}
+	if g.sparing() {
+		load, s.Short = load*spared, s.Short*spared
+	}
 	switch {
-	case s.Short:
+	case s.Short > 1:
 		g.cut(r, shedCut)
 	case load > 1:
 		g.cut(r, max(maxCut, 1/load))
@@ -418,6 +476,16 @@
 	return (usual - b.latency) / mayWait
 }
 
+// sparing reports whether accounts ask for more than their fair share.
+func (g *Gate) sparing() bool {
+	for i := range g.levels {
+		if l := &g.levels[i]; l.rank%2 == 1 && l.offered && g.now.Sub(l.offeredAt) < rankTime {
+			return true
+		}
+	}
+	return false
+}
+
 // cut lowers the limit, once for all searches that began before it was last lowered.
 func (g *Gate) cut(r *running, factor float64) {
 	if r.began < g.cutAt || g.now < g.cutAt.Add(time.Duration(g.usual)) {
@@ -449,15 +517,22 @@
 		return Decision{}, false
 	}
 	g.advance(now)
+	if next, _ := g.Next(); !g.changed && now < next {
+		return Decision{}, false
+	}
+	g.changed = false
 	best := 0
 	for i := range g.queue {
-		if g.precedes(&g.queue[i], &g.queue[best]) {
+		w := &g.queue[i]
+		if w.rank = g.rank(w.Search); g.precedes(w, &g.queue[best]) {
 			best = i
 		}
 	}
-	if s := g.queue[best].Search; g.fits(s) {
+	if w := g.queue[best]; g.fits(w.rank, w.Search) {
+		s := w.Search
 		g.queue = slices.Delete(g.queue, best, best+1)
-		g.admit(s)
+		g.admit(w.rank, s)
+		g.changed = true
 		return Decision{
 			Query:   s.Query,
 			Verdict: Admitted,
@@ -466,6 +541,7 @@
 	for i := range g.queue {
 		if s := g.queue[i].Search; now >= s.Until {
 			g.queue = slices.Delete(g.queue, i, i+1)
+			g.changed = true
 			return g.refuse(s), true
 		}
 	}
@@ -478,17 +554,18 @@
 		}
 		s := g.queue[last].Search
 		g.queue = slices.Delete(g.queue, last, last+1)
+		g.changed = true
 		return g.refuse(s), true
 	}
 	return Decision{}, false
 }
 
-// precedes orders waiting searches: by priority, then those that can be in time, then
-// those whose callers were refused before, then by arrival.
+// precedes orders waiting searches: by rank, then those that can be in time, then those
+// whose callers were refused before, then by arrival.
 func (g *Gate) precedes(a, b *waiting) bool {
 	switch {
-	case a.Priority != b.Priority:
-		return a.Priority < b.Priority
+	case a.rank != b.rank:
+		return a.rank < b.rank
 	case a.Late != b.Late:
 		return b.Late != (g.lateCredit > 0)
 	case a.Returned != b.Returned:
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -188,7 +188,7 @@
 			Route:  q.route.Name,
 			Target: q.route.Target,
 			Usual:  usual,
-			Short:  shed > len(q.parts)-q.route.MinParts(),
+			Short:  float64(shed) / max(0.5, float64(len(q.parts)-q.route.MinParts())),
 		})
 	}
 	e.gate.End(e.now, q.id)
