Share upstreams among accounts for requests to one of them

Cause: requests to one upstream do not pass the gate, as a host sees one in some seconds.

Change: each host learns per service, from calls that upstreams shed, which share of the requests to refuse of accounts beyond their fair share; such a request is not retried after a call was shed. Waiting requests of other accounts go first at equal priority. A request that cannot be answered by its deadline is refused when it would begin to wait. The delay that a caller is told follows from the rate of answers, up to half of the target, and is spread.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -92,15 +92,6 @@
 	// that they may wait.
 	maxWaiting = 64
 
-	// minAfter and maxAfter bound the time that refused callers are told to wait.
-	// Callers that wait longer would miss the targets of all routes.
-	minAfter = 50 * time.Millisecond
-	maxAfter = time.Second
-
-	// afterSpread is the part of that time that is random, so that callers that were
-	// refused together do not come back together.
-	afterSpread = 0.3
-
 	// lateShare is the part of the admitted work that is for late searches while others
 	// wait. If all callers that come back went first, then under overload these would
 	// soon be all that are served, and no answer would come in time.
@@ -109,9 +100,6 @@
 	// scarceTime is how long after a search that could be in time was refused others
 	// like it are expected to be refused.
 	scarceTime = 300 * time.Millisecond
-
-	// rateTime is the time over which the rate of admitted work is averaged.
-	rateTime = time.Second
 )
 
 // Search is a query over shards.
@@ -214,11 +202,8 @@
 	cutAt ident.Instant
 	// base is the latency of the usual shard of each route without load.
 	base map[string]*base
-	// rate is the admitted cost per second, nextSlot when the callers that were
-	// refused so far have come back and were served.
-	rate     float64
-	rateAt   ident.Instant
-	nextSlot ident.Instant
+	// schedule tells refused callers when to come back, within the share of late ones.
+	schedule *Schedule
 	// lateCredit is the cost of late searches that may go before others.
 	lateCredit float64
 	// scarceUntil is how long other searches are expected to need what late ones would
@@ -240,9 +225,11 @@
 		rand:    rand.New(rand.NewPCG(seed, 3)),
 		running: make(map[ident.QueryID]*running),
 		base:    make(map[string]*base),
-		shares:  NewShares(),
-		limit:   initialLimit,
-		highest: initialLimit,
+		shares:  NewShares(SearchTime),
+
+		schedule: NewSchedule(lateShare),
+		limit:    initialLimit,
+		highest:  initialLimit,
 	}
 }
 
@@ -343,38 +330,23 @@
 			}
 		}
 	}
-	g.countRate(s.Cost)
+	g.schedule.Served(g.now, s.Cost)
 	if g.lateCredit += lateShare * s.Cost; s.Late {
 		g.lateCredit -= s.Cost
 	}
 	g.lateCredit = max(-g.unit, min(g.lateCredit, g.unit))
 }
 
-// countRate adds to the average rate of admitted work.
-func (g *Gate) countRate(cost float64) {
-	g.rate *= math.Exp(-g.now.Sub(g.rateAt).Seconds() / rateTime.Seconds())
-	g.rateAt = g.now
-	g.rate += cost / rateTime.Seconds()
-}
-
 // refuse tells a caller to come back when those that were refused before it have
 // been served, at the present rate.
 func (g *Gate) refuse(s Search) Decision {
 	if !s.Late {
 		g.scarceUntil = g.now.Add(scarceTime)
 	}
-	g.countRate(0)
-	after := minAfter
-	if g.rate > 0 {
-		g.nextSlot = max(g.nextSlot, g.now).Add(time.Duration(s.Cost / (lateShare * g.rate) * float64(time.Second)))
-		g.nextSlot = min(g.nextSlot, g.now.Add(maxAfter))
-		after = max(after, g.nextSlot.Sub(g.now))
-	}
-	spread := 1 - afterSpread*g.rand.Float64()
 	return Decision{
 		Query:   s.Query,
 		Verdict: Refused,
-		After:   max(minAfter, time.Duration(spread*float64(after))),
+		After:   g.schedule.After(g.now, s.Cost, g.rand.Float64()),
 	}
 }
 
--- a/pkg/gate/share.go
+++ b/pkg/gate/share.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// shareTime is the time over which the use of an account counts. Callers of an
-	// ordinary account come to one host every few seconds to minutes; an account that
-	// sends much more is known after some requests.
-	shareTime = 2 * time.Second
+	// SearchTime and SingleTime are the times over which the use of an account counts,
+	// for searches at hosts that gather, which get some each second, and for requests to
+	// one upstream, of which a host gets one in some seconds.
+	SearchTime = 2 * time.Second
+	SingleTime = 10 * time.Second
 
 	// shareInterval is the time between two computations of the fair share, which take
 	// some microseconds for a hundred accounts.
@@ -31,6 +32,7 @@
 // bound, so that the sum is what can be had. What an account uses beyond that bound is
 // granted only if nobody else asks.
 type Shares struct {
+	memory   time.Duration
 	accounts map[ident.Account]*account
 	// bound is the fair share as of boundAt, infinite if all accounts get what they
 	// ask for.
@@ -41,23 +43,24 @@
 }
 
 // account holds what an account has asked for and what it got, in cost, decaying over
-// shareTime.
+// the time that counts.
 type account struct {
 	asked, got float64
 	at         ident.Instant
 }
 
-// NewShares returns Shares without any accounts.
-func NewShares() *Shares {
+// NewShares returns Shares without any accounts, in which use counts over a time.
+func NewShares(memory time.Duration) *Shares {
 	return &Shares{
+		memory:   memory,
 		accounts: make(map[ident.Account]*account),
 		bound:    math.Inf(1),
 	}
 }
 
-func (a *account) decay(now ident.Instant) {
+func (a *account) decay(now ident.Instant, memory time.Duration) {
 	if now > a.at {
-		keep := math.Exp(-float64(now.Sub(a.at)) / float64(shareTime))
+		keep := math.Exp(-float64(now.Sub(a.at)) / float64(memory))
 		a.asked *= keep
 		a.got *= keep
 		a.at = now
@@ -72,7 +75,7 @@
 		s.accounts[name] = a
 	}
 	if a != nil {
-		a.decay(now)
+		a.decay(now, s.memory)
 	}
 	return a
 }
@@ -105,7 +108,7 @@
 	if a == nil {
 		return false
 	}
-	a.decay(now)
+	a.decay(now, s.memory)
 	return a.got >= s.bound
 }
 
@@ -115,7 +118,7 @@
 	s.boundAt = now
 	asked, got := make([]float64, 0, len(s.accounts)), make([]float64, 0, len(s.accounts))
 	for name, a := range s.accounts {
-		a.decay(now)
+		a.decay(now, s.memory)
 		if a.asked < forgottenShare*s.usual {
 			delete(s.accounts, name)
 			continue
--- a/pkg/gate/share_test.go
+++ b/pkg/gate/share_test.go
@@ -26,7 +26,7 @@
 		{"a single account", []int{20}, 5, []bool{false}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := gate.NewShares()
+			s := gate.NewShares(gate.SearchTime)
 			names := []ident.Account{"a", "b", "c", "d"}
 			for step := range 100 {
 				now, left := at(100*step), c.capacity
@@ -62,7 +62,7 @@
 // them apart, and against results that depend on the order of a map.
 func TestSomeAccountIsWithinItsShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := gate.NewShares(), gate.NewShares()
+		a, b := gate.NewShares(gate.SearchTime), gate.NewShares(gate.SearchTime)
 		names := []ident.Account{"a", "b", "c", "d", "e"}
 		now := ident.Instant(0)
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -104,11 +104,11 @@
 	return n
 }
 
-// recordShed records that an upstream has shed a call for a part.
-func (p *part) recordShed(ev Ended) {
-	if ev.Result == Rejected && !ev.Moved && !ev.Leaving && ev.Pause <= 0 {
-		p.shed = true
-	}
+// recordShed reports and records whether an upstream has shed a call for a part.
+func (p *part) recordShed(ev Ended) bool {
+	shed := ev.Result == Rejected && !ev.Moved && !ev.Leaving && ev.Pause <= 0
+	p.shed = p.shed || shed
+	return shed
 }
 
 // usualTime returns the time that the usual part of a query took which was called by
--- /dev/null
+++ b/pkg/relay/admit_test.go
@@ -0,0 +1,211 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/relay"
+)
+
+// fillGate starts searches until one is not started, and returns their calls.
+func fillGate(h *harness, first ident.QueryID) (started [][]relay.Call, waiting ident.QueryID) {
+	for id := first; ; id++ {
+		list := calls(h.arrive(id, "/search/x"))
+		if len(list) == 0 {
+			return started, id
+		}
+		started = append(started, list)
+	}
+}
+
+// Guards against searches that begin while upstreams are full, and against one that
+// waits although another one has ended.
+func TestSearchWaitsAtTheGate(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 4)
+	started, waiting := fillGate(h, 1)
+	is.Equal(len(started), 3)
+	is.Equal(len(all[relay.Refuse](h.seen)), 0)
+	is.Equal(h.engine.Gate().Waiting, 1)
+	h.now += 5 * ms
+	var next []relay.Call
+	for _, c := range started[0] {
+		next = append(next, calls(h.step(relay.Ended{Attempt: c.Attempt, Result: relay.Good, Status: 200}))...)
+	}
+	is.Equal(len(next), 4)
+	is.Equal(next[0].Query, waiting)
+}
+
+// Guards against refusals that come late, as failures, or without a delay.
+func TestGateRefusesInTime(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 4)
+	_, waiting := fillGate(h, 1)
+	next, ok := h.engine.Next()
+	is.True(ok)
+	is.True(next <= h.now+25*ms) // a quarter of the target
+	var r relay.Refuse
+	for range 25 {
+		if f, ok := find[relay.Refuse](h.advance(time.Millisecond)); ok {
+			r = f
+		}
+	}
+	is.Equal(r.Query, waiting)
+	is.Equal(r.Status, relay.NotNow)
+	is.True(r.After >= 50*time.Millisecond)
+	is.True(len(calls(h.seen)) == 12) // three searches over four shards
+}
+
+// Guards against shards that another host delegates, whose search was already
+// admitted there, and against requests to one upstream that wait at the gate.
+func TestOnlyWholeSearchesPassTheGate(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 4)
+	fillGate(h, 1)
+	is.Equal(len(calls(h.step(relay.Arrive{
+		Query:  100,
+		Host:   "a.example",
+		Path:   "/search/x",
+		Limit:  time.Second,
+		Shards: []int{0, 1},
+		Target: 60 * time.Millisecond,
+	}))), 2)
+	is.Equal(len(calls(h.arrive(101, "/file/x"))), 1)
+}
+
+// Guards against a query that stays at the gate after its caller has left, and against
+// one that is started twice.
+func TestCallerLeavesTheGate(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 4)
+	started, waiting := fillGate(h, 1)
+	h.step(relay.Disconnected{Query: waiting})
+	is.Equal(h.engine.Gate().Waiting, 0)
+	for _, list := range started {
+		for _, c := range list {
+			is.Equal(len(calls(h.step(relay.Ended{Attempt: c.Attempt, Result: relay.Good, Status: 200}))), 0)
+		}
+	}
+	is.Equal(h.engine.Gate().Running, 0)
+}
+
+// Guards against searches of an urgent account that wait behind those of other
+// accounts on the same route.
+func TestPriorityOfTheAccountGoesFirst(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 4)
+	arrive := func(id ident.QueryID, priority int) []relay.Call {
+		return calls(h.step(relay.Arrive{
+			Query:       id,
+			Host:        "a.example",
+			Path:        "/search/x",
+			Limit:       time.Second,
+			Account:     "urgent",
+			Priority:    priority,
+			HasPriority: true,
+		}))
+	}
+	id := ident.QueryID(1)
+	for len(arrive(id, 3)) > 0 {
+		id++
+	}
+	is.Equal(len(arrive(100, 1)), 4)
+	is.Equal(len(arrive(101, 3)), 0)
+}
+
+// Guards against a query whose answer lacks a few shards that were skipped, and that
+// fails although their upstreams could still be called.
+func TestSkippedShardsAreCalledBeforeFailing(t *testing.T) {
+	is := is.New(t)
+	h := newHelperHarness(t)
+	list := delegates(h.arrive(1, "/search/x"))
+	is.Equal(len(list), 2)
+	n := len(list[0].Shards)
+	h.step(relay.DelegateEnded{Query: 1, Group: 0, Answered: list[0].Shards})
+	var tried []relay.Tried
+	for _, s := range list[1].Shards[:n-4] {
+		tried = append(tried, relay.Tried{Shard: s, Skipped: true})
+	}
+	effects := h.step(relay.DelegateEnded{Query: 1, Group: 1, Answered: list[1].Shards[n-4:], Tried: tried})
+	is.Equal(len(all[relay.Refuse](effects)), 0)
+	list2 := calls(h.advance(15 * time.Millisecond))
+	is.Equal(len(list2), n-4)
+	for _, c := range list2 {
+		h.step(relay.Ended{Attempt: c.Attempt, Result: relay.Good, Status: 200})
+	}
+	m, ok := find[relay.Merge](h.seen)
+	is.True(ok)
+	is.Equal(m.Missing, 0)
+}
+
+// Guards against requests to one upstream that wait for a connection in this host up
+// to their deadline although no answer can come by then.
+func TestRequestThatCannotStartIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1)
+	h.step(relay.Hosts{Count: 400, Gatherers: 1}) // one connection to each upstream
+	first := calls(h.arrive(1, "/file/x"))
+	is.Equal(len(first), 1)
+	h.now += 600 * ms
+	h.step(relay.Ended{Attempt: first[0].Attempt, Result: relay.Good, Status: 200})
+	h.arrive(2, "/file/x")
+	h.arrive(3, "/file/x")
+	_, ok := find[relay.Refuse](h.arrive(4, "/file/x"))
+	is.True(!ok) // expected to start after 300 ms and to take 600 ms
+	h.now += ms
+	r, ok := find[relay.Refuse](h.arrive(5, "/file/x"))
+	is.True(ok)
+	is.Equal(r.Query, ident.QueryID(5))
+	is.Equal(r.Status, relay.NotNow)
+	is.True(r.After >= 50*time.Millisecond)
+}
+
+// Guards against an account that keeps out the others where upstreams shed calls, and
+// against requests that are refused for it while there is enough for all.
+func TestLargeAccountIsRefusedWhereUpstreamsShed(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1)
+	id := ident.QueryID(0)
+	refused := func(account ident.Account, result relay.Result) bool {
+		id++
+		h.now += 5 * ms
+		effects := h.step(relay.Arrive{
+			Query:   id,
+			Host:    "a.example",
+			Path:    "/file/x",
+			Limit:   time.Second,
+			Account: account,
+		})
+		if _, ok := find[relay.Refuse](effects); ok {
+			return true
+		}
+		for _, c := range calls(effects) {
+			h.step(relay.Ended{Attempt: c.Attempt, Result: result, Status: 200})
+		}
+		h.step(relay.Disconnected{Query: id})
+		return false
+	}
+	count := map[ident.Account]int{}
+	for i := range 200 {
+		if refused("large", relay.Good) || i%10 == 0 && refused("small", relay.Good) {
+			t.Fatal("a request is refused while there is enough for all")
+		}
+	}
+	for i := range 400 {
+		result := relay.Rejected
+		if i%3 == 0 {
+			result = relay.Good
+		}
+		if refused("large", result) {
+			count["large"]++
+		}
+		if i%10 == 0 && refused("small", relay.Good) {
+			count["small"]++
+		}
+	}
+	is.True(count["large"] > 40)
+	is.Equal(count["small"], 0)
+}
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -79,8 +79,10 @@
 	departures *notice.Departures
 	pauses     *notice.Pauses
 
-	// gate decides when queries over shards begin.
-	gate *gate.Gate
+	// gate decides when queries over shards begin; loads are of requests to one
+	// upstream.
+	gate  *gate.Gate
+	loads map[ident.Service]*serviceLoad
 
 	// blame holds which requests crashed upstreams.
 	blame *blame.Table
@@ -118,6 +120,7 @@
 		departures:      notice.NewDepartures(),
 		pauses:          notice.NewPauses(cfg.Seed),
 		gate:            gate.New(cfg.Seed),
+		loads:           make(map[ident.Service]*serviceLoad),
 		blame:           blame.NewTable(),
 		overloadedUntil: make(map[ident.Service]ident.Instant),
 		queries:         make(map[ident.QueryID]*query),
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -90,8 +90,11 @@
 	group *group
 	// counted is set if the request is counted in the budget of the service.
 	counted bool
-	// shed is set if an upstream has shed a call, as it had too many.
-	shed bool
+	// shed is set if an upstream has shed a call, as it had too many, overfull if the
+	// part would have waited too long for a connection, which waitJudged records.
+	shed       bool
+	overfull   bool
+	waitJudged bool
 	// crashed is set if an upstream crashed under a call.
 	crashed bool
 	// exhausted is set while no further call can be made.
@@ -255,6 +258,9 @@
 // start sends a query to the upstreams of all its parts, or delegates them.
 func (e *Engine) start(q *query) {
 	q.startedAt = e.now
+	if !q.route.Gathers() && e.spare(q) {
+		return
+	}
 	if q.route.Gathers() {
 		e.delegateShards(q)
 		if !e.skipHopeless(q) {
@@ -318,6 +324,7 @@
 		return q
 	}
 	q.parts = []*part{{service: e.split(r, s)}}
+	e.loadOf(q.parts[0].service).shares.Asked(e.now, q.account, 1)
 	return q
 }
 
@@ -416,7 +423,7 @@
 		p.exhausted = true
 		return
 	}
-	if p.arrivals > 0 && e.window(p.service).Remaining(e.now, e.share(q)) < 1 {
+	if p.arrivals > 0 && (e.window(p.service).Remaining(e.now, e.share(q)) < 1 || p.shed && e.overShare(q)) {
 		p.exhausted = true
 		return
 	}
@@ -447,7 +454,7 @@
 		return
 	}
 	if u == nil {
-		p.exhausted = !busy
+		p.exhausted = !busy || e.overfull(q, p)
 		return
 	}
 	if p.arrivals > 0 && !e.window(p.service).Take(e.now, e.share(q)) {
@@ -509,13 +516,16 @@
 		if p.success == nil {
 			p.success = a
 			e.recordAnswered(q)
+			e.recordSingle(q, p, false)
 		}
 	case Bad:
 		p.arrivals, p.runs = p.arrivals+1, p.runs+1
 		p.failure = a
 	case Rejected:
 		p.arrivals++
-		p.recordShed(ev)
+		if p.recordShed(ev) {
+			e.recordSingle(q, p, true)
+		}
 	case Lost:
 		p.arrivals, p.runs = p.arrivals+1, p.runs+1
 	case Unsent:
@@ -559,6 +569,10 @@
 		return otherLate
 	case q.priority != o.priority:
 		return q.priority < o.priority
+	case q.account != o.account:
+		if over := e.overShare(q); over != e.overShare(o) {
+			return !over
+		}
 	}
 	return q.target < o.target
 }
