Refuse searches when too many shards are known to be unreachable

Shards that the answer may miss are called as before. While one search tries whether upstreams are back, others are refused. What this host has seen does not count for shards that a gatherer of another domain calls.

--- a/pkg/relay/admit_test.go
+++ b/pkg/relay/admit_test.go
@@ -209,3 +209,110 @@
 	is.True(count["large"] > 40)
 	is.Equal(count["small"], 0)
 }
+
+// Guards against searches that run at most shards although more shards than an answer
+// may miss have no upstream, and against refusals although the upstreams may be back.
+func TestSearchWithoutEnoughUpstreamsIsRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 4) // one shard may be missing
+	down := func(c relay.Call) bool { return c.Upstream.Service == "shard-0" || c.Upstream.Service == "shard-1" }
+	var run func(list []relay.Call)
+	run = func(list []relay.Call) {
+		for _, c := range list {
+			result := relay.Good
+			if down(c) {
+				result = relay.Unsent
+			}
+			run(calls(h.step(relay.Ended{Attempt: c.Attempt, Result: result})))
+		}
+	}
+	run(calls(h.arrive(1, "/search/x")))
+	for range 50 {
+		run(calls(h.advance(time.Millisecond)))
+	}
+	effects := h.arrive(2, "/search/x")
+	is.Equal(len(calls(effects)), 0)
+	r, ok := find[relay.Refuse](effects)
+	is.True(ok)
+	is.Equal(r.Status, relay.NotNow)
+	is.True(r.After > 500*time.Millisecond && r.After <= time.Second)
+	h.now = h.now.Add(r.After + 100*time.Millisecond)
+	is.Equal(len(calls(h.arrive(3, "/search/x"))), 4)
+	is.Equal(len(calls(h.arrive(4, "/search/x"))), 0) // the first one finds out
+}
+
+// Guards against shards without any listed upstream that are noticed only when the
+// calls for the others have run.
+func TestShardsThatAreNotListedCount(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 4)
+	var ups []relay.Upstream
+	for _, s := range []ident.Service{"shard-0", "shard-1"} {
+		ups = append(ups, relay.Upstream{
+			ID:      ident.Upstream(s),
+			Service: s,
+			Address: "x:1",
+			Domain:  "a",
+			Slots:   2,
+		})
+	}
+	h.step(relay.Listed{Upstreams: ups})
+	effects := h.arrive(1, "/search/x")
+	is.Equal(len(calls(effects)), 0)
+	r, ok := find[relay.Refuse](effects)
+	is.True(ok)
+	is.Equal(r.Status, relay.NotNow)
+}
+
+// Guards against a gatherer that goes on delegating a search whose shards are
+// unreachable, as its helpers have said.
+func TestUnreachableShardsOfHelpersAreKnown(t *testing.T) {
+	is := is.New(t)
+	h := newHelperHarness(t)
+	list := delegates(h.arrive(1, "/search/x"))
+	is.Equal(len(list), 2)
+	for _, del := range list {
+		var tried []relay.Tried
+		for _, s := range del.Shards {
+			tried = append(tried, relay.Tried{Shard: s, Skipped: true, Pause: 800 * time.Millisecond})
+		}
+		h.step(relay.DelegateEnded{Query: 1, Group: del.Group, Tried: tried})
+	}
+	h.now += 100 * ms
+	effects := h.arrive(2, "/search/x")
+	is.Equal(len(delegates(effects)), 0)
+	r, ok := find[relay.Refuse](effects)
+	is.True(ok)
+	is.Equal(r.After, 700*time.Millisecond)
+	h.now += 800 * ms
+	is.Equal(len(delegates(h.arrive(3, "/search/x"))), 2)
+}
+
+// Guards against a helper that calls upstreams once more for each search although all
+// of a shard have refused its connections.
+func TestHelperReportsUnreachableShards(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 4)
+	arrive := func(id ident.QueryID) []relay.Effect {
+		return h.step(relay.Arrive{
+			Query:  id,
+			Host:   "a.example",
+			Path:   "/search/x",
+			Limit:  time.Second,
+			Shards: []int{0},
+			Target: 60 * time.Millisecond,
+			Direct: true,
+		})
+	}
+	for list := calls(arrive(1)); len(list) > 0; {
+		list = calls(h.step(relay.Ended{Attempt: list[0].Attempt, Result: relay.Unsent}))
+	}
+	h.now += 60 * ms
+	h.step(relay.Tick{})
+	effects := arrive(2)
+	is.Equal(len(calls(effects)), 0)
+	r, ok := find[relay.Refuse](effects)
+	is.True(ok)
+	is.Equal(len(r.Tried), 1)
+	is.True(r.Tried[0].Skipped && r.Tried[0].Pause > 500*time.Millisecond)
+}
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -70,6 +70,9 @@
 	// overloadedUntil is, for each shard that another host skipped, the time
 	// until which it counts as overloaded.
 	overloadedUntil map[ident.Service]ident.Instant
+	// closedUntil is, for each shard whose upstreams want no calls from another host or
+	// are unreachable there, the time that it said.
+	closedUntil map[ident.Service]ident.Instant
 
 	// quota is this host's share of the limits that upstreams name.
 	quota *quota.Share
@@ -123,6 +126,7 @@
 		loads:           make(map[ident.Service]*serviceLoad),
 		blame:           blame.NewTable(),
 		overloadedUntil: make(map[ident.Service]ident.Instant),
+		closedUntil:     make(map[ident.Service]ident.Instant),
 		queries:         make(map[ident.QueryID]*query),
 		partial:         make(map[ident.RequestID][]*query),
 		attempts:        make(map[ident.AttemptID]*attempt),
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -169,7 +169,7 @@
 	// Crashed is set if an upstream crashed under one of the calls.
 	Crashed bool
 	// Pause is how long the upstreams of a skipped shard want no calls from the
-	// host; 0 if they were skipped for another reason.
+	// host, or count as unreachable there; 0 if they were skipped for another reason.
 	Pause time.Duration
 	// Pending is set if calls are still in flight, whose answers can be asked for.
 	Pending bool
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -184,6 +184,7 @@
 			q.mayHaveRun = true
 			e.exonerate(q)
 			delete(e.overloadedUntil, p.service)
+			delete(e.closedUntil, p.service)
 			continue
 		}
 		e.reclaim(q, p, ev)
@@ -208,6 +209,9 @@
 		if t.Shard == p.shard && t.Skipped {
 			p.skipped = true
 			e.overloadedUntil[p.service] = e.after(max(overloadTime, min(t.Pause, maxPauseTold)))
+			if t.Pause > 0 {
+				e.closedUntil[p.service] = e.overloadedUntil[p.service]
+			}
 			return
 		}
 		if t.Shard == p.shard {
@@ -251,6 +255,7 @@
 		if p.skipped && p.paused {
 			t.Pause, _ = e.pause(p.service)
 		}
+		t.Pause = max(t.Pause, p.downFor)
 		if p.delegated() {
 			// The calls of the other host are unknown: assume the maximum.
 			t.Arrivals, t.Runs = maxArrivals, q.route.Attempts
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -23,6 +23,8 @@
 	updatedAt ident.Instant
 	coldUntil ident.Instant
 	downUntil ident.Instant
+	// refused is set if the last call could not be sent.
+	refused bool
 	// excludedUntil is when the upstream may be chosen again.
 	excludedUntil ident.Instant
 	// drainingSince is when the list began to show the upstream as draining.
@@ -224,6 +226,7 @@
 	took := e.now.Sub(a.sentAt)
 	e.decay(u)
 	u.updatedAt = e.now
+	u.refused = ev.Result == Unsent
 	failed := 1.0
 	switch ev.Result {
 	case Good:
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -101,6 +101,8 @@
 	exhausted bool
 	// skipped is set if no upstream is expected to answer in time.
 	skipped bool
+	// downFor is how long the upstreams of a skipped part count as unreachable.
+	downFor time.Duration
 	// paused is set if the part was skipped or given up because its upstreams want
 	// no calls for a while.
 	paused bool
--- a/pkg/relay/rest.go
+++ b/pkg/relay/rest.go
@@ -70,7 +70,7 @@
 }
 
 func (e *Engine) revivable(q *query, p *part) bool {
-	if p.answered() || !p.exhausted || p.paused || p.limited || p.pendingAt != nil || p.arrivals >= maxArrivals || p.runs >= max(1, q.route.Attempts) {
+	if p.answered() || !p.exhausted || p.paused || p.limited || e.now < e.closedUntil[p.service] || p.pendingAt != nil || p.arrivals >= maxArrivals || p.runs >= max(1, q.route.Attempts) {
 		return false
 	}
 	return slices.ContainsFunc(e.services[p.service], func(u *upstream) bool { return e.callable(u) && e.now >= u.downUntil })
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -17,7 +17,7 @@
 	if remaining > 0 {
 		e.countWaiting(q)
 	}
-	var waits []time.Duration
+	var waits, down []time.Duration
 	probed := 0
 	for _, p := range q.parts {
 		if p.answered() {
@@ -29,18 +29,35 @@
 				p.paused, wait = true, max(wait, left)
 			}
 		}
-		if p.skipped = p.paused || remaining > 0 && e.overloaded(q, p, remaining); p.skipped {
+		if left, known := e.knownDown(p); known && q.sub {
+			p.skipped, p.downFor = true, left
+			continue
+		} else if known {
+			// Called all the same if the answer may miss it: it may be back.
+			down = append(down, max(retryAfter, left))
+			continue
+		}
+		closed := p.group != nil && e.now < e.closedUntil[p.service]
+		if closed {
+			wait = max(wait, e.closedUntil[p.service].Sub(e.now))
+		}
+		if p.skipped = p.paused || closed || remaining > 0 && e.overloaded(q, p, remaining); p.skipped {
 			waits = append(waits, wait)
 		} else if p.group == nil && e.probed(p.service) {
 			probed++
 		}
 	}
-	if most := len(q.parts) - q.route.MinParts(); !q.sub && len(waits)+probed > most {
+	if most := len(q.parts) - q.route.MinParts(); !q.sub && len(waits)+probed+len(down) > most {
+		reason := "too many shards are overloaded or want no calls"
+		if len(down) > 0 {
+			reason = "too many shards have no upstream that can be called, are overloaded or want no calls"
+		}
 		waits = append(waits, slices.Repeat([]time.Duration{retryAfter}, probed)...)
+		waits = append(waits, down...)
 		slices.Sort(waits)
 		e.refuseEarly(q, Refuse{
 			After:  waits[len(waits)-most-1],
-			Reason: "too many shards are overloaded or want no calls",
+			Reason: reason,
 		})
 		return false
 	}
@@ -48,6 +65,33 @@
 	return true
 }
 
+// knownDown reports whether no upstream of a part can answer: none may be called, or
+// all of them have refused a connection of this host of late; left is when the first
+// of these is tried again. What this host has seen counts only for parts that it calls itself: those that other hosts call may
+// be reachable from there, and these report what they have seen.
+func (e *Engine) knownDown(p *part) (left time.Duration, known bool) {
+	if p.group != nil && p.group.helper == "" {
+		return 0, false
+	}
+	tried, due := false, false
+	for _, u := range e.services[p.service] {
+		wait := u.downUntil.Sub(e.now)
+		switch {
+		case !e.callable(u):
+		case !u.refused || p.group != nil:
+			return 0, false
+		case wait <= 0:
+			due, tried = true, tried || len(u.inFlight) > 0
+		case left == 0 || wait < left:
+			left = wait
+		}
+	}
+	if due {
+		return retryAfter, tried // another query tries whether they are back
+	}
+	return left, true
+}
+
 // dropSkipped removes the skipped shards from the delegated groups.
 func (q *query) dropSkipped() {
 	for _, p := range q.parts {
