Report the limit of searches and the causes of refusals

Cause: nothing showed whether a host refuses for lack of capacity, and a refusal by the gate cost the work of preparing all parts and its detail.

Change: metrics tier_gate_limit, tier_gate_running, tier_gate_waiting and tier_refusals by cause; log lines when the limit of searches falls below half of its highest value of late and when it has recovered, at most one a second. Parts are made when a search starts, and a refusal by the gate has no detail.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,6 +26,7 @@
 	"github.com/jujubethread/jujubethread/internal/watch"
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/budget"
+	"github.com/jujubethread/jujubethread/pkg/gate"
 	"github.com/jujubethread/jujubethread/pkg/gossip"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/quota"
@@ -123,6 +124,11 @@
 	// The values of the gauges; listReadAt, and confirmedAt of the configuration,
 	// are in Unix nanoseconds.
 	requestsRunning, upstreams, hosts, limited, suspects, leaving, paused, listReadAt, confirmedAt atomic.Int64
+	// gate is the state of the engine's gate; gateLow and gateLoggedAt are what was last
+	// logged of it, and when. Only the loop uses these.
+	gate         atomic.Pointer[gate.Status]
+	gateLow      bool
+	gateLoggedAt ident.Instant
 	// lastUnreadyReason is the reason at the last readiness check, empty if ready.
 	lastUnreadyReason atomic.Pointer[string]
 	// isolated is set while no other domain is reachable, localCoverage while
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -246,6 +246,7 @@
 			f.endQuery(e.Query, e)
 		}
 	}
+	f.watchGate()
 }
 
 func (f *Front) startCall(e relay.Call) {
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -57,6 +57,7 @@
 			relay.TimedOut:  gauge.TimedOut,
 		}[e.Status]
 		f.gauge.Request(outcome, took)
+		f.gauge.Refused(string(e.Cause))
 		f.log.Info("query ends", "Request", string(q.id), "Outcome", outcome, "Reason", e.Reason, "Sub", q.shardSubset,
 			"TookMicros", took.Microseconds(), "Calls", calls, "Groups", groups, "Detail", e.Detail)
 	case relay.Call, relay.Stop, relay.Delegate, relay.Keep, relay.Drop, relay.Eject, relay.Report, relay.Limit, relay.Departure, relay.Pause, relay.Withheld, relay.Broadcast, relay.Suspicion:
@@ -88,6 +89,29 @@
 	f.log.Info("upstream asks for a pause", "Upstream", string(e.Upstream), "Service", string(e.Service), "ForMillis", e.For.Milliseconds())
 }
 
+// gateLogInterval is the shortest time between two lines about the gate: its limit may
+// swing for as long as there is overload.
+const gateLogInterval = time.Second
+
+// watchGate stores the state of the gate for the gauges, and logs when its limit has
+// fallen far and when it has recovered.
+func (f *Front) watchGate() {
+	s := f.engine.Gate()
+	if old := f.gate.Load(); old == nil || old.Limit != s.Limit || old.Running != s.Running || old.Waiting != s.Waiting {
+		f.gate.Store(&s)
+	}
+	now := f.now()
+	if s.Low == f.gateLow || f.gateLoggedAt != 0 && now.Sub(f.gateLoggedAt) < gateLogInterval {
+		return
+	}
+	f.gateLow, f.gateLoggedAt = s.Low, now
+	message := "limit of searches has recovered"
+	if s.Low {
+		message = "limit of searches is low"
+	}
+	f.log.Info(message, "Limit", s.Limit, "Highest", s.Highest, "Running", s.Running, "Waiting", s.Waiting)
+}
+
 // serveMetrics serves the metrics and updates the gauges until ctx ends. If the
 // port is in use, the host runs without metrics.
 func (f *Front) serveMetrics(ctx context.Context) error {
@@ -135,6 +159,11 @@
 		f.gauge.Suspects.Update(float64(f.suspects.Load()))
 		f.gauge.Leaving.Update(float64(f.leaving.Load()))
 		f.gauge.Paused.Update(float64(f.paused.Load()))
+		if s := f.gate.Load(); s != nil {
+			f.gauge.GateLimit.Update(s.Limit)
+			f.gauge.GateRunning.Update(float64(s.Running))
+			f.gauge.GateWaiting.Update(float64(s.Waiting))
+		}
 		f.gauge.Hosts.Update(float64(f.hosts.Load()))
 		f.gauge.VersionAge.Update(time.Since(time.Unix(0, f.confirmedAt.Load())).Seconds())
 		f.gauge.ListAge.Update(time.Since(time.Unix(0, f.listReadAt.Load())).Seconds())
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -20,6 +20,11 @@
 //	|                   |           |             | limits of all upstreams were used up          |
 //	| crashers          | counter   |             | requests that this host began to refuse,      |
 //	|                   |           |             | since they crash upstreams                    |
+//	| refusals          | counter   | cause       | requests refused as not run, by Cause of      |
+//	|                   |           |             | pkg/relay: Gate, Shards, Share, Full, Limits  |
+//	| gate_limit        | gauge     |             | searches that may be in progress here         |
+//	| gate_running      | gauge     |             | searches in progress that the gate admitted   |
+//	| gate_waiting      | gauge     |             | searches that wait for the gate               |
 //	| suspects          | gauge     |             | requests under which an upstream crashed      |
 //	| limited_upstreams | gauge     |             | upstreams that name a limit for all hosts     |
 //	| leaving_upstreams | gauge     |             | upstreams that have said that they leave      |
@@ -70,6 +75,9 @@
 
 var outcomes = []Outcome{Merged, Partial, Passed, NoRoute, NotNow, Failed, TimedOut, Left}
 
+// causes are the values of the label cause: the names of relay.Cause.
+var causes = []string{"Gate", "Shards", "Share", "Full", "Limits"}
+
 // Results of delegating to another host: the values of the label result.
 const (
 	Answered = "Answered"
@@ -87,6 +95,7 @@
 	calls          map[string]tally.Counter
 	callSeconds    tally.Histogram
 	delegated      map[string]tally.Counter
+	refusals       map[string]tally.Counter
 
 	// Ejected, Withheld, Crashers and Pauses are incremented; the others are set to
 	// the current value.
@@ -95,6 +104,9 @@
 	Pauses      tally.Counter
 	Leaving     tally.Gauge
 	Paused      tally.Gauge
+	GateLimit   tally.Gauge
+	GateRunning tally.Gauge
+	GateWaiting tally.Gauge
 	Limited     tally.Gauge
 	Crashers    tally.Counter
 	Suspects    tally.Gauge
@@ -128,12 +140,16 @@
 		calls:          make(map[string]tally.Counter),
 		callSeconds:    scope.Histogram("call_seconds", buckets),
 		delegated:      make(map[string]tally.Counter),
+		refusals:       make(map[string]tally.Counter),
 		Ejected:        scope.Counter("shunned"),
 		Withheld:       scope.Counter("calls_withheld"),
 		Crashers:       scope.Counter("crashers"),
 		Pauses:         scope.Counter("pauses"),
 		Leaving:        scope.Gauge("leaving_upstreams"),
 		Paused:         scope.Gauge("paused_upstreams"),
+		GateLimit:      scope.Gauge("gate_limit"),
+		GateRunning:    scope.Gauge("gate_running"),
+		GateWaiting:    scope.Gauge("gate_waiting"),
 		Suspects:       scope.Gauge("suspects"),
 		Limited:        scope.Gauge("limited_upstreams"),
 		Connections:    scope.Gauge("connections"),
@@ -151,6 +167,9 @@
 		g.requests[o] = tagged.Counter("requests")
 		g.requestSeconds[o] = tagged.Histogram("request_seconds", buckets)
 	}
+	for _, c := range causes {
+		g.refusals[c] = scope.Tagged(map[string]string{"cause": c}).Counter("refusals")
+	}
 	for _, r := range results {
 		g.calls[r] = scope.Tagged(map[string]string{"result": r}).Counter("calls")
 	}
@@ -166,6 +185,13 @@
 	g.requestSeconds[o].RecordDuration(took)
 }
 
+// Refused counts a request that was refused as not run, for one of the causes.
+func (g *Gauge) Refused(cause string) {
+	if c, ok := g.refusals[cause]; ok {
+		c.Inc(1)
+	}
+}
+
 // Call counts a call to an upstream. Its duration is recorded if it was
 // answered.
 func (g *Gauge) Call(result string, answered bool, took time.Duration) {
--- a/internal/gauge/gauge_test.go
+++ b/internal/gauge/gauge_test.go
@@ -19,6 +19,11 @@
 	g.Request(gauge.Partial, time.Millisecond)
 	g.Call("Good", true, time.Millisecond)
 	g.Delegated(gauge.Lost)
+	g.Refused("Gate")
+	g.Refused("") // of another cause
+	g.GateLimit.Update(2.5)
+	g.GateRunning.Update(2)
+	g.GateWaiting.Update(1)
 	g.Ejected.Inc(1)
 	g.Connections.Update(3)
 	g.Running.Update(1)
@@ -35,6 +40,7 @@
 		`tier_requests{outcome="Partial"} 1`, "tier_request_seconds_bucket", `tier_calls{result="Good"} 1`, "tier_call_seconds_bucket",
 		`tier_handed{result="Lost"} 1`, "tier_shunned 1", "tier_connections 3", "tier_requests_running 1", "tier_document_version 7",
 		"tier_list_age_seconds 0.5", "tier_upstreams 4", "tier_hosts 12", "tier_ready 1", "tier_log_lines_dropped 0",
+		`tier_refusals{cause="Gate"} 1`, "tier_gate_limit 2.5", "tier_gate_running 2", "tier_gate_waiting 1",
 	} {
 		if !strings.Contains(w.Body.String(), name) {
 			t.Errorf("metric %s is not served", name)
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -64,6 +64,10 @@
 	// usual shard takes.
 	usualWeight = 0.1
 
+	// recoveredShare is the part of its earlier value at which a low limit counts as
+	// recovered; initialLimit is enough, as an unused limit does not grow beyond.
+	recoveredShare = 0.75
+
 	// routeTime is how long after its last search a route counts as in use.
 	routeTime = 2 * time.Second
 
@@ -198,6 +202,9 @@
 	shares *Shares
 	// changed is set if a waiting search may fit that did not before.
 	changed bool
+	// low is set while the limit is far below lowFrom.
+	low     bool
+	lowFrom float64
 	// cutAt is when the limit was last lowered.
 	cutAt ident.Instant
 	// base is the latency of the usual shard of each route without load.
@@ -406,6 +413,7 @@
 	if r == nil {
 		return
 	}
+	defer g.noteLow()
 	load := 0.0
 	if s.Usual > 0 {
 		load = g.observeUsual(s)
@@ -546,8 +554,21 @@
 	return a.arrived < b.arrived
 }
 
+// noteLow records whether the limit has fallen far, and whether it has recovered.
+func (g *Gate) noteLow() {
+	switch {
+	case !g.low && g.limit < g.highest/2:
+		g.low, g.lowFrom = true, g.highest
+	case g.low && g.limit >= min(recoveredShare*g.lowFrom, initialLimit):
+		g.low, g.highest = false, g.limit
+	}
+}
+
 // Status is the state of a Gate for logs and metrics.
 type Status struct {
+	// Low is set once the limit has fallen below half of its highest value of late,
+	// until it has recovered.
+	Low bool
 	// Limit is in searches of the largest cost, Highest its largest value of late.
 	Limit, Highest float64
 	// Running is the number of searches in progress, Waiting of those that wait.
@@ -557,6 +578,7 @@
 // Status returns the present state.
 func (g *Gate) Status() Status {
 	return Status{
+		Low:     g.low,
 		Limit:   g.limit,
 		Highest: g.highest,
 		Running: len(g.running),
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -266,3 +266,29 @@
 		}
 	})
 }
+
+// Guards against a fall of the limit that is not reported, that is reported as long as
+// there is no load, or that is reported again and again.
+func TestFallOfTheLimitIsReported(t *testing.T) {
+	is := is.New(t)
+	g := gate.New(1)
+	id, now := ident.QueryID(1), ident.Instant(0)
+	play := func(usual time.Duration) (changes int) {
+		low := g.Status().Low
+		for range 60 {
+			now = now.Add(100 * time.Millisecond)
+			n := fill(g, now, id, 0)
+			end(g, now.Add(usual), id, n, sample(usual))
+			id += 100
+			if l := g.Status().Low; l != low {
+				low, changes = l, changes+1
+			}
+		}
+		return changes
+	}
+	is.Equal(play(8*time.Millisecond), 0)
+	is.Equal(play(90*time.Millisecond), 1)
+	is.True(g.Status().Low)
+	is.Equal(play(8*time.Millisecond), 1)
+	is.True(!g.Status().Low)
+}
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -36,7 +36,7 @@
 		Query:    q.id,
 		Priority: q.priority,
 		Account:  q.account,
-		Cost:     q.stats.typical * float64(len(q.parts)),
+		Cost:     q.stats.typical * float64(len(q.route.Shards)),
 		Returned: q.returned,
 		Late:     q.target.Sub(e.now) < time.Duration(minRemainingShare*float64(q.route.Target)),
 		Until:    q.refuseBy,
@@ -74,11 +74,17 @@
 	}
 }
 
+// refuseAtGate refuses a query that the gate does not admit. Under overload these are
+// most of all queries: the effect has no detail, which would say nothing more.
 func (e *Engine) refuseAtGate(q *query, after time.Duration) {
-	e.refuseEarly(q, Refuse{
+	e.emit(Refuse{
+		Query:  q.id,
+		Status: NotNow,
 		After:  after,
 		Reason: gateReason,
+		Cause:  CauseGate,
 	})
+	e.end(q)
 }
 
 // recordAnswered records that a part of a query over shards was answered by a call of
--- a/pkg/relay/admit_test.go
+++ b/pkg/relay/admit_test.go
@@ -55,6 +55,7 @@
 	}
 	is.Equal(r.Query, waiting)
 	is.Equal(r.Status, relay.NotNow)
+	is.Equal(r.Cause, relay.CauseGate)
 	is.True(r.After >= 50*time.Millisecond)
 	is.True(len(calls(h.seen)) == 12) // three searches over four shards
 }
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -404,6 +404,8 @@
 	// that guarantee that the request has not run.
 	After  time.Duration
 	Reason string
+	// Cause classifies the reason for metrics; empty for other reasons.
+	Cause Cause
 	// Stopping is set if the query has not run only since this host stops, so that
 	// another host may serve it.
 	Stopping bool
@@ -416,6 +418,26 @@
 	Detail *Detail
 }
 
+// Cause is why a query was refused that has not run.
+type Cause string
+
+// The causes.
+const (
+	// CauseGate is set if the gate did not admit a search, CauseShards if too many of
+	// its shards were overloaded, paused or unreachable.
+	CauseGate   Cause = "Gate"
+	CauseShards Cause = "Shards"
+	// CauseShare is set if the account has got its share of a service, CauseFull if the
+	// upstreams of a service were full.
+	CauseShare Cause = "Share"
+	CauseFull  Cause = "Full"
+	// CauseLimits is set if the limits of upstreams are used up.
+	CauseLimits Cause = "Limits"
+)
+
+// Causes lists all causes.
+func Causes() []Cause { return []Cause{CauseGate, CauseShards, CauseShare, CauseFull, CauseLimits} }
+
 // Refusal is the kind of answer to a query that was not served.
 type Refusal uint8
 
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -79,14 +79,14 @@
 	case tooLate:
 		r.After, r.Reason, r.Stopping = stopRetry, stopReason, true
 	case limited != nil:
-		r.After = e.limitWait(limited)
+		r.After, r.Cause = e.limitWait(limited), CauseLimits
 		r.Reason = fmt.Sprintf("the limits of the upstreams of %s are used up", limited.service)
 	case paused != nil:
 		wait, _ := e.pause(paused.service)
 		r.After = max(wait, retryAfter)
 		r.Reason = fmt.Sprintf("the upstreams of %s want no calls for a while", paused.service)
 	case !q.route.Gathers() && (q.parts[0].shed || q.parts[0].overfull):
-		r.After = e.comeBack(q, q.parts[0])
+		r.After, r.Cause = e.comeBack(q, q.parts[0]), CauseFull
 		r.Reason = fmt.Sprintf("the upstreams of %s are full", q.parts[0].service)
 	case len(without) > 0:
 		r.Reason = fmt.Sprintf("no upstream of %s may be called, nor of %d other services", without[0], len(without)-1)
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -222,6 +222,7 @@
 	case blame.Clean:
 	case blame.Suspect:
 		q.suspect, q.trial = !ev.Cleared, !ev.Cleared
+		q.addAllParts()
 	case blame.Refused:
 		e.emit(refuseCrasher(q))
 		return
@@ -260,6 +261,7 @@
 // start sends a query to the upstreams of all its parts, or delegates them.
 func (e *Engine) start(q *query) {
 	q.startedAt = e.now
+	q.addAllParts()
 	if !q.route.Gathers() && e.spare(q) {
 		return
 	}
@@ -338,16 +340,24 @@
 	return min(ev.Began, e.now)
 }
 
-// addParts adds a part for each shard, or for each shard that another host
-// requests.
+// addAllParts adds a part for each shard of the route, unless that was done. A query
+// that is refused before it starts needs none.
+func (q *query) addAllParts() {
+	if q.parts != nil || !q.route.Gathers() {
+		return
+	}
+	parts := make([]part, len(q.route.Shards))
+	q.parts = make([]*part, len(parts))
+	for i, shard := range q.route.Shards {
+		parts[i].service, parts[i].shard = shard, i
+		q.parts[i] = &parts[i]
+	}
+}
+
+// addParts adds a part for each shard that another host requests. Those of a whole
+// query are added when it starts.
 func (e *Engine) addParts(q *query, ev Arrive) {
 	if ev.Shards == nil {
-		for i, shard := range q.route.Shards {
-			q.parts = append(q.parts, &part{
-				service: shard,
-				shard:   i,
-			})
-		}
 		return
 	}
 	q.sub = true
--- a/pkg/relay/single.go
+++ b/pkg/relay/single.go
@@ -86,6 +86,7 @@
 	e.refuseEarly(q, Refuse{
 		After:  e.comeBack(q, q.parts[0]),
 		Reason: "the account has its share of what the upstreams take",
+		Cause:  CauseShare,
 	})
 	return true
 }
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -58,6 +58,7 @@
 		e.refuseEarly(q, Refuse{
 			After:  waits[len(waits)-most-1],
 			Reason: reason,
+			Cause:  CauseShards,
 		})
 		return false
 	}
@@ -133,6 +134,7 @@
 	e.refuseEarly(q, Refuse{
 		After:  wait,
 		Reason: "the limits of too many shards are used up",
+		Cause:  CauseLimits,
 	})
 	return false
 }
