--- a/pkg/gate/share.go
+++ b/pkg/gate/share.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	// SearchTime and SingleTime are the times over which the use of an account counts,
-	// for searches at hosts that gather, which get some each second, and for requests to
-	// one upstream, of which a host gets one in some seconds.
+	// SearchTime is the time over which the use of an account counts for searches, of
+	// which a host that gathers gets some each second.
 	SearchTime = 2 * time.Second
+
+	// SingleTime is the same for requests to one upstream, of which a host gets one in
+	// some seconds.
 	SingleTime = 10 * time.Second
 
 	// shareInterval is the time between two computations of the fair share, which take
