Check the gate with hosts that handle answers late

Cause: hosts with a part of a processor handle answers some milliseconds late, which must not look like a lack of upstreams.

Ranks of negative priorities count as odd where they are.

--- a/internal/swarm/delegate.go
+++ b/internal/swarm/delegate.go
@@ -133,11 +133,13 @@
 	}
 	delete(h.subs, id)
 	h.swarm.after(hop, func() {
-		if q.from.life != q.life {
-			return
-		}
-		ev.Now, ev.Query, ev.Group = h.swarm.now, q.query, q.group
-		q.from.step(ev)
+		h.swarm.atHost(func() {
+			if q.from.life != q.life {
+				return
+			}
+			ev.Now, ev.Query, ev.Group = h.swarm.now, q.query, q.group
+			q.from.step(ev)
+		})
 	})
 	return true
 }
--- a/internal/swarm/load.go
+++ b/internal/swarm/load.go
@@ -317,3 +317,12 @@
 	}
 	return pauseTime - since
 }
+
+// atHost runs what a host does with an answer, after HostDelay.
+func (s *Swarm) atHost(run func()) {
+	if s.setup.HostDelay == 0 {
+		run()
+		return
+	}
+	s.after(time.Duration(s.rng.ExpFloat64()*float64(s.setup.HostDelay)), run)
+}
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -74,6 +74,9 @@
 	// Helpers is the number of helpers of each gatherer, 0 if no host delegates
 	// queries. Hosts counts both. The first ones gather.
 	Helpers int
+	// HostDelay is the mean time after which a host handles an answer, exponentially
+	// distributed: hosts have a part of a processor.
+	HostDelay time.Duration
 	// Flows are callers that come in addition to PerSecond.
 	Flows []Flow
 	// Deaf hosts do not see limits and hear nothing of other hosts, which breaks
@@ -474,10 +477,12 @@
 	}
 	s.after(hop, func() {
 		s.upstreams[c.Upstream.ID].serve(h, print, work, func(ev relay.Ended) {
-			if life == h.life {
-				ev.Now, ev.Attempt = s.now, c.Attempt
-				h.step(ev)
-			}
+			s.atHost(func() {
+				if life == h.life {
+					ev.Now, ev.Attempt = s.now, c.Attempt
+					h.step(ev)
+				}
+			})
 		})
 	})
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -459,7 +459,7 @@
 // sparing reports whether accounts ask for more than their fair share.
 func (g *Gate) sparing() bool {
 	for i := range g.levels {
-		if l := &g.levels[i]; l.rank%2 == 1 && l.offered && g.now.Sub(l.offeredAt) < rankTime {
+		if l := &g.levels[i]; l.rank&1 == 1 && l.offered && g.now.Sub(l.offeredAt) < rankTime {
 			return true
 		}
 	}
