Log the two states of the gate by literal messages

Cause: TestOperationsPageListsEachMessage finds messages in the source, and reported that no daemon logs those of the gate, as one call logged both.

Change: one call for each.

--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -105,11 +105,11 @@
 		return
 	}
 	f.gateLow, f.gateLoggedAt = s.Low, now
-	message := "limit of searches has recovered"
 	if s.Low {
-		message = "limit of searches is low"
+		f.log.Info("limit of searches is low", "Limit", s.Limit, "Highest", s.Highest, "Running", s.Running, "Waiting", s.Waiting)
+		return
 	}
-	f.log.Info(message, "Limit", s.Limit, "Highest", s.Highest, "Running", s.Running, "Waiting", s.Waiting)
+	f.log.Info("limit of searches has recovered", "Limit", s.Limit, "Highest", s.Highest, "Running", s.Running, "Waiting", s.Waiting)
 }
 
 // serveMetrics serves the metrics and updates the gauges until ctx ends. If the
