Average the signs of load over some searches

Change: the time that the usual shard waits is averaged over some searches before it lowers or raises the limit.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -68,6 +68,10 @@
 	// recovered; initialLimit is enough, as an unused limit does not grow beyond.
 	recoveredShare = 0.75
 
+	// loadWeight is the weight of one search in the average of the signs of load: some
+	// searches are slow at any load.
+	loadWeight = 0.3
+
 	// routeTime is how long after its last search a route counts as in use.
 	routeTime = 2 * time.Second
 
@@ -207,6 +211,8 @@
 	lowFrom float64
 	// cutAt is when the limit was last lowered.
 	cutAt ident.Instant
+	// load is the moving average of the signs of load.
+	load float64
 	// base is the latency of the usual shard of each route without load.
 	base map[string]*base
 	// schedule tells refused callers when to come back, within the share of late ones.
@@ -421,6 +427,10 @@
 	if g.sparing() {
 		load, s.Short = load*spared, s.Short*spared
 	}
+	if s.Usual > 0 {
+		g.load += loadWeight * (load - g.load)
+		load = g.load
+	}
 	switch {
 	case s.Short > 1:
 		g.cut(r, shedCut)
