Merge admission of searches under load

TestWaitingQueryFollowsAnEvacuation sends delegated shards now: whole searches wait at the gate before they wait for a connection. It checks as much.

--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -58,6 +58,27 @@
 	Loss float64
 	// Faults is the number of cuts and restarts.
 	Faults int
+	// Replicas and Domains are the number of upstreams for each shard, and of
+	// failure domains; 0 for two.
+	Replicas int
+	Domains  int
+	// Slots, if set, is how many calls an upstream runs at once. Further ones wait
+	// in a queue of queueLength, and it rejects those beyond that.
+	Slots int
+	// MinShards is the share of the shards that an answer must have, 0 for 0.75.
+	MinShards float64
+	// Down is, for each replica, the number of shards whose upstream of that number is
+	// down for the whole run, and Slow the same for upstreams that are slow.
+	Down []int
+	Slow []Slowness
+	// Helpers is the number of helpers of each gatherer, 0 if no host delegates
+	// queries. Hosts counts both. The first ones gather.
+	Helpers int
+	// HostDelay is the mean time after which a host handles an answer, exponentially
+	// distributed: hosts have a part of a processor.
+	HostDelay time.Duration
+	// Flows are callers that come in addition to PerSecond.
+	Flows []Flow
 	// Deaf hosts do not see limits and hear nothing of other hosts, which breaks
 	// both rules.
 	Deaf bool
@@ -79,6 +100,8 @@
 	// Calls counts the calls to upstreams with a limit, from touchTime after it was
 	// named.
 	Calls int
+	// Flows are the results of Setup.Flows.
+	Flows []FlowResult
 	// Violations describes the first broken rules.
 	Violations []string
 }
@@ -160,6 +183,8 @@
 	s.planNotices(total)
 	s.send(setup.PerSecond, blame.Print{}, total)
 	s.send(setup.CrashersPerSecond, crasher, total)
+	s.sendFlows()
+
 	for range setup.Faults {
 		s.after(time.Duration(s.rng.Int64N(int64(total))), s.fault)
 	}
@@ -243,7 +268,7 @@
 			Name:           name,
 			MaxConnections: 4000,
 		})
-		for j := range 2 {
+		for j := range s.replicas() {
 			u := &upstream{
 				swarm:  s,
 				toldAt: make(map[*host]ident.Instant),
@@ -252,8 +277,8 @@
 					ID:      upstreamID(i, j),
 					Service: name,
 					Address: fmt.Sprintf("%s-%d:1", name, j),
-					Domain:  domainOf(j),
-					Slots:   1000,
+					Domain:  s.domainOf(j),
+					Slots:   s.slots(),
 				},
 			}
 			if i < s.setup.LimitedShards && j == 0 {
@@ -263,6 +288,7 @@
 		}
 	}
 	d.Routes = []rules.Route{route}
+	s.addLoadRoutes(d)
 	return rules.NewTable(d)
 }
 
@@ -270,7 +296,11 @@
 	return ident.Upstream(fmt.Sprintf("shard-%d-%d", shard, replica))
 }
 
-func domainOf(i int) ident.Domain { return ident.Domain(rune('a' + i%2)) }
+func (s *Swarm) domainOf(i int) ident.Domain {
+	return ident.Domain(rune('a' + i%max(2, s.setup.Domains)))
+}
+
+func (s *Swarm) replicas() int { return max(2, s.setup.Replicas) }
 
 func (s *Swarm) extra() budget.Config {
 	return budget.Config{
@@ -309,9 +339,13 @@
 	wakeAt  ident.Instant
 	gossips ident.Instant
 	prints  map[ident.QueryID]blame.Print
+	// visits are the queries of Setup.Flows in progress here.
+	visits map[ident.QueryID]*visit
+	// subs are the queries in progress here that other hosts have delegated.
+	subs map[ident.QueryID]*sub
 }
 
-func (h *host) domain() ident.Domain { return domainOf(h.index) }
+func (h *host) domain() ident.Domain { return h.swarm.domainOf(h.index) }
 
 func (h *host) id() ident.HostID { return ident.HostID(fmt.Sprint(h.index)) }
 
@@ -321,6 +355,8 @@
 	h.life++
 	h.faultAt, h.wakeAt, h.gossips = s.now, 0, 0
 	h.prints = make(map[ident.QueryID]blame.Print)
+	h.visits = make(map[ident.QueryID]*visit)
+	h.subs = make(map[ident.QueryID]*sub)
 	h.engine = relay.New(relay.Config{
 		Domain: h.domain(),
 		Hosts:  s.setup.Hosts,
@@ -341,7 +377,7 @@
 	})
 	var list []relay.Upstream
 	for i := range s.setup.Shards {
-		for j := range 2 {
+		for j := range s.replicas() {
 			list = append(list, s.upstreams[upstreamID(i, j)].entry)
 		}
 	}
@@ -352,9 +388,10 @@
 	h.step(relay.Hosts{
 		Now:       s.now,
 		Count:     s.setup.Hosts,
-		Gatherers: s.setup.Hosts,
-		Gathers:   true,
+		Gatherers: s.gatherers(),
+		Gathers:   h.index < s.gatherers(),
 	})
+	h.meetOthers()
 	h.sendGossip()
 }
 
@@ -388,6 +425,9 @@
 func (h *host) step(ev relay.Event) {
 	s := h.swarm
 	for _, f := range h.engine.Step(ev) {
+		if h.endVisit(f) || h.endSub(f) {
+			continue
+		}
 		switch f := f.(type) {
 		case relay.Call:
 			h.call(f)
@@ -431,13 +471,18 @@
 
 func (h *host) call(c relay.Call) {
 	s := h.swarm
-	life, print := h.life, h.prints[c.Query]
+	life, print, work := h.life, h.prints[c.Query], workTime
+	if f := h.flowOf(c.Query); f != nil {
+		work = f.Work
+	}
 	s.after(hop, func() {
-		s.upstreams[c.Upstream.ID].serve(h, print, func(ev relay.Ended) {
-			if life == h.life {
-				ev.Now, ev.Attempt = s.now, c.Attempt
-				h.step(ev)
-			}
+		s.upstreams[c.Upstream.ID].serve(h, print, work, func(ev relay.Ended) {
+			s.atHost(func() {
+				if life == h.life {
+					ev.Now, ev.Attempt = s.now, c.Attempt
+					h.step(ev)
+				}
+			})
 		})
 	})
 }
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/jujubethread/jujubethread/pkg/blame"
 	"github.com/jujubethread/jujubethread/pkg/budget"
+	"github.com/jujubethread/jujubethread/pkg/gate"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/notice"
 	"github.com/jujubethread/jujubethread/pkg/quota"
@@ -71,6 +72,9 @@
 	// overloadedUntil is, for each shard that another host skipped, the time
 	// until which it counts as overloaded.
 	overloadedUntil map[ident.Service]ident.Instant
+	// closedUntil is, for each shard whose upstreams want no calls from another host or
+	// are unreachable there, the time that it said.
+	closedUntil map[ident.Service]ident.Instant
 
 	// evacuated are the domains whose upstreams are not called.
 	evacuated map[ident.Domain]bool
@@ -83,6 +87,11 @@
 	departures *notice.Departures
 	pauses     *notice.Pauses
 
+	// gate decides when queries over shards begin; loads are of requests to one
+	// upstream.
+	gate  *gate.Gate
+	loads map[ident.Service]*serviceLoad
+
 	// blame holds which requests crashed upstreams.
 	blame *blame.Table
 
@@ -118,8 +127,11 @@
 		quota:           quota.NewShare(),
 		departures:      notice.NewDepartures(),
 		pauses:          notice.NewPauses(cfg.Seed),
+		gate:            gate.New(cfg.Seed),
+		loads:           make(map[ident.Service]*serviceLoad),
 		blame:           blame.NewTable(),
 		overloadedUntil: make(map[ident.Service]ident.Instant),
+		closedUntil:     make(map[ident.Service]ident.Instant),
 		queries:         make(map[ident.QueryID]*query),
 		partial:         make(map[ident.RequestID][]*query),
 		attempts:        make(map[ident.AttemptID]*attempt),
@@ -184,6 +196,7 @@
 		e.limitCold()
 		e.advanceAll()
 	}
+	e.passGate()
 	e.report()
 	return e.effects
 }
@@ -195,6 +208,9 @@
 // Next returns when the next Tick is due, and false if none is.
 func (e *Engine) Next() (ident.Instant, bool) {
 	next, found := e.quota.Next()
+	if at, ok := e.gate.Next(); ok && (!found || at < next) {
+		next, found = at, true
+	}
 	for _, q := range e.order {
 		if !found || q.wake < next {
 			next, found = q.wake, true
--- a/pkg/relay/evacuate.go
+++ b/pkg/relay/evacuate.go
@@ -30,16 +30,19 @@
 }
 
 // skipReason returns why a query is refused that may lack most shards and would lack
-// more.
-func (q *query) skipReason(most int) string {
+// more. down is set if some of them have no upstream that can be called.
+func (q *query) skipReason(most int, down bool) string {
 	evacuated := 0
 	for _, p := range q.parts {
 		if p.evacuated {
 			evacuated++
 		}
 	}
-	if evacuated > most {
+	switch {
+	case evacuated > most:
 		return "the domains of too many shards are evacuated"
+	case down:
+		return "too many shards have no upstream that can be called, are overloaded or want no calls"
 	}
 	return "too many shards are overloaded or want no calls"
 }
--- a/pkg/relay/event.go
+++ b/pkg/relay/event.go
@@ -155,6 +155,10 @@
 	Answered []int
 	// Tried lists the calls made for the shards that the answer lacks.
 	Tried []Tried
+	// Usual is how long the other host took for the usual shard, 0 if unknown, and
+	// Shed is the number of shards at which upstreams shed calls.
+	Usual time.Duration
+	Shed  int
 	// Lost is set if the host may have received the Delegate but did not answer.
 	// Any of the shards may then have been called.
 	Lost bool
@@ -174,7 +178,7 @@
 	// Crashed is set if an upstream crashed under one of the calls.
 	Crashed bool
 	// Pause is how long the upstreams of a skipped shard want no calls from the
-	// host; 0 if they were skipped for another reason.
+	// host, or count as unreachable there; 0 if they were skipped for another reason.
 	Pause time.Duration
 	// Pending is set if calls are still in flight, whose answers can be asked for.
 	Pending bool
@@ -405,6 +409,10 @@
 	// the others if the query was delegated to this host.
 	Shards []int
 	Tried  []Tried
+	// Usual and Shed are those of DelegateEnded, if the query was delegated to this
+	// host.
+	Usual time.Duration
+	Shed  int
 	// Detail is set if parts are missing or the answer is late.
 	Detail *Detail
 }
@@ -417,16 +425,40 @@
 	// that guarantee that the request has not run.
 	After  time.Duration
 	Reason string
+	// Cause classifies the reason for metrics; empty for other reasons.
+	Cause Cause
 	// Stopping is set if the query has not run only since this host stops, so that
 	// another host may serve it.
 	Stopping bool
 	// Tried lists the calls for each shard of a query that was delegated to this
-	// host.
+	// host. Usual and Shed are those of DelegateEnded.
 	Tried []Tried
+	Usual time.Duration
+	Shed  int
 	// Detail is set if a route was found.
 	Detail *Detail
 }
 
+// Cause is why a query was refused that has not run.
+type Cause string
+
+// The causes.
+const (
+	// CauseGate is set if the gate did not admit a search, CauseShards if too many of
+	// its shards were overloaded, paused or unreachable.
+	CauseGate   Cause = "Gate"
+	CauseShards Cause = "Shards"
+	// CauseShare is set if the account has got its share of a service, CauseFull if the
+	// upstreams of a service were full.
+	CauseShare Cause = "Share"
+	CauseFull  Cause = "Full"
+	// CauseLimits is set if the limits of upstreams are used up.
+	CauseLimits Cause = "Limits"
+)
+
+// Causes lists all causes.
+func Causes() []Cause { return []Cause{CauseGate, CauseShards, CauseShare, CauseFull, CauseLimits} }
+
 // Refusal is the kind of answer to a query that was not served.
 type Refusal uint8
 
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -65,6 +65,9 @@
 		Tried:  e.tried(q),
 		Detail: e.detail(q),
 	}
+	if q.sub && q.startedAt > 0 {
+		r.Usual, r.Shed = e.usualTime(q)
+	}
 	switch {
 	case q.condemned && sent:
 		r.Status, r.Reason = Failed, CrasherReason
@@ -82,12 +85,15 @@
 		r.After = evacuatedRetry
 		r.Reason = fmt.Sprintf("the domains of the upstreams of %s are evacuated", evacuated.service)
 	case limited != nil:
-		r.After = e.limitWait(limited)
+		r.After, r.Cause = e.limitWait(limited), CauseLimits
 		r.Reason = fmt.Sprintf("the limits of the upstreams of %s are used up", limited.service)
 	case paused != nil:
 		wait, _ := e.pause(paused.service)
 		r.After = max(wait, retryAfter)
 		r.Reason = fmt.Sprintf("the upstreams of %s want no calls for a while", paused.service)
+	case !q.route.Gathers() && (q.parts[0].shed || q.parts[0].overfull):
+		r.After, r.Cause = e.comeBack(q, q.parts[0]), CauseFull
+		r.Reason = fmt.Sprintf("the upstreams of %s are full", q.parts[0].service)
 	case len(without) > 0:
 		r.Reason = fmt.Sprintf("no upstream of %s may be called, nor of %d other services", without[0], len(without)-1)
 	}
@@ -114,6 +120,8 @@
 		e.merge(q, answered)
 	case !timeout && !q.sub && answered+pending < minParts && e.askForRest(q, minParts-answered-pending):
 		return
+	case !timeout && !q.sub && answered > 0 && answered+pending < minParts && e.revive(q, minParts-answered-pending):
+		return
 	case timeout || answered+pending < minParts || pending == 0 || q.sub && e.now >= q.target:
 		e.refuse(q, timeout)
 	default:
@@ -150,6 +158,9 @@
 		Shards:   make([]int, 0, answered),
 		Tried:    e.tried(q),
 	}
+	if q.sub && q.startedAt > 0 {
+		m.Usual, m.Shed = e.usualTime(q)
+	}
 	if m.Missing > 0 || e.now >= q.target {
 		m.Detail = e.detail(q)
 	}
--- a/pkg/relay/group.go
+++ b/pkg/relay/group.go
@@ -22,6 +22,9 @@
 	due ident.Instant
 	// rest is set if the group consists of shards that an earlier one left out.
 	rest bool
+	// usual and shed are those of the other host's answer.
+	usual time.Duration
+	shed  int
 	// sent is set once the group has been delegated.
 	sent bool
 }
@@ -168,7 +171,10 @@
 	if g.ended {
 		return
 	}
-	g.ended = true
+	g.ended, g.usual, g.shed = true, ev.Usual, ev.Shed
+	if !g.rest {
+		e.gate.Reduce(q.id, float64(len(g.parts))/float64(len(q.parts)))
+	}
 	if !ev.Lost && !g.rest && len(ev.Tried) > 0 {
 		e.delegateLag.Learn(e.now.Sub(g.due))
 	}
@@ -178,6 +184,7 @@
 			q.mayHaveRun = true
 			e.exonerate(q)
 			delete(e.overloadedUntil, p.service)
+			delete(e.closedUntil, p.service)
 			continue
 		}
 		e.reclaim(q, p, ev)
@@ -202,6 +209,9 @@
 		if t.Shard == p.shard && t.Skipped {
 			p.skipped = true
 			e.overloadedUntil[p.service] = e.after(max(overloadTime, min(t.Pause, maxPauseTold)))
+			if t.Pause > 0 {
+				e.closedUntil[p.service] = e.overloadedUntil[p.service]
+			}
 			return
 		}
 		if t.Shard == p.shard {
@@ -245,6 +255,7 @@
 		if p.skipped && p.paused {
 			t.Pause, _ = e.pause(p.service)
 		}
+		t.Pause = max(t.Pause, p.downFor)
 		if p.delegated() {
 			// The calls of the other host are unknown: assume the maximum.
 			t.Arrivals, t.Runs = maxArrivals, q.route.Attempts
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -53,6 +53,16 @@
 	// are not yet held against the request.
 	crashes   int
 	crashedOn *upstream
+	// waitsAtGate is set until the gate admits the query, which must be refused at
+	// refuseBy otherwise. returned is set if its caller was refused before.
+	waitsAtGate bool
+	refuseBy    ident.Instant
+	returned    bool
+	// startedAt is when the first calls were made, answers the number of parts that
+	// calls of this host have answered, usual the time until half of them were.
+	startedAt ident.Instant
+	answers   int
+	usual     time.Duration
 	// held is set once crashes are held against the request by this query.
 	held bool
 	// condemned is set once the request is refused.
@@ -80,12 +90,19 @@
 	group *group
 	// counted is set if the request is counted in the budget of the service.
 	counted bool
+	// shed is set if an upstream has shed a call, as it had too many, overfull if the
+	// part would have waited too long for a connection, which waitJudged records.
+	shed       bool
+	overfull   bool
+	waitJudged bool
 	// crashed is set if an upstream crashed under a call.
 	crashed bool
 	// exhausted is set while no further call can be made.
 	exhausted bool
 	// skipped is set if no upstream is expected to answer in time.
 	skipped bool
+	// downFor is how long the upstreams of a skipped part count as unreachable.
+	downFor time.Duration
 	// paused is set if the part was skipped or given up because its upstreams want
 	// no calls for a while.
 	paused bool
@@ -211,6 +228,7 @@
 	case blame.Clean:
 	case blame.Suspect:
 		q.suspect, q.trial = !ev.Cleared, !ev.Cleared
+		q.addAllParts()
 	case blame.Refused:
 		e.emit(refuseCrasher(q))
 		return
@@ -224,7 +242,7 @@
 	e.begin(q)
 }
 
-// begin sends a query to the upstreams of all its parts, or delegates them.
+// begin starts a query as soon as the gate admits it.
 func (e *Engine) begin(q *query) {
 	if e.now >= q.deadline {
 		e.advance(q)
@@ -239,6 +257,21 @@
 			})
 			return
 		}
+		if !e.offer(q) {
+			return
+		}
+	}
+	e.start(q)
+}
+
+// start sends a query to the upstreams of all its parts, or delegates them.
+func (e *Engine) start(q *query) {
+	q.startedAt = e.now
+	q.addAllParts()
+	if !q.route.Gathers() && e.spare(q) {
+		return
+	}
+	if q.route.Gathers() {
 		e.delegateShards(q)
 		if !e.skipHopeless(q) {
 			return
@@ -290,6 +323,8 @@
 	if ev.HasPriority {
 		q.priority = ev.Priority
 	}
+	q.refuseBy = began.Add(refuseTime(r, ev))
+	q.returned = spent >= time.Duration(returnedShare*float64(retryAfter))
 	e.endWithHost(q)
 	if q.draw == 0 {
 		q.draw = quota.Draw(e.rand.Uint64())
@@ -299,6 +334,7 @@
 		return q
 	}
 	q.parts = []*part{{service: e.split(r, s)}}
+	e.loadOf(q.parts[0].service).shares.Asked(e.now, q.account, 1)
 	return q
 }
 
@@ -310,16 +346,24 @@
 	return min(ev.Began, e.now)
 }
 
-// addParts adds a part for each shard, or for each shard that another host
-// requests.
+// addAllParts adds a part for each shard of the route, unless that was done. A query
+// that is refused before it starts needs none.
+func (q *query) addAllParts() {
+	if q.parts != nil || !q.route.Gathers() {
+		return
+	}
+	parts := make([]part, len(q.route.Shards))
+	q.parts = make([]*part, len(parts))
+	for i, shard := range q.route.Shards {
+		parts[i].service, parts[i].shard = shard, i
+		q.parts[i] = &parts[i]
+	}
+}
+
+// addParts adds a part for each shard that another host requests. Those of a whole
+// query are added when it starts.
 func (e *Engine) addParts(q *query, ev Arrive) {
 	if ev.Shards == nil {
-		for i, shard := range q.route.Shards {
-			q.parts = append(q.parts, &part{
-				service: shard,
-				shard:   i,
-			})
-		}
 		return
 	}
 	q.sub = true
@@ -340,6 +384,9 @@
 		e.finish(q, true)
 		return
 	}
+	if q.waitsAtGate {
+		return
+	}
 	q.wake = q.deadline
 	for _, p := range q.parts {
 		if q.suspect && q.inFlight() > 0 {
@@ -398,7 +445,7 @@
 		p.exhausted = true
 		return
 	}
-	if p.arrivals > 0 && e.window(p.service).Remaining(e.now, e.share(q)) < 1 {
+	if p.arrivals > 0 && (e.window(p.service).Remaining(e.now, e.share(q)) < 1 || p.shed && e.overShare(q)) {
 		p.exhausted = true
 		return
 	}
@@ -429,7 +476,7 @@
 		return
 	}
 	if u == nil {
-		p.exhausted = !busy
+		p.exhausted = !busy || e.overfull(q, p)
 		return
 	}
 	if p.arrivals > 0 && !e.window(p.service).Take(e.now, e.share(q)) {
@@ -492,12 +539,17 @@
 		p.arrivals, p.runs = p.arrivals+1, p.runs+1
 		if p.success == nil {
 			p.success = a
+			e.recordAnswered(q)
+			e.recordSingle(q, p, false)
 		}
 	case Bad:
 		p.arrivals, p.runs = p.arrivals+1, p.runs+1
 		p.failure = a
 	case Rejected:
 		p.arrivals++
+		if p.recordShed(ev) {
+			e.recordSingle(q, p, true)
+		}
 	case Lost:
 		p.arrivals, p.runs = p.arrivals+1, p.runs+1
 	case Unsent:
@@ -526,7 +578,7 @@
 }
 
 func (q *query) waitsFor(s ident.Service) bool {
-	return !q.done && slices.ContainsFunc(q.parts, func(p *part) bool { return p.service == s && p.waits() })
+	return !q.done && !q.waitsAtGate && slices.ContainsFunc(q.parts, func(p *part) bool { return p.service == s && p.waits() })
 }
 
 // waits reports whether the part has no call in flight but may send one.
@@ -541,6 +593,10 @@
 		return otherLate
 	case q.priority != o.priority:
 		return q.priority < o.priority
+	case q.account != o.account:
+		if over := e.overShare(q); over != e.overShare(o) {
+			return !over
+		}
 	}
 	return q.target < o.target
 }
@@ -568,6 +624,7 @@
 
 func (e *Engine) end(q *query) {
 	e.shareCrashes(q)
+	e.leaveGate(q)
 	q.done = true
 	delete(e.queries, q.id)
 	e.order = slices.DeleteFunc(e.order, func(o *query) bool { return o == q })
