Control admission only where a deployment asks for it

Change: the gate, known failures and the early refusal of single requests apply where the configuration has accounts, or once an upstream has stated the effort of a shared machine. The tests of admission use such a configuration.

The tests of pkg/relay and internal/swarm pass.

--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -249,7 +249,10 @@
 }
 
 func (s *Swarm) document() *rules.Table {
-	d := &rules.Document{Version: 1}
+	d := &rules.Document{
+		Version:     1,
+		RequiresKey: s.setup.Slots > 0, // controls admission
+	}
 	route := rules.Route{
 		Name:             "search",
 		Host:             "a.example",
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -26,10 +26,18 @@
 // gateReason is the reason of a refusal by the gate.
 const gateReason = "as many searches are in progress as the upstreams take"
 
+// admits reports whether admission is controlled under load: where accounts compete, or
+// where upstreams state the effort of shared machines, so that their slots do not tell
+// how much they take. Elsewhere queues bounded by slots suffice, and a gate that has to
+// find the limit costs up to 0.1 of the answers near the capacity.
+func (e *Engine) admits() bool {
+	return e.sharedMachines || e.table != nil && e.table.Doc.RequiresKey
+}
+
 // offer asks the gate whether a query of a caller may begin. It returns false if the
 // query waits or was refused.
 func (e *Engine) offer(q *query) bool {
-	if q.sub || q.mayHaveRun {
+	if q.sub || q.mayHaveRun || !e.admits() {
 		return true
 	}
 	d := e.gate.Offer(e.now, gate.Search{
--- a/pkg/relay/engine.go
+++ b/pkg/relay/engine.go
@@ -46,6 +46,8 @@
 	table *rules.Table
 	// limitsCold is set if the table states a rate for cold upstreams of any service.
 	limitsCold bool
+	// sharedMachines is set once an upstream has stated the effort of its machine.
+	sharedMachines bool
 	// recentTables are the last documents, newest last, for queries that another
 	// host started under one of them.
 	recentTables []*rules.Table
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -91,7 +91,7 @@
 		wait, _ := e.pause(paused.service)
 		r.After = max(wait, retryAfter)
 		r.Reason = fmt.Sprintf("the upstreams of %s want no calls for a while", paused.service)
-	case !q.route.Gathers() && (q.parts[0].shed || q.parts[0].overfull):
+	case e.admits() && !q.route.Gathers() && (q.parts[0].shed || q.parts[0].overfull):
 		r.After, r.Cause = e.comeBack(q, q.parts[0]), CauseFull
 		r.Reason = fmt.Sprintf("the upstreams of %s are full", q.parts[0].service)
 	case len(without) > 0:
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -313,6 +313,7 @@
 	e.recordPace(a, ev)
 	if ev.Load.Known && ev.Load.Effort > 0 {
 		u.effort, u.effortAt = ev.Load.Effort, e.now
+		e.sharedMachines = true
 	}
 	if ev.Load.Known {
 		u.otherLoad = max(0, ev.Load.Running+ev.Load.Waiting-len(u.inFlight))
--- a/pkg/relay/rest.go
+++ b/pkg/relay/rest.go
@@ -50,7 +50,7 @@
 // It returns false if there are too few, or if the caller should rather try again.
 func (e *Engine) revive(q *query, missing int) bool {
 	limit := float64(q.deadline.Sub(q.arrived))
-	if e.now >= q.arrived.Add(time.Duration(restShare*limit)) || q.suspect || q.condemned || q.endsWithHost {
+	if !e.admits() || e.now >= q.arrived.Add(time.Duration(restShare*limit)) || q.suspect || q.condemned || q.endsWithHost {
 		return false
 	}
 	var revived []*part
--- a/pkg/relay/single.go
+++ b/pkg/relay/single.go
@@ -101,7 +101,7 @@
 // overfull gives up a request to one upstream that has to wait for a connection, if no
 // answer is expected before its deadline: its caller can still try again now.
 func (e *Engine) overfull(q *query, p *part) bool {
-	if q.route.Gathers() || p.waitJudged || len(p.attempts) > 0 || p.arrivals > 0 {
+	if !e.admits() || q.route.Gathers() || p.waitJudged || len(p.attempts) > 0 || p.arrivals > 0 {
 		return false
 	}
 	p.waitJudged = true
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -42,7 +42,7 @@
 			down = append(down, max(retryAfter, left))
 			continue
 		}
-		closed := p.group != nil && e.now < e.closedUntil[p.service]
+		closed := e.admits() && p.group != nil && e.now < e.closedUntil[p.service]
 		if closed {
 			wait = max(wait, e.closedUntil[p.service].Sub(e.now))
 		}
@@ -69,10 +69,11 @@
 
 // knownDown reports whether no upstream of a part can answer: none may be called, or
 // all of them have refused a connection of this host of late; left is when the first
-// of these is tried again. What this host has seen counts only for parts that it calls itself: those that other hosts call may
-// be reachable from there, and these report what they have seen.
+// of these is tried again. What this host has seen counts only for parts that it calls
+// itself: those that other hosts call may be reachable from there, and these report what
+// they have seen.
 func (e *Engine) knownDown(p *part) (left time.Duration, known bool) {
-	if p.group != nil && p.group.helper == "" {
+	if !e.admits() || p.group != nil && p.group.helper == "" {
 		return 0, false
 	}
 	tried, due := false, false
