Keep requests without a permit from the engine

A handler checks its permit, then queues the request for the engine. A table that was put in force in between had ended the permit, but the engine took the request and started calls for it, until the handler noticed. With a route that the earlier table did not have, a request that may run once could also run under the new table and begin again.

The loop now drops a queued request whose context has ended. The same spares the calls of a caller that has left before its request is taken.

--- a/internal/front/auth_test.go
+++ b/internal/front/auth_test.go
@@ -532,3 +532,28 @@
 	}))
 	k.checkLog()
 }
+
+// Guards against a request whose permit a new table withdraws while it is on its way to
+// the engine, which has that table already: calls with a withdrawn key, and a request
+// that may run once only and runs twice, as it begins again under the new table.
+func TestEngineTakesNoRequestWithoutAPermit(t *testing.T) {
+	is := is.New(t)
+	f, err := front.New(front.Config{
+		Extra: budget.Config{Window: time.Second},
+		Log:   slog.New(slog.DiscardHandler),
+	})
+	is.NoErr(err)
+	table := func(version int, accounts string) *rules.Table {
+		doc, err := platform.DecodeDocument(fmt.Appendf(nil,
+			`{"Version":%d,"Routes":[{"Name":"once","Host":"a.example","PathPrefix":"/","Kind":"unsafe","TimeoutMs":1000,"MaxAttempts":1,"Service":"s"}],"Services":[{"Name":"s"}]%s}`,
+			version, accounts))
+		is.NoErr(err)
+		return rules.NewTable(doc)
+	}
+	calls, err := f.CallsAfterWithdrawal(table(1, firstAccounts), table(2, withoutKey), "a.example", "/x", []string{key})
+	is.NoErr(err)
+	is.Equal(calls, 0)
+	calls, err = f.CallsAfterWithdrawal(table(3, firstAccounts), table(4, firstAccounts), "a.example", "/x", []string{key})
+	is.NoErr(err)
+	is.Equal(calls, 1) // the key is still valid
+}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -19,6 +19,8 @@
 type input struct {
 	event   relay.Event
 	request *request
+	// done is closed once the request of an Arrive has no caller any more, or no permit.
+	done    <-chan struct{}
 	attempt ident.AttemptID
 	outcome *pipe.Outcome
 	// delegated is the reply to a relay.Delegate.
@@ -82,8 +84,14 @@
 	}
 	switch ev := in.event.(type) {
 	case relay.Arrive:
-		f.queries[ev.Query] = in.request
-		f.stepEngine(relay.At(ev, f.now()))
+		select {
+		case <-in.done:
+			// A new table may have ended the permit before the engine got that table. The
+			// handler begins again or refuses, so that nothing of this query may be sent.
+		default:
+			f.queries[ev.Query] = in.request
+			f.stepEngine(relay.At(ev, f.now()))
+		}
 	case relay.DelegateEnded:
 		if q := f.queries[ev.Query]; q != nil {
 			if q.groups == nil {
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -254,6 +254,7 @@
 	f.inputs <- input{
 		event:   ev,
 		request: q,
+		done:    ctx.Done(),
 	}
 	select {
 	case rep := <-q.reply:
