Review requests whose route appears or goes with a new table

A request without a route under the table of its permit was Allowed by the next one, since nothing of it is sent. But the engine may get it after that table, find the route there and send it, without any check of its key. A request whose route went in the same version as its key was Allowed as well, and its calls went on with a withdrawn key.

The first is now Moved, so that it is authorized under the new table, and the second Revoked. A route that goes while the key stays valid ends nothing, as before.

TestReviewOfAppearingAndDisappearingRoutes fails in three of seven cases before the change and passes after it.

--- a/pkg/rules/account.go
+++ b/pkg/rules/account.go
@@ -46,16 +46,25 @@
 	Unknown
 	// Revoked keys belonged to an account.
 	Revoked
-	// Moved requests are allowed, but with another account, or need one only now.
+	// Moved requests have to begin again: with another account, with one that they need
+	// only now, or on a route that they did not have.
 	Moved
 )
 
-// Review reviews a request in progress that an earlier table has authorized. A request
-// without a route in either table is Allowed, as nothing of it is sent.
+// Review reviews a request in progress that an earlier table has authorized. One that
+// had no route has used no key: it is Moved if it has one now. One whose route is gone
+// goes on under it while its key is still that of an account.
 func (t *Table) Review(earlier *Table, host, path string, keys []string) Review {
 	old, route := earlier.Find(host, path), t.Find(host, path)
-	if old == nil || route == nil || !t.Doc.RequiresKey {
+	switch {
+	case old == nil && route == nil || old != nil && !t.Doc.RequiresKey:
 		return Allowed
+	case old == nil:
+		return Moved
+	}
+	isGone := route == nil
+	if isGone {
+		route = old
 	}
 	before, _ := earlier.Authorize(old, keys)
 	now, ok := t.Authorize(route, keys)
@@ -64,7 +73,7 @@
 		return Unknown
 	case !ok:
 		return Revoked
-	case !earlier.Doc.RequiresKey || before.name() != now.name():
+	case !isGone && (!earlier.Doc.RequiresKey || before.name() != now.name()):
 		return Moved
 	}
 	return Allowed
--- a/pkg/rules/account_test.go
+++ b/pkg/rules/account_test.go
@@ -120,3 +120,37 @@
 		})
 	}
 }
+
+// Guards against a request that is sent on a route which it was never authorized for, as
+// its table did not have it yet, and against one that outlives its key since its route
+// went with the key.
+func TestReviewOfAppearingAndDisappearingRoutes(t *testing.T) {
+	table := func(prefix, key string, public bool) *rules.Table {
+		d := document(route("r", prefix))
+		d.Routes[0].Public = public
+		d.RequiresKey = true
+		d.Accounts = []rules.Account{{
+			Name: "one",
+			Keys: []string{key},
+		}}
+		return rules.NewTable(d)
+	}
+	free := rules.NewTable(document(route("r", "/b/")))
+	for name, c := range map[string]struct {
+		old, next *rules.Table
+		want      rules.Review
+	}{
+		"route appears":                {table("/b/", "k", false), table("/a/", "k", false), rules.Moved},
+		"route appears, unknown key":   {table("/b/", "x", false), table("/a/", "x", false), rules.Moved},
+		"route goes":                   {table("/a/", "k", false), table("/b/", "k", false), rules.Allowed},
+		"route goes with the key":      {table("/a/", "k", false), table("/b/", "x", false), rules.Revoked},
+		"public route goes":            {table("/a/", "x", true), table("/b/", "y", false), rules.Allowed},
+		"route and accounts go":        {table("/a/", "k", false), free, rules.Allowed},
+		"without a route in any table": {table("/b/", "k", false), table("/b/", "x", false), rules.Allowed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.next.Review(c.old, "a.example", "/a/x", []string{"k"}), c.want)
+		})
+	}
+}
