Explain evacuations, and requests that wait

An upstream in an evacuated domain was explained as one that leaves, since both make it not callable. And a request whose upstreams only have all connections in use was explained as refused, while it waits for one of them.

Evacuation is now an obstacle of its own, and a part without an upstream counts as refused only if none of its obstacles ends with a call in flight.

TestExplanationNamesTheEvacuation and TestExplanationOfARequestThatWaits fail before the change; the tests of pkg/relay pass after it.

--- a/pkg/relay/explain.go
+++ b/pkg/relay/explain.go
@@ -28,11 +28,17 @@
 	Service ident.Service `json:"Service"`
 	// Share is the part of the route's requests that the service gets.
 	Share float64 `json:"Share"`
-	// Upstream is the one that would be called, empty if none would.
+	// Upstream is the one that would be called, empty if none would. The request waits if
+	// one of them is only in use.
 	Upstream  ident.Upstream        `json:"Upstream,omitempty"`
 	Upstreams []UpstreamExplanation `json:"Upstreams"`
 }
 
+// refused reports whether no upstream would be called and none is waited for.
+func (p PartExplanation) refused() bool {
+	return p.Upstream == "" && !slices.ContainsFunc(p.Upstreams, func(u UpstreamExplanation) bool { return obstacle(u.Obstacle).passes() })
+}
+
 // UpstreamExplanation tells for what reason an upstream would be called or not.
 type UpstreamExplanation struct {
 	Upstream ident.Upstream `json:"Upstream"`
@@ -100,8 +106,8 @@
 			x.Parts = append(x.Parts, e.explainPart(q, b.Service, b.Weight/sum))
 		}
 	}
-	if slices.ContainsFunc(x.Parts, func(p PartExplanation) bool { return p.Upstream == "" }) {
-		x.Refusal = "a service has no upstream that may be called now; a request waits only for connections in use"
+	if slices.ContainsFunc(x.Parts, PartExplanation.refused) {
+		x.Refusal = "a service has no upstream that may be called now"
 	}
 	return x
 }
@@ -110,7 +116,7 @@
 	without := 0
 	for _, shard := range q.route.Shards {
 		p := e.explainPart(q, shard, 1)
-		if p.Upstream == "" {
+		if p.refused() {
 			without++
 		}
 		x.Parts = append(x.Parts, p)
--- a/pkg/relay/explain_test.go
+++ b/pkg/relay/explain_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 )
 
@@ -43,3 +44,32 @@
 	is.True(x.Refusal != "")
 	is.True(h.engine.Explain(h.now, "b.example", "/", nil).Refusal != "")
 }
+
+// Guards against an evacuation that is explained as a departure of the upstream.
+func TestExplanationNamesTheEvacuation(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1)
+	h.evacuate("a")
+	p := h.engine.Explain(h.now, "a.example", "/read/x", nil).Parts[0]
+	is.Equal(p.Upstream, h.read(1).Upstream.ID)
+	is.Equal(p.Upstreams[1].Domain, ident.Domain("a"))
+	is.Equal(p.Upstreams[1].Obstacle, "its domain is evacuated")
+	h.evacuate("a", "b")
+	is.True(h.engine.Explain(h.now, "a.example", "/read/x", nil).Refusal != "")
+	is.True(h.engine.Explain(h.now, "a.example", "/search/x", nil).Refusal != "")
+}
+
+// Guards against a request that is explained as refused although it would wait for a
+// connection.
+func TestExplanationOfARequestThatWaits(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1)
+	h.step(relay.Hosts{Count: 1, Gatherers: 1, Gathers: true})
+	for id := ident.QueryID(1); id <= 4; id++ { // two slots in each of two domains
+		is.Equal(len(calls(h.arrive(id, "/search/x"))), 1)
+	}
+	x := h.engine.Explain(h.now, "a.example", "/search/x", nil)
+	is.Equal(x.Refusal, "")
+	is.Equal(x.Parts[0].Upstream, ident.Upstream(""))
+	is.Equal(len(h.arrive(5, "/search/x")), 0) // it waits
+}
--- a/pkg/relay/pick.go
+++ b/pkg/relay/pick.go
@@ -166,6 +166,7 @@
 const (
 	none         obstacle = ""
 	tried        obstacle = "it was called for this part"
+	evacuated    obstacle = "its domain is evacuated"
 	excluded     obstacle = "it is ejected"
 	leaving      obstacle = "it leaves"
 	pausing      obstacle = "it wants no calls for a while"
@@ -183,6 +184,8 @@
 	switch {
 	case p.triedOn(u):
 		return tried
+	case e.evacuated[u.Domain]:
+		return evacuated
 	case e.now < u.excludedUntil:
 		return excluded
 	case !e.callable(u):
