Try upstreams that are down without repeatable requests

Only the first call of a part that can be sent again tried an upstream that was down. A service whose requests may all run once only, or whose route has one attempt, never sends such a call, so that this host did not use the upstream again while it had another one. Before the slow start, upstreams were avoided for 3 to 6 s.

Any call is now a trial once one has been due for 4 s.

TestDownUpstreamIsTriedWithoutRepeatableRequests finds the recovered upstream unused for 30 s before the change. After it the upstream is used again within 10 s of its recovery, and fails at most 9 of some 540 requests while it is down for 30 s.

--- a/pkg/relay/pace.go
+++ b/pkg/relay/pace.go
@@ -15,6 +15,12 @@
 	// to zero over that time. It changes several times a second.
 	effortTTL = 400 * time.Millisecond
 
+	// untriedTime is how long after its trial was due an upstream that is down waits for
+	// a call that can be sent again elsewhere. A service may get no such calls at all.
+	// Such a trial costs a caller an answer, as before the slow start, when upstreams were
+	// avoided for 3 to 6 s after failures.
+	untriedTime = 4 * time.Second
+
 	// coldShare is the part of the stated rate of a cold upstream that hosts share. It
 	// leaves room for what they have saved up when several send at once.
 	coldShare = 0.7
@@ -48,13 +54,14 @@
 }
 
 // paceAllows reports whether the pace of an upstream allows a call for a part now. An
-// upstream that is down is tried only with the first call of a part that can be sent
-// again elsewhere.
+// upstream that is down is tried with the first call of a part that can be sent again
+// elsewhere, and with others once no such call has come for untriedTime.
 func (e *Engine) paceAllows(q *query, p *part, u *upstream) bool {
+	due := e.now
 	if u.pace.Down() && (q.route.Kind != rules.Idempotent || q.route.Attempts < 2 || p.arrivals > 0 || len(p.attempts) > 0) {
-		return false
+		due = e.now.Add(-untriedTime)
 	}
-	return u.pace.Ready(e.now, len(u.inFlight))
+	return u.pace.Ready(due, len(u.inFlight))
 }
 
 // recordPace updates the pace of an upstream by an ended call.
--- a/pkg/relay/pace_test.go
+++ b/pkg/relay/pace_test.go
@@ -183,3 +183,35 @@
 	h.now += 500 * ms
 	is.Equal(h.read(42).Upstream.Domain, ident.Domain("a"))
 }
+
+// Guards against an upstream that is never used again after two failures, as its service
+// gets only requests that may run once, and against trials at the expense of many of them.
+func TestDownUpstreamIsTriedWithoutRepeatableRequests(t *testing.T) {
+	is := is.New(t)
+	h := newColdHarness(t, 0)
+	id, failed := ident.QueryID(0), 0
+	play := func(until time.Duration, works bool) (usedAt ident.Instant) {
+		for h.now < ident.Instant(until) {
+			id++
+			c := calls(h.arrive(id, "/file/x"))[0]
+			h.now += 5 * ms
+			result := relay.Good
+			if c.Upstream.Domain == "a" {
+				if usedAt = h.now; !works {
+					result = relay.Lost
+					failed++
+				}
+			}
+			h.end(c, result)
+			h.now += 50 * ms
+			if works && usedAt > 0 {
+				break
+			}
+		}
+		return usedAt
+	}
+	play(30*time.Second, false)
+	is.True(failed <= 2+30/4)
+	usedAt := play(60*time.Second, true)
+	is.True(usedAt > 0 && usedAt < ident.Instant(30*time.Second+10*time.Second))
+}
