Leave malformed trailers out of the log

net/http quotes the malformed lines that follow a body in chunks in its error, and the line about the request that could not be read had that error. A caller that sends its key there, as in "X-Api-Key KEY" without a colon, had it logged.

The line now says "malformed trailer". TestMalformedTrailerIsNotLogged finds the key in the log before the change and passes after it.

--- a/internal/front/auth_test.go
+++ b/internal/front/auth_test.go
@@ -533,6 +533,20 @@
 	k.checkLog()
 }
 
+// Guards against a key in the log that a caller has put into a malformed line after its
+// body.
+func TestMalformedTrailerIsNotLogged(t *testing.T) {
+	is := is.New(t)
+	k := newKeyed(t, firstAccounts, "h")
+	c := k.dial()
+	c.write("POST /one/x", "trailer", withKey(key)+"Transfer-Encoding: chunked\r\n")
+	_, err := c.conn.Write([]byte("1\r\nx\r\n0\r\nX-Api-Key " + key + "\r\n\r\n"))
+	is.NoErr(err)
+	is.Equal(c.status(), http.StatusBadRequest)
+	k.checkLog()
+	is.True(strings.Contains(k.log.String(), "malformed trailer"))
+}
+
 // Guards against a request whose permit a new table withdraws while it is on its way to
 // the engine, which has that table already: calls with a withdrawn key, and a request
 // that may run once only and runs twice, as it begins again under the new table.
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"time"
 
 	"github.com/pkg/errors"
@@ -143,7 +144,7 @@
 		if errors.As(err, &tooLarge) {
 			status = http.StatusRequestEntityTooLarge
 		}
-		f.log.Info("request could not be read", "Request", string(id), "Status", status, "Error", err.Error())
+		f.log.Info("request could not be read", "Request", string(id), "Status", status, "Error", bodyErrorText(err))
 		w.WriteHeader(status)
 		return
 	}
@@ -162,6 +163,16 @@
 	}
 }
 
+// bodyErrorText returns the text of an error in reading a body, without anything that the
+// caller has sent: net/http quotes malformed lines after a body, which may hold a key.
+func bodyErrorText(err error) string {
+	var malformed textproto.ProtocolError
+	if errors.As(err, &malformed) {
+		return "malformed trailer"
+	}
+	return err.Error()
+}
+
 // newRequest returns a caller's request with the account of its permit.
 func newRequest(r *http.Request, id ident.RequestID, body []byte, started ident.Instant, pm *permit) *request {
 	parts := []string{r.Method, r.Host, r.RequestURI, platform.CallerOf(r.Header)}
