--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/textproto"
 	"time"
 
 	"github.com/jujubethread/jujubethread/internal/gauge"
@@ -153,6 +154,16 @@
 	}
 }
 
+// bodyErrorText returns the text of an error in reading a body, without anything that the
+// caller has sent: net/http quotes malformed lines after a body, which may hold a key.
+func bodyErrorText(err error) string {
+	var malformed textproto.ProtocolError
+	if errors.As(err, &malformed) {
+		return "malformed trailer"
+	}
+	return err.Error()
+}
+
 // newRequest returns a caller's request with the account of its permit.
 func newRequest(r *http.Request, id ident.RequestID, body []byte, started ident.Instant, pm *permit) *request {
 	parts := []string{r.Method, r.Host, r.RequestURI, platform.CallerOf(r.Header)}
@@ -237,7 +248,7 @@
 // memory. It has not run.
 func (f *Front) refuseUnread(w http.ResponseWriter, id ident.RequestID, err error) {
 	status := guard.Status(err)
-	f.log.Info("request could not be read", "Request", string(id), "Status", status, "Error", err.Error())
+	f.log.Info("request could not be read", "Request", string(id), "Status", status, "Error", bodyErrorText(err))
 	if status == http.StatusServiceUnavailable {
 		guard.Refuse(w)
 		return
@@ -265,6 +276,7 @@
 	f.inputs <- input{
 		event:   ev,
 		request: q,
+		done:    ctx.Done(),
 	}
 	select {
 	case rep := <-q.reply:
