Leave room beside accounts that ask for more than their share

Callers that found shards overloaded or unreachable were all told the same delay.

Change: searches beyond the fair share of their account may fill 0.6 of the limit. Delays for overloaded and unreachable shards are spread upwards by up to half.

--- a/internal/swarm/fair_test.go
+++ b/internal/swarm/fair_test.go
@@ -34,23 +34,25 @@
 }
 
 // Guards against an account that takes the capacity of the others by asking for ten or
-// twenty times its share. Without the gate, 1,114 and 255 of 1,424 searches of the others
-// were answered in time with 9 hosts, 779 and 169 of 1,377 with 36.
+// twenty times its share. Without the gate, 2,270 and 574 of 2,786 searches of the others
+// were answered in time with 9 hosts, 1,594 and 398 of 2,756 with 36.
 func TestLargeAccountLeavesOthersTheirShare(t *testing.T) {
 	t.Parallel()
 	const total = 4 * time.Second
 	for _, c := range []struct{ hosts, helpers, shards int }{{9, 0, 30}, {36, 3, 48}} {
 		for _, factor := range []float64{1, 10, 20} {
-			setup := accountSetup(1, factor, total)
-			setup.Hosts, setup.Helpers, setup.Shards = c.hosts, c.helpers, c.shards
-			out := swarm.Run(setup, 2*time.Second+total)
 			var others swarm.FlowResult
-			for i := range 9 {
-				others = sum(others, out.Flows[2*i])
+			for seed := range uint64(2) {
+				setup := accountSetup(seed, factor, total)
+				setup.Hosts, setup.Helpers, setup.Shards = c.hosts, c.helpers, c.shards
+				out := swarm.Run(setup, 2*time.Second+total)
+				for i := range 9 {
+					others = sum(others, out.Flows[2*i])
+				}
+				t.Logf("%v factor %v seed %d: it %s", c, factor, seed, describe(out.Flows[18]))
 			}
-			large := out.Flows[18]
-			t.Logf("%v factor %v: others %s; it %s", c, factor, describe(others), describe(large))
-			if least := 0.85; float64(others.Timely) < least*float64(others.Asked) {
+			t.Logf("%v factor %v: others %s", c, factor, describe(others))
+			if least := 0.87; float64(others.Timely) < least*float64(others.Asked) {
 				t.Errorf("%v factor %v: %d of %d searches of the others were answered in time", c, factor, others.Timely, others.Asked)
 			}
 		}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -93,6 +93,10 @@
 	// would have to wait for them.
 	spared = 2.0
 
+	// overShare is the part of the limit that searches beyond the fair shares of their
+	// accounts may fill, so that others need not wait for one of them to end.
+	overShare = 0.6
+
 	// rankTime is how long after its last search a rank counts as in use.
 	rankTime = time.Second
 
@@ -297,6 +301,10 @@
 	return 2 * s.Priority
 }
 
+// beyondShare reports whether a rank is that of searches of accounts that have got their
+// fair share.
+func beyondShare(rank int) bool { return rank&1 == 1 }
+
 // fits reports whether a search can be admitted beside those in progress.
 func (g *Gate) fits(rank int, s Search) bool {
 	g.unit = max(g.unit, s.Cost)
@@ -312,6 +320,9 @@
 	if last := &g.levels[len(g.levels)-1]; l != last && g.lastOffer(l.rank) {
 		return headroom * g.limit
 	}
+	if beyondShare(l.rank) {
+		return overShare * g.limit
+	}
 	return g.limit
 }
 
@@ -469,7 +480,7 @@
 // sparing reports whether accounts ask for more than their fair share.
 func (g *Gate) sparing() bool {
 	for i := range g.levels {
-		if l := &g.levels[i]; l.rank&1 == 1 && l.offered && g.now.Sub(l.offeredAt) < rankTime {
+		if l := &g.levels[i]; beyondShare(l.rank) && l.offered && g.now.Sub(l.offeredAt) < rankTime {
 			return true
 		}
 	}
--- a/pkg/relay/admit.go
+++ b/pkg/relay/admit.go
@@ -36,7 +36,7 @@
 		Query:    q.id,
 		Priority: q.priority,
 		Account:  q.account,
-		Cost:     q.stats.typical * float64(len(q.route.Shards)),
+		Cost:     q.cost(),
 		Returned: q.returned,
 		Late:     q.target.Sub(e.now) < time.Duration(minRemainingShare*float64(q.route.Target)),
 		Until:    q.refuseBy,
@@ -53,6 +53,9 @@
 	return false
 }
 
+// cost returns the work of a query over shards at the upstreams, in nanoseconds.
+func (q *query) cost() float64 { return q.stats.typical * float64(len(q.route.Shards)) }
+
 // passGate starts or refuses the queries that wait at the gate, when due.
 func (e *Engine) passGate() {
 	for {
--- a/pkg/relay/admit_test.go
+++ b/pkg/relay/admit_test.go
@@ -236,7 +236,7 @@
 	r, ok := find[relay.Refuse](effects)
 	is.True(ok)
 	is.Equal(r.Status, relay.NotNow)
-	is.True(r.After > 500*time.Millisecond && r.After <= time.Second)
+	is.True(r.After > 500*time.Millisecond && r.After <= 1500*time.Millisecond)
 	h.now = h.now.Add(r.After + 100*time.Millisecond)
 	is.Equal(len(calls(h.arrive(3, "/search/x"))), 4)
 	is.Equal(len(calls(h.arrive(4, "/search/x"))), 0) // the first one finds out
@@ -284,7 +284,7 @@
 	is.Equal(len(delegates(effects)), 0)
 	r, ok := find[relay.Refuse](effects)
 	is.True(ok)
-	is.Equal(r.After, 700*time.Millisecond)
+	is.True(r.After >= 700*time.Millisecond)
 	h.now += 800 * ms
 	is.Equal(len(delegates(h.arrive(3, "/search/x"))), 2)
 }
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -7,6 +7,10 @@
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
+// skipSpread is the part by which callers are told at random to wait longer for shards
+// that are overloaded or unreachable, so that they do not all come back at once.
+const skipSpread = 0.5
+
 // skipHopeless skips the shards of a query that no upstream is expected to answer
 // in time, or whose upstreams want no calls, which sheds load only from those
 // shards. If more are skipped than the route allows, it refuses the query before
@@ -18,7 +22,7 @@
 		e.countWaiting(q)
 	}
 	var waits, down []time.Duration
-	probed := 0
+	probed, overloaded := 0, false
 	for _, p := range q.parts {
 		if p.answered() {
 			continue
@@ -43,6 +47,7 @@
 		}
 		if p.skipped = p.paused || closed || remaining > 0 && e.overloaded(q, p, remaining); p.skipped {
 			waits = append(waits, wait)
+			overloaded = overloaded || !p.paused && !closed
 		} else if p.group == nil && e.probed(p.service) {
 			probed++
 		}
@@ -55,8 +60,12 @@
 		waits = append(waits, slices.Repeat([]time.Duration{retryAfter}, probed)...)
 		waits = append(waits, down...)
 		slices.Sort(waits)
+		after := waits[len(waits)-most-1]
+		if overloaded || len(down) > 0 {
+			after += time.Duration(skipSpread * e.rand.Float64() * float64(after))
+		}
 		e.refuseEarly(q, Refuse{
-			After:  waits[len(waits)-most-1],
+			After:  after,
 			Reason: reason,
 			Cause:  CauseShards,
 		})
@@ -68,8 +77,9 @@
 
 // knownDown reports whether no upstream of a part can answer: none may be called, or
 // all of them have refused a connection of this host of late; left is when the first
-// of these is tried again. What this host has seen counts only for parts that it calls itself: those that other hosts call may
-// be reachable from there, and these report what they have seen.
+// of these is tried again. What this host has seen counts only for parts that it calls
+// itself: those that other hosts call may be reachable from there, and these report
+// what they have seen.
 func (e *Engine) knownDown(p *part) (left time.Duration, known bool) {
 	if p.group != nil && p.group.helper == "" {
 		return 0, false
