--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -6,6 +6,8 @@
 	"net/textproto"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/jujubethread/jujubethread/internal/gauge"
 	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/pipe"
--- a/pkg/relay/skip.go
+++ b/pkg/relay/skip.go
@@ -7,6 +7,10 @@
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
+// skipSpread is the part by which callers are told at random to wait longer for shards
+// that are overloaded or unreachable, so that they do not all come back at once.
+const skipSpread = 0.5
+
 // skipHopeless skips the shards of a query that no upstream is expected to answer
 // in time, or whose upstreams want no calls, which sheds load only from those
 // shards. If more are skipped than the route allows, it refuses the query before
@@ -18,7 +22,7 @@
 		e.countWaiting(q)
 	}
 	var waits, down []time.Duration
-	probed := 0
+	probed, overloaded := 0, false
 	for _, p := range q.parts {
 		if p.answered() {
 			continue
@@ -48,6 +52,7 @@
 		}
 		if p.skipped = p.paused || closed || remaining > 0 && e.overloaded(q, p, remaining); p.skipped {
 			waits = append(waits, wait)
+			overloaded = overloaded || !p.paused && !closed
 		} else if p.group == nil && e.probed(p.service) {
 			probed++
 		}
@@ -56,8 +61,12 @@
 		waits = append(waits, slices.Repeat([]time.Duration{retryAfter}, probed)...)
 		waits = append(waits, down...)
 		slices.Sort(waits)
+		after := waits[len(waits)-most-1]
+		if e.admits() && (overloaded || len(down) > 0) {
+			after += time.Duration(skipSpread * e.rand.Float64() * float64(after))
+		}
 		e.refuseEarly(q, Refuse{
-			After:  waits[len(waits)-most-1],
+			After:  after,
 			Reason: q.skipReason(most, len(down) > 0),
 			Cause:  CauseShards,
 		})
