Lower the limit of searches for shed calls only while upstreams have queues

Cause: faulty upstreams that shed a part of their calls without load lowered the limit, and searches were refused that would have been answered.

Change: shed calls count while the usual shard waits for half of what it may.

A new case of TestLimitFollowsUpstreams fails without the change (limit 0.10 instead of 3).

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -52,6 +52,11 @@
 	maxCut  = 0.6
 	shedCut = 0.7
 
+	// shedLoad is the load below which shed calls do not lower the limit. Upstreams with
+	// full queues keep the usual shard waiting; those that shed without are faulty, and
+	// admitting less does not help.
+	shedLoad = 0.5
+
 	// usualShare is the part of the target that the usual shard of a search may take.
 	// The slowest of many shards takes about three times as long.
 	usualShare = 0.3
@@ -443,7 +448,7 @@
 		load = g.load
 	}
 	switch {
-	case s.Short > 1:
+	case s.Short > 1 && (s.Usual == 0 || load > shedLoad):
 		g.cut(r, shedCut)
 	case load > 1:
 		g.cut(r, max(maxCut, 1/load))
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -80,6 +80,7 @@
 		{"nothing is known", sample(0), 50, 3, 4},
 		{"slow answers", sample(90 * time.Millisecond), 2, 0.5, 2},
 		{"slow answers for long", sample(90 * time.Millisecond), 50, 0.1, 0.2},
+		{"calls shed by faulty upstreams", gate.Sample{Route: "search", Target: target, Usual: 8 * time.Millisecond, Short: 2}, 50, 3, 100},
 		{"shed calls", gate.Sample{Route: "search", Target: target, Short: 2}, 50, 0.1, 0.2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
