Look for the messages of the guard on the operations page

Change: the page lists the message; the test reads internal/guard too. tier story shows changes of the slow start.

--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -27,6 +27,7 @@
 	"limit of an upstream changed":        true,
 	"departure of an upstream changed":    true,
 	"upstream asks for a pause":           true,
+	"slow start of an upstream changed":   true,
 	"control host is unreachable":         true,
 	"control host is reachable again":     true,
 	"control host changed":                true,
--- a/internal/story/table_test.go
+++ b/internal/story/table_test.go
@@ -11,7 +11,7 @@
 )
 
 // message matches a log call and captures its message.
-var message = regexp.MustCompile(`log\.(?:Debug|Info|Warn|Error)\("([^"]+)"`)
+var message = regexp.MustCompile(`[lL]og\.(?:Debug|Info|Warn|Error)\("([^"]+)"`)
 
 // Guards against a log message that docs/OPERATIONS.md does not explain, and
 // against one that it explains but no daemon writes.
@@ -20,7 +20,7 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	is.NoErr(err)
 	written := make(map[string]bool)
-	for _, folder := range []string{"front", "core", "tier"} {
+	for _, folder := range []string{"front", "core", "tier", "guard"} {
 		files, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
 		is.NoErr(err)
 		for _, file := range files {
