Name the time without progress and the excess of shares plainly

Renames only: patience is stallTime, sparing and spared are sharesExceeded and exceededFactor, spare is refuseOverShare. No behaviour changes; the tests of pkg/gate, pkg/relay and pkg/memory pass.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -93,10 +93,10 @@
 	// falls then, while without it a burst of them would be refused.
 	headroom = 3.0
 
-	// spared is by how much earlier the limit falls while accounts ask for more than
+	// exceededFactor is by how much earlier the limit falls while accounts ask for more than
 	// their fair share, as a factor. At the highest load that upstreams take, the others
 	// would have to wait for them.
-	spared = 2.0
+	exceededFactor = 2.0
 
 	// overShare is the part of the limit that searches beyond the fair shares of their
 	// accounts may fill, so that others need not wait for one of them to end.
@@ -440,8 +440,8 @@
 	if s.Usual > 0 {
 		load = g.observeUsual(s)
 	}
-	if g.sparing() {
-		load, s.Short = load*spared, s.Short*spared
+	if g.sharesExceeded() {
+		load, s.Short = load*exceededFactor, s.Short*exceededFactor
 	}
 	if s.Usual > 0 {
 		g.load += loadWeight * (load - g.load)
@@ -482,8 +482,8 @@
 	return (usual - b.latency) / mayWait
 }
 
-// sparing reports whether accounts ask for more than their fair share.
-func (g *Gate) sparing() bool {
+// sharesExceeded reports whether accounts ask for more than their fair share.
+func (g *Gate) sharesExceeded() bool {
 	for i := range g.levels {
 		if l := &g.levels[i]; beyondShare(l.rank) && l.offered && g.now.Sub(l.offeredAt) < rankTime {
 			return true
--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -53,12 +53,12 @@
 const (
 	// expectedRate is the progress in bytes per second above which a connection is
 	// never in arrears. A body of 256 KB that stops just short of its end is in
-	// arrears after 2 s and patience.
+	// arrears after 2 s and stallTime.
 	expectedRate = 128 << 10
 
-	// patience is the time without progress after which a connection is in arrears.
+	// stallTime is the time without progress after which a connection is in arrears.
 	// Callers send a request at once; lost packets take up to a second to be repeated.
-	patience = time.Second
+	stallTime = time.Second
 
 	// spareFraction is the part of a bound that is freed in addition, so that not
 	// every further byte causes a scan.
@@ -108,7 +108,7 @@
 // isSlow reports whether a connection is in arrears. Only waits that are up to the
 // caller count: a request that is whole is never slow.
 func (e *entry) isSlow(now ident.Instant) bool {
-	return (e.stage == silent || e.stage == reading || e.stage == writing) && e.arrears(now) > patience
+	return (e.stage == silent || e.stage == reading || e.stage == writing) && e.arrears(now) > stallTime
 }
 
 // Budget is the reducer for one process.
@@ -153,7 +153,7 @@
 		spare := b.cfg.Connections / spareFraction
 		drops = b.dropAmong(now, func() bool { return b.open > b.cfg.Connections-spare }, func(e *entry) bool { return e.isSlow(now) }, byArrears)
 		// A fresh connection is among those that give way, since an ordinary request is
-		// whole within milliseconds: else callers that stall for less than patience, and
+		// whole within milliseconds: else callers that stall for less than stallTime, and
 		// then connect again, would keep all others out.
 		over := func() bool { return b.open > b.cfg.Connections }
 		drops = append(drops, b.dropAmong(now, over, func(e *entry) bool { return e.id != id && (e.stage == silent || e.stage == reading) }, byArrears)...)
--- a/pkg/relay/query.go
+++ b/pkg/relay/query.go
@@ -268,7 +268,7 @@
 func (e *Engine) start(q *query) {
 	q.startedAt = e.now
 	q.addAllParts()
-	if !q.route.Gathers() && e.spare(q) {
+	if !q.route.Gathers() && e.refuseOverShare(q) {
 		return
 	}
 	if q.route.Gathers() {
--- a/pkg/relay/single.go
+++ b/pkg/relay/single.go
@@ -77,9 +77,9 @@
 	return l != nil && l.refusing >= minRefusing && l.shares.Over(e.now, q.account)
 }
 
-// spare refuses a request to one upstream for an account that takes the capacity of the
+// refuseOverShare refuses a request to one upstream for an account that takes the capacity of the
 // others. It returns false if the request may be sent.
-func (e *Engine) spare(q *query) bool {
+func (e *Engine) refuseOverShare(q *query) bool {
 	if q.mayHaveRun || !e.overShare(q) || e.rand.Float64() >= e.loads[q.parts[0].service].refusing {
 		return false
 	}
