Show a leaf that is cold again and is not spared

The digest of the list of upstreams, and the deltas between two lists, leave out the remaining cold time. A leaf that becomes cold without a restart so gets as many requests as before, although the list shows it, and crashes with accepted requests at work.

--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 // sent is one attempt of a caller.
 type sent struct {
 	id     string
+	path   string
 	at     time.Time
 	entry  string
 	status int // 0 if the connection ended without an answer
@@ -56,6 +58,7 @@
 	req.Header.Set("Deadline-Milliseconds", fmt.Sprint(limit.Milliseconds()))
 	s := sent{
 		id:    id,
+		path:  path,
 		at:    time.Now(),
 		entry: e.name,
 	}
@@ -121,3 +124,16 @@
 	}
 	return count
 }
+
+// attempts returns the attempts made since a time, by time.
+func (c *caller) attempts(since time.Time) (list []sent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.sent {
+		if s.at.After(since) {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(x, y sent) int { return x.at.Compare(y.at) })
+	return list
+}
