--- a/review/standin-2/caller.go
+++ b/review/standin-2/caller.go
@@ -28,6 +28,7 @@
 type caller struct {
 	w      *world
 	client *http.Client
+	key    string // sent with each request, if set
 
 	mu   sync.Mutex
 	sent map[string]sent
@@ -56,6 +57,9 @@
 	req.Host = "a.example"
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Milliseconds", fmt.Sprint(limit.Milliseconds()))
+	if c.key != "" {
+		req.Header.Set("X-Api-Key", c.key)
+	}
 	s := sent{
 		id:    id,
 		path:  path,
--- a/review/standin-2/leaf.go
+++ b/review/standin-2/leaf.go
@@ -18,6 +18,17 @@
 type lister struct {
 	w       *world
 	address string
+	// lag is how much the list lags, at most MaxLagMs.
+	lag time.Duration
+
+	mu      sync.Mutex
+	history []listed
+}
+
+// listed is the list as it was at a time.
+type listed struct {
+	at      time.Time
+	entries []map[string]any
 }
 
 func newLister(w *world) *lister {
@@ -34,12 +45,7 @@
 }
 
 func (l *lister) serve(w http.ResponseWriter, r *http.Request) {
-	entries := []map[string]any{}
-	for _, f := range l.w.leafs {
-		if e := f.entry(); e != nil {
-			entries = append(entries, e)
-		}
-	}
+	entries := l.entries()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"Instances":     entries,
@@ -47,6 +53,45 @@
 	})
 }
 
+// entries returns the list, as of a while ago if it lags.
+func (l *lister) entries() []map[string]any {
+	if l.lag == 0 {
+		return l.present()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := len(l.history) - 1; i >= 0; i-- {
+		if time.Since(l.history[i].at) >= l.lag {
+			return l.history[i].entries
+		}
+	}
+	return l.present()
+}
+
+func (l *lister) present() []map[string]any {
+	entries := []map[string]any{}
+	for _, f := range l.w.leafs {
+		entries = append(entries, f.entry())
+	}
+	return entries
+}
+
+// lags makes the list lag.
+func (l *lister) lags(lag time.Duration) {
+	l.lag = lag
+	go func() {
+		for {
+			l.mu.Lock()
+			l.history = append(l.history, listed{
+				at:      time.Now(),
+				entries: l.present(),
+			})
+			l.mu.Unlock()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+}
+
 // arrival is a request that reached a leaf.
 type arrival struct {
 	at   time.Time
@@ -72,6 +117,10 @@
 	// deadUntil is when a crashed leaf is back.
 	deadUntil time.Time
 	coldUntil time.Time
+	// coldStart is how long the leaf is cold after it starts during traffic. keepsID is
+	// set if it starts again under the id that it had.
+	coldStart time.Duration
+	keepsID   bool
 	running   int
 	waiting   int
 	free      chan struct{}
@@ -106,8 +155,12 @@
 	}
 	l.mu.Lock()
 	l.incarnate++
-	l.id = fmt.Sprintf("i-%s-%s-%d-%d", l.service, l.zone, len(l.address), l.incarnate) + lis.Addr().String()[len(lis.Addr().String())-5:]
-	l.address = lis.Addr().String()
+	if l.address = lis.Addr().String(); l.id == "" || !l.keepsID {
+		l.id = fmt.Sprintf("i-%s-%s-%d-%s", l.service, l.zone, l.incarnate, l.address[len(l.address)-5:])
+	}
+	if l.incarnate > 1 && l.coldStart > 0 {
+		l.coldUntil = time.Now().Add(l.coldStart)
+	}
 	l.born = time.Now().UnixMilli()
 	l.free = make(chan struct{}, l.slots)
 	l.running, l.waiting = 0, 0
