--- a/review/standin-2/crasher.go
+++ b/review/standin-2/crasher.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +16,9 @@
 	deployments["crasher-returns"] = deployment{entriesPerZone: 2}
 }
 
+// crasherWork is how long a leaf works on a request before it crashes.
+const crasherWork = 100 * time.Millisecond
+
 // maxRetries is how often a request may reach leafs after it has crashed the third.
 const maxRetries = 3
 
@@ -24,7 +28,7 @@
 	const path = "/desk/crasher"
 	for _, z := range zones {
 		for range 4 {
-			l := w.addLeaf("desk", z, 6, 100*time.Millisecond)
+			l := w.addLeaf("desk", z, 6, crasherWork)
 			if trouble {
 				l.crashOn = path
 			}
@@ -71,8 +75,12 @@
 	if !trouble {
 		return true
 	}
-	var third time.Time
-	reached := 0
+	return w.countRetries(c, path) <= maxRetries
+}
+
+// countRetries logs when a request that crashes leafs reached one, and returns how often
+// it did later than ConnectivityWindowMs after it has crashed the third.
+func (w *world) countRetries(c *caller, path string) int {
 	var all []arrival
 	for _, l := range w.leafs {
 		for _, a := range l.arrivalsSince(time.Time{}) {
@@ -81,23 +89,14 @@
 			}
 		}
 	}
-	for i := range all {
-		for j := range i {
-			if all[i].at.Before(all[j].at) {
-				all[i], all[j] = all[j], all[i]
-			}
-		}
-	}
-	ran := 0
-	for _, a := range all {
+	slices.SortFunc(all, func(x, y arrival) int { return x.at.Compare(y.at) })
+	retries := 0
+	for i, a := range all {
 		w.log("the request reached a leaf at %.3f (attempt %s, sent to %s, ran: %v)", a.at.Sub(w.started).Seconds(), a.id, c.of(a.id).entry, a.ran)
-		if ran++; ran == 3 {
-			third = a.at.Add(100 * time.Millisecond)
-		}
-		if ran > 3 && a.at.After(third.Add(connectivityWindow)) {
-			reached++
+		if i >= 3 && a.at.After(all[2].at.Add(crasherWork+connectivityWindow)) {
+			retries++
 		}
 	}
-	w.log("%d retries reached leafs later than %s after the third crash, %d are allowed", reached, connectivityWindow, maxRetries)
-	return reached <= maxRetries
+	w.log("%d retries reached leafs later than %s after the third crash, %d are allowed", retries, connectivityWindow, maxRetries)
+	return retries
 }
--- a/review/standin-2/deploy.go
+++ b/review/standin-2/deploy.go
@@ -43,7 +43,6 @@
 
 	recordMu sync.Mutex
 	record   *os.File
-	quiet    bool
 
 	net      string // the first two bytes of all addresses
 	port     int    // the first port between hosts
@@ -163,9 +162,6 @@
 // link is the address of a process for other hosts.
 func (p *process) link() string { return fmt.Sprintf("%s:%d", p.ip, p.w.port) }
 
-// memberID is the id that a first member of the control group has.
-func (p *process) memberID() string { return "first-" + p.link() }
-
 // writeSettings writes what deploy/*.conf becomes once the platform has filled it in.
 func (p *process) writeSettings(first bool) {
 	w := p.w
--- a/review/standin-2/leaf.go
+++ b/review/standin-2/leaf.go
@@ -40,7 +40,7 @@
 		w:       w,
 		address: lis.Addr().String(),
 	}
-	go http.Serve(lis, http.HandlerFunc(l.serve))
+	go func() { _ = http.Serve(lis, http.HandlerFunc(l.serve)) }()
 	return l
 }
 
@@ -167,7 +167,7 @@
 	l.srv = &http.Server{Handler: http.HandlerFunc(l.serve)}
 	srv := l.srv
 	l.mu.Unlock()
-	go srv.Serve(lis)
+	go func() { _ = srv.Serve(lis) }()
 }
 
 func (l *leaf) stop() {
@@ -223,12 +223,7 @@
 	l.coldUntil = time.Now().Add(d)
 }
 
-func (l *leaf) isCold() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return time.Now().Before(l.coldUntil)
-}
-
+// queueLimit is how many requests wait at a leaf; it rejects others.
 const queueLimit = 12
 
 func (l *leaf) serve(w http.ResponseWriter, r *http.Request) {
@@ -253,29 +248,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	l.mu.Lock()
-	l.arrivals = append(l.arrivals, arrival{
-		at:   time.Now(),
-		id:   id,
-		path: r.URL.Path,
-	})
-	mine := len(l.arrivals) - 1
-	inSecond := 0
-	for i := mine; i >= 0 && time.Since(l.arrivals[i].at) < time.Second; i-- {
-		inSecond++
-	}
-	cold := time.Now().Before(l.coldUntil)
-	overrun := cold && l.coldCrash > 0 && inSecond > l.coldCrash
-	full := l.waiting >= queueLimit
-	if !full {
-		l.waiting++
-	}
-	l.mu.Unlock()
-	if overrun {
-		l.crash(fmt.Sprintf("%d requests in a second while it is cold", inSecond), 3*time.Second)
-		panic(http.ErrAbortHandler)
-	}
-	if full {
+	mine, ok := l.arrive(id, r.URL.Path)
+	if !ok {
 		h.Set("Not-Executed", "full")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -307,6 +281,33 @@
 	_, _ = w.Write(append([]byte(id), body...))
 }
 
+// arrive records a request that reached the leaf, and returns its place in arrivals. It
+// reports false if the queue is full. A cold leaf that gets too many crashes.
+func (l *leaf) arrive(id, path string) (mine int, ok bool) {
+	l.mu.Lock()
+	l.arrivals = append(l.arrivals, arrival{
+		at:   time.Now(),
+		id:   id,
+		path: path,
+	})
+	mine = len(l.arrivals) - 1
+	inSecond := 0
+	for i := mine; i >= 0 && time.Since(l.arrivals[i].at) < time.Second; i-- {
+		inSecond++
+	}
+	cold := time.Now().Before(l.coldUntil)
+	ok = l.waiting < queueLimit
+	if ok {
+		l.waiting++
+	}
+	l.mu.Unlock()
+	if cold && l.coldCrash > 0 && inSecond > l.coldCrash {
+		l.crash(fmt.Sprintf("%d requests in a second while it is cold", inSecond), 3*time.Second)
+		panic(http.ErrAbortHandler)
+	}
+	return mine, ok
+}
+
 // takeSlot waits for a slot, at most until the deadline or until the caller leaves.
 func (l *leaf) takeSlot(ctx context.Context, free chan struct{}, deadline string) bool {
 	ms, err := strconv.Atoi(deadline)
