Keep the stand-ins of the second review in test files

The platform's names may stand in test files only outside of platform/, so that TestNamesStayHere failed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # after the build line of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review2 -o target/review-2/standin-2 ./review/standin-2
+go test -c -tags review2 -o target/review-2/standin-2 ./review/standin-2
--- a/review/standin-2/deploy.go
+++ b/review/standin-2/deploy_test.go
@@ -1,10 +1,10 @@
 //go:build review2
 
-// Command standin-2 plays the cases of the second review. It starts the project's
-// programs as processes on loopback addresses, with settings as deploy/*.conf has them
-// for a small deployment, and stand-ins of the platform's list, upstreams, callers and
-// an operator, which do only what the users' pages allow.
-package main
+// Package standin_test plays the cases of the second review. Its test binary starts the
+// project's programs as processes on loopback addresses, with settings as deploy/*.conf
+// has them for a small deployment, and stand-ins of the platform's list, upstreams,
+// callers and an operator, which do only what the users' pages allow.
+package standin_test
 
 import (
 	"bytes"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main_test.go
@@ -1,10 +1,11 @@
 //go:build review2
 
-package main
+package standin_test
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 // cases maps the names of cases to their functions, which report whether the rule was
@@ -20,7 +21,8 @@
 
 var deployments = map[string]deployment{}
 
-func main() {
+// TestMain makes the test binary a program that runs one case.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
 		os.Exit(2)
@@ -35,8 +37,13 @@
 	w.log("case %s, trouble %v", name, trouble)
 	defer w.close(os.Getenv("KEEP") != "")
 	defer func() {
-		if s, ok := recover().(exitStatus); ok {
-			status = int(s)
+		switch p := recover().(type) {
+		case nil:
+		case exitStatus:
+			status = int(p)
+		default:
+			w.log("COULD NOT RUN: %v", p)
+			status = 2
 		}
 		w.log("exit status %d", status)
 	}()
--- a/review/standin-2/proxy.go
+++ b/review/standin-2/proxy_test.go
@@ -1,6 +1,6 @@
 //go:build review2
 
-package main
+package standin_test
 
 import (
 	"errors"
