--- a/review/standin-2/deploy_test.go
+++ b/review/standin-2/deploy_test.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 // Package standin_test plays the cases of the second review. Its test binary starts the
 // project's programs as processes on loopback addresses, with settings as deploy/*.conf
 // has them for a small deployment, and stand-ins of the platform's list, upstreams,
--- a/review/standin-2/evacuation_test.go
+++ b/review/standin-2/evacuation_test.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 package standin_test
 
 import (
