--- a/review/standin-2/coldreturn_test.go
+++ b/review/standin-2/coldreturn_test.go
@@ -28,7 +28,7 @@
 	w.startAll(config)
 	c := w.newCaller()
 	ctx, cancel := context.WithCancel(context.Background())
-	load := c.load(ctx, w.entries, 90, http.MethodPost, "/desk/filing-", 4*time.Second)
+	load := c.load(ctx, w.entries, 150, http.MethodPost, "/desk/filing-", 4*time.Second)
 	time.Sleep(5 * time.Second)
 	cold := w.leafs[0]
 	back := time.Now().Add(4500 * time.Millisecond)
