Count the memory of closing connections, and keep some for small requests

Callers saw: a control host of 128 MB ended above it while 60 clients that connect again at once sent documents of 8 MB. An entry host of 136 MB closed the connections of ordinary small requests without an answer while 1,200 clients sent whole bodies of 256 KB.

Cause: a connection that was closed for others counted as free at once, but its goroutine and buffers live on until net/http has noticed. Each client that connects again adds the next one. Buffers of bodies doubled as they were read, which left garbage faster than the collector frees it. And small requests gave way like any others when large ones held all memory.

Change: pkg/memory counts what closing connections hold until Close; with them large connections get at most five quarters of the bound. A quarter is kept for connections that hold 40 KB or less. Bodies are read into blocks that are used again. While too many connections are closing, new ones wait in the accept queue instead of being closed. Operators get a quarter of the descriptors. The bounds always have room for the largest request inside the limits.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,11 +96,9 @@
 	Log         *slog.Logger
 }
 
-// operatorGuard returns the bounds for operators. A document of the largest size always
-// finds room, with its copies.
+// operatorGuard returns the bounds for operators.
 func operatorGuard(cfg Config) *guard.Guard {
-	bounds := guard.Bounds(cfg.Memory, cfg.Descriptors)
-	bounds.Bytes = max(bounds.Bytes, 3*maxDocumentBytes+1<<20)
+	bounds := guard.OperatorBounds(cfg.Memory, cfg.Descriptors, maxDocumentBytes)
 	bounds.StallTimeout = operatorStallTimeout
 	bounds.Log = cfg.Log
 	return guard.New(bounds)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -201,12 +201,17 @@
 		serving:    serving,
 		endServing: endServing,
 	}
-	bounds := guard.Bounds(cfg.Memory, cfg.Descriptors)
-	bounds.Limits, bounds.Dropped, bounds.Log = f.callerLimits, f.gauge.CallerDropped, cfg.Log
-	f.guard = guard.New(bounds)
+	bounds := guard.CallerBounds(cfg.Memory, cfg.Descriptors)
+	bounds.Limits, bounds.Dropped = f.callerLimits, f.gauge.CallerDropped
+	f.guard = f.newGuard(bounds)
 	return f, nil
 }
 
+func (f *Front) newGuard(bounds guard.Config) *guard.Guard {
+	bounds.Log = f.log
+	return guard.New(bounds)
+}
+
 // callerLimits returns the limits of the configuration in force.
 func (f *Front) callerLimits() guard.Limits {
 	t := f.table.Load()
--- a/internal/guard/bounds.go
+++ b/internal/guard/bounds.go
@@ -16,9 +16,17 @@
 	// configuration and the state of a few hundred upstreams. 16 to 28 MB were measured.
 	baseBytes = 24 << 20
 
-	// defaultBytes applies without a memory setting. No ordinary callers reach it.
+	// programBytes is the size of the program in memory.
+	programBytes = 12 << 20
+	// defaultBytes is what callers may hold without a memory setting. No ordinary callers
+	// reach it.
 	defaultBytes = 512 << 20
 
+	// usualBodyBytes and usualHeadBytes are the limits of a request that every process
+	// serves.
+	usualBodyBytes = 1 << 20
+	usualHeadBytes = 16 << 10
+
 	// defaultDescriptors applies if the limit of the process is unknown.
 	defaultDescriptors = 1024
 )
@@ -32,26 +40,58 @@
 }
 
 // collectorLimit leaves a margin for what the collector does not count: the pages of the
-// program, 10 to 12 MB were measured, and memory that it frees late.
-func collectorLimit(memory int) int64 { return int64(memory)<<20*95/100 - 12<<20 }
-
-// Bounds returns the Config for a process with some memory in MB and descriptors; 0 means
-// that they are not set. Callers get half of the descriptors, and a third of the memory
-// that the process does not use itself. The rest is for upstreams and other hosts, and
-// for garbage: with half, one of 8 runs on a busy machine exceeded 64 MB by 10 MB, as
-// the collector may use only half of the processor time.
-func Bounds(memory, descriptors int) Config {
-	c := Config{Bytes: defaultBytes}
-	if memory > 0 {
-		c.Bytes = (collectorLimit(memory) - baseBytes) / 3
+// program, and memory that it frees late.
+func collectorLimit(memory int) int64 { return int64(memory)<<20*95/100 - programBytes }
+
+// CallerBounds returns the Config for the callers of a process with some memory in MB and
+// descriptors; 0 means that they are not set. Callers get half of the descriptors, and a
+// third of the memory that the process does not use itself, and room for one request of
+// the usual limits. The rest is for upstreams and other hosts, and for garbage: with half,
+// one of 8 runs on a busy machine exceeded 64 MB by 10 MB, as the collector may use only
+// half of the processor time.
+func CallerBounds(memory, descriptors int) Config {
+	return Config{
+		Of:          "callers",
+		Bytes:       max(share(memory, 3), requestBytes(usualBodyBytes, usualHeadBytes)),
+		Connections: max(1, countDescriptors(descriptors)/2),
+	}
+}
+
+// OperatorBounds returns the Config for the operators of a control host, who send bodies
+// of up to some bytes. One such body always finds room, with its copies.
+func OperatorBounds(memory, descriptors int, body int64) Config {
+	return Config{
+		Of:          "operators",
+		Bytes:       max(share(memory, 3), requestBytes(body, defaultHeadBytes)),
+		Connections: max(1, countDescriptors(descriptors)/4),
+	}
+}
+
+// share returns a part of the memory that a process does not use itself.
+func share(memory int, part int64) int64 {
+	if memory <= 0 {
+		return defaultBytes * 3 / part
+	}
+	return (collectorLimit(memory) - baseBytes) / part
+}
+
+// requestBytes returns the bound with which a request with a body and a head of some bytes
+// is served while there are no others, also if the head has lines of three bytes.
+func requestBytes(body, head int64) int64 {
+	return withReserve((1+runningCopies)*body + head + head/3*lineBytes + connectionBytes + smallBytes)
+}
+
+// withReserve returns the bound with which large connections may hold some bytes.
+func withReserve(large int64) int64 { return large*4/3 + 1 }
+
+// countDescriptors returns the descriptors of the process if they are not set.
+func countDescriptors(descriptors int) int {
+	if descriptors > 0 {
+		return descriptors
 	}
-	if descriptors <= 0 {
-		descriptors = defaultDescriptors
-		var limit syscall.Rlimit
-		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
-			descriptors = int(min(limit.Cur, 1<<20))
-		}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return defaultDescriptors
 	}
-	c.Connections = max(1, descriptors/2)
-	return c
+	return int(min(limit.Cur, 1<<20))
 }
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -3,8 +3,6 @@
 import (
 	"io"
 	"net"
-	"net/http"
-	"os"
 	"syscall"
 	"time"
 
@@ -192,19 +190,15 @@
 func (c *Conn) finish() {
 	c.serving, c.head = false, head{}
 	c.guard.mu.Lock()
-	c.guard.budget.Finish(ident.Instant(time.Since(c.guard.start)), c.id)
+	c.guard.budget.Finish(ident.Instant(time.Since(c.guard.start)), c.id, 0)
 	c.guard.mu.Unlock()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(c.guard.limits().IdleTimeout))
 }
 
 func (c *Conn) forget() {
-	if c.forgotten.Swap(true) {
-		return
+	if !c.forgotten.Swap(true) {
+		c.guard.remove(c.id)
 	}
-	c.guard.mu.Lock()
-	defer c.guard.mu.Unlock()
-	c.guard.budget.Close(c.id)
-	delete(c.guard.conns, c.id)
 }
 
 // Complete records that a request is whole and holds some bytes while it runs. It
@@ -227,98 +221,3 @@
 		return b.Answer(now, c.id, int64(bytes))
 	})
 }
-
-// ErrNoMemory is the cause of a request that is refused since callers hold all the
-// memory that there is for them.
-var ErrNoMemory = errors.New("callers hold all the memory that there is for them: send the request again")
-
-// firstRead is the size of the first buffer for a body.
-const firstRead = 4 << 10
-
-// ReadBody reads the body of a request within a limit, as io.ReadAll does, and reserves
-// its memory before it is used. Errors are of type *http.MaxBytesError for a body over
-// the limit, os.ErrDeadlineExceeded for one that makes no progress, and ErrNoMemory.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	c := Of(r)
-	if r.ContentLength > limit {
-		w.Header()["Connection"] = []string{"close"}
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	body := http.MaxBytesReader(w, r.Body, limit)
-	var buf []byte
-	for size := int64(firstRead); ; size = int64(cap(buf)) * 2 {
-		size = min(size, limit+1)
-		if r.ContentLength > 0 {
-			size = min(size, r.ContentLength)
-		}
-		if c != nil && !c.hold(0, size-int64(cap(buf))) {
-			return nil, ErrNoMemory
-		}
-		buf = append(make([]byte, 0, size), buf...)
-		for len(buf) < cap(buf) {
-			n, err := body.Read(buf[len(buf):cap(buf)])
-			buf = buf[:len(buf)+n]
-			switch {
-			case err == io.EOF:
-				return buf, nil
-			case err != nil && c != nil && c.evicted.Load():
-				return nil, ErrNoMemory
-			case err != nil:
-				return nil, err
-			case c != nil:
-				_ = c.SetReadDeadline(time.Now().Add(c.guard.cfg.StallTimeout))
-				if !c.hold(n, 0) {
-					return nil, ErrNoMemory
-				}
-			}
-		}
-		if int64(len(buf)) == r.ContentLength {
-			return buf, nil
-		}
-	}
-}
-
-// Body returns a reader of the body of a request that reserves its memory, for handlers
-// that decode it from a stream: twice what is read, as their buffers grow.
-func Body(r *http.Request) io.Reader {
-	c := Of(r)
-	if c == nil {
-		return r.Body
-	}
-	return &bodyReader{
-		conn: c,
-		from: r.Body,
-	}
-}
-
-type bodyReader struct {
-	conn *Conn
-	from io.Reader
-}
-
-// Read implements io.Reader.
-func (b *bodyReader) Read(p []byte) (int, error) {
-	n, err := b.from.Read(p)
-	if b.conn.evicted.Load() || n > 0 && !b.conn.hold(n, 2*int64(n)) {
-		return 0, ErrNoMemory
-	}
-	return n, err
-}
-
-// Status returns the status with which a request is answered whose body could not be
-// read.
-func Status(err error) int {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return http.StatusRequestTimeout
-	case errors.Is(err, ErrNoMemory):
-		return http.StatusServiceUnavailable
-	}
-	return http.StatusBadRequest
-}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -31,6 +31,13 @@
 	// runs: in the messages to other hosts and upstreams.
 	runningCopies = 2
 
+	// smallBytes is what an ordinary request holds in addition to its connection: 1 KB
+	// with 20 header lines, and a body of 4 KB, while it runs.
+	smallBytes = 24 << 10
+
+	// closingTimeout bounds how long new connections wait for others to close.
+	closingTimeout = 100 * time.Millisecond
+
 	// logInterval is the time between two log lines about closed connections.
 	logInterval = time.Second
 
@@ -69,9 +76,11 @@
 // MaxHeaderBytes is the limit to set at the server, beyond which Limits have no effect.
 const MaxHeaderBytes = 1 << 20
 
-// Config holds the bounds of a process.
+// Config holds the bounds of the connections of one kind.
 type Config struct {
-	// Bytes bounds what callers hold, Connections their number.
+	// Of names the clients in logs: callers or operators.
+	Of string
+	// Bytes bounds what clients hold, Connections their number.
 	Bytes       int64
 	Connections int
 	// StallTimeout is the time in which a body or an answer must make progress; 0 means
@@ -85,15 +94,17 @@
 	Log     *slog.Logger
 }
 
-// Guard bounds the callers of one process.
+// Guard bounds the clients of one kind of a process.
 type Guard struct {
 	cfg   Config
 	start time.Time
 
 	mu     sync.Mutex
 	budget *memory.Budget
-	conns  map[memory.ID]*Conn
+	conns  map[memory.ID]evictable
 	lastID memory.ID
+	// closed gets a value when a connection is closed.
+	closed chan struct{}
 	// dropped counts since the last log line, by reason.
 	dropped  [memory.Full + 1]int
 	loggedAt time.Time
@@ -117,8 +128,10 @@
 			Bytes:           cfg.Bytes,
 			Connections:     cfg.Connections,
 			ConnectionBytes: connectionBytes,
+			SmallBytes:      connectionBytes + smallBytes,
 		}),
-		conns: make(map[memory.ID]*Conn),
+		conns:  make(map[memory.ID]evictable),
+		closed: make(chan struct{}, 1),
 	}
 }
 
@@ -154,7 +167,7 @@
 		return true
 	}
 	kept := true
-	closed := make([]*Conn, 0, len(drops))
+	closed := make([]evictable, 0, len(drops))
 	for _, d := range drops {
 		g.dropped[d.Reason]++
 		if g.cfg.Dropped != nil {
@@ -171,14 +184,14 @@
 	if report {
 		counts, g.dropped, g.loggedAt = g.dropped, [memory.Full + 1]int{}, now
 	}
-	open, used := g.budget.Open(), g.budget.Used()
+	open, used, closing := g.budget.Open(), g.budget.Used(), g.budget.Closing()
 	g.mu.Unlock()
 	for _, c := range closed {
 		c.evict()
 	}
 	if report {
-		g.cfg.Log.Warn("callers give way", "Slow", counts[memory.Slow], "Unused", counts[memory.Unused], "Full", counts[memory.Full],
-			"Connections", open, "HeldBytes", used)
+		g.cfg.Log.Warn("callers give way", "Of", g.cfg.Of, "Slow", counts[memory.Slow], "Unused", counts[memory.Unused], "Full", counts[memory.Full],
+			"Connections", open, "HeldBytes", used, "ClosingBytes", closing)
 	}
 	return kept
 }
@@ -220,6 +233,7 @@
 // Accept implements net.Listener. Connections for which there is no room are closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
+		l.guard.waitForClosing()
 		raw, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
@@ -230,17 +244,54 @@
 	}
 }
 
+// waitForClosing leaves new connections in the accept queue while so many are closing
+// that a further one would be refused.
+func (g *Guard) waitForClosing() {
+	for end := time.Now().Add(closingTimeout); time.Now().Before(end); {
+		g.mu.Lock()
+		crowded := g.budget.Crowded()
+		g.mu.Unlock()
+		if !crowded {
+			return
+		}
+		select {
+		case <-g.closed:
+		case <-time.After(time.Until(end)):
+		}
+	}
+}
+
+// evictable is a connection that can be closed for others.
+type evictable interface{ evict() }
+
+// add gives a new connection an id and reports whether there is room for it.
+func (g *Guard) add(c evictable, id *memory.ID) bool {
+	g.mu.Lock()
+	g.lastID++
+	*id = g.lastID
+	g.conns[*id] = c
+	g.mu.Unlock()
+	return g.step(*id, func(b *memory.Budget, now ident.Instant) []memory.Drop { return b.Accept(now, *id) })
+}
+
+// remove forgets a connection that is closed.
+func (g *Guard) remove(id memory.ID) {
+	g.mu.Lock()
+	g.budget.Close(id)
+	delete(g.conns, id)
+	g.mu.Unlock()
+	select {
+	case g.closed <- struct{}{}:
+	default:
+	}
+}
+
 func (g *Guard) accept(raw net.Conn) *Conn {
 	c := &Conn{
 		Conn:  raw,
 		guard: g,
 	}
-	g.mu.Lock()
-	g.lastID++
-	c.id = g.lastID
-	g.conns[c.id] = c
-	g.mu.Unlock()
-	if !g.step(c.id, func(b *memory.Budget, now ident.Instant) []memory.Drop { return b.Accept(now, c.id) }) {
+	if !g.add(c, &c.id) {
 		c.abort()
 		c.forget()
 		return nil
--- a/internal/host/call.go
+++ b/internal/host/call.go
@@ -78,7 +78,9 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(h.config.BodyTimeout))
 	r.Body = http.MaxBytesReader(w, r.Body, int64(limit)+1)
-	err := wire.DecodeStrict(guard.Body(r), limit, out)
+	body, release := guard.Body(r)
+	defer release()
+	err := wire.DecodeStrict(body, limit, out)
 	if err == nil && !guard.Of(r).Complete(0) {
 		err = guard.ErrNoMemory
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -174,7 +174,7 @@
 		ErrorLog:       slog.NewLogLogger(c.Log.Handler(), slog.LevelWarn),
 		ConnContext:    guard.ConnContext,
 	}
-	bounds := guard.Bounds(c.Memory, c.Descriptors)
+	bounds := guard.CallerBounds(c.Memory, c.Descriptors)
 	bounds.StallTimeout, bounds.Log = c.WriteTimeout, c.Log
 	bounds.Limits = func() guard.Limits {
 		return guard.Limits{
--- /dev/null
+++ b/internal/tier/crowd_test.go
@@ -0,0 +1,74 @@
+package tier_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/internal/crowd"
+	"github.com/jujubethread/jujubethread/platform"
+)
+
+const (
+	// crowdTime is how long a crowd sends, and crowdRounds how often each of its clients
+	// connects again at once after its connection was closed.
+	crowdTime   = time.Second
+	crowdRounds = 20
+
+	// checkHead is the size of the heads that are sent to listeners without a
+	// configured limit.
+	checkHead = 16 << 10
+)
+
+// face runs one crowd after the other, and all at once, and checks the process and an
+// ordinary request while the last connections are open.
+func (h *hostileSystem) face(address string, shapes []crowd.Shape) {
+	h.t.Helper()
+	for _, s := range append(shapes, crowd.Mixed(shapes)) {
+		var open []net.Conn
+		h.watch(func() {
+			open = crowd.Run(crowd.Config{
+				Address: address,
+				Clients: h.clients,
+				Time:    crowdTime,
+				Rounds:  crowdRounds,
+			}, s)
+		})
+		h.t.Log(s.Name)
+		h.check()
+		for _, c := range open {
+			_ = c.Close()
+		}
+		h.process().ResetPeak()
+		h.descriptors = 0
+	}
+}
+
+// callerStart is the start of a request that the entry hosts serve.
+const callerStart = "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: crowd\r\nDeadline-Milliseconds: 3000\r\n"
+
+// Guards against crowds of callers that connect again at once after each refusal.
+func TestCrowdsOfCallers(t *testing.T) {
+	h := newHostileSystem(t, 0)
+	h.face(h.address, crowd.HTTP(callerStart, hostileHead, hostileBody))
+}
+
+// Guards against crowds of operators that connect again at once after each refusal.
+func TestCrowdsOfOperators(t *testing.T) {
+	h := newHostileControl(t)
+	start := fmt.Sprintf("PUT %s HTTP/1.1\r\nHost: a\r\n", platform.PathConfiguration)
+	h.face(h.address, crowd.HTTP(start, checkHead, operatorBody-1))
+}
+
+// hostileSettings writes the settings file of a hostile system and returns its path.
+func hostileSettings(t *testing.T, memory, descriptors int) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings")
+	is.New(t).NoErr(os.WriteFile(file, fmt.Appendf(nil, "memory %d\ndescriptors %d\nlog-level error\n", memory, descriptors), 0o600))
+	return file
+}
--- a/internal/tier/hostile_test.go
+++ b/internal/tier/hostile_test.go
@@ -7,8 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/jujubethread/jujubethread/internal/crowd"
 )
 
 // The settings of the entry host that hostile callers reach, and their numbers. The
@@ -41,6 +41,10 @@
 	t       *testing.T
 	daemon  *daemon
 	address string
+	// ready, metrics and link are the other addresses of the process.
+	ready   string
+	metrics string
+	link    string
 	clients int
 	// descriptors is the largest number of open descriptors seen.
 	descriptors int
@@ -66,20 +70,20 @@
 	limits := fmt.Sprintf(`"Limits":{"MaxHeaderBytes":%d,"MaxBodyBytes":%d,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}`, hostileHead, hostileBody)
 	doc := strings.Replace(document(5, "/x/"), `"Limits":{}`, limits, 1)
 	is.New(t).Equal(s.putDocument(s.controls[0], doc), http.StatusOK)
-	settings := filepath.Join(t.TempDir(), "settings")
-	is.New(t).NoErr(os.WriteFile(settings, fmt.Appendf(nil, "memory %d\ndescriptors %d\nlog-level error\n", memory, descriptors), 0o600))
 	h := &hostileSystem{
 		system:  s,
 		t:       t,
 		address: freeAddress(t),
+		ready:   freeAddress(t),
+		metrics: freeAddress(t),
+		link:    fmt.Sprint("127.0.9.40:", s.port),
 		clients: clients,
 		memory:  memory,
 		limit:   descriptors,
 	}
-	ready := freeAddress(t)
-	h.daemon = startDaemon(t, "entry", "-config", settings, "-name", "hostile", "-domain", "a", "-ip", "127.0.9.40",
-		"-ports", fmt.Sprint(s.port), "-seeds", "127.0.9.1:1,127.0.9.2:1", "-front", h.address, "-ready", ready)
-	waitReady(t, "http://"+ready+"/-/readiness")
+	h.daemon = startDaemon(t, "entry", "-config", hostileSettings(t, memory, descriptors), "-name", "hostile", "-domain", "a", "-ip", "127.0.9.40",
+		"-ports", fmt.Sprint(s.port), "-seeds", "127.0.9.1:1,127.0.9.2:1", "-front", h.address, "-ready", h.ready, "-metrics", h.metrics)
+	waitReady(t, "http://"+h.ready+"/-/readiness")
 	h.ordinary = func() { s.search(h.address, "/x/1", http.StatusOK) }
 	h.ordinary()
 	return h
@@ -89,7 +93,6 @@
 // stays open until the checks are done.
 func (h *hostileSystem) attack(client func(c net.Conn, n int)) {
 	var group sync.WaitGroup
-	var done atomic.Bool
 	for n := range h.clients {
 		group.Go(func() {
 			c, err := net.Dial("tcp", h.address)
@@ -101,9 +104,19 @@
 			client(c, n)
 		})
 	}
-	go func() {
+	h.watch(func() {
 		group.Wait()
 		time.Sleep(hostileHold)
+	})
+}
+
+func (h *hostileSystem) process() crowd.Process { return crowd.Process(h.daemon.cmd.Process.Pid) }
+
+// watch counts the descriptors of the process while a function runs.
+func (h *hostileSystem) watch(run func()) {
+	var done atomic.Bool
+	go func() {
+		run()
 		done.Store(true)
 	}()
 	for !done.Load() {
@@ -113,19 +126,7 @@
 }
 
 func (h *hostileSystem) countDescriptors() {
-	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.daemon.cmd.Process.Pid))
-	h.descriptors = max(h.descriptors, len(list))
-}
-
-// peak returns the most memory that the process has used, in MB.
-func (h *hostileSystem) peak() int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.daemon.cmd.Process.Pid))
-	is.New(h.t).NoErr(err)
-	_, rest, ok := strings.Cut(string(raw), "VmHWM:")
-	is.New(h.t).True(ok)
-	kb, err := strconv.Atoi(strings.Fields(rest)[0])
-	is.New(h.t).NoErr(err)
-	return kb >> 10
+	h.descriptors = max(h.descriptors, h.process().Descriptors())
 }
 
 // check verifies that the process lives within its limits and serves.
@@ -138,7 +139,8 @@
 		h.t.Fatal("the process has ended")
 	default:
 	}
-	peak := h.peak()
+	peak, err := h.process().Peak()
+	is.New(h.t).NoErr(err)
 	h.t.Logf("peak memory %d MB of %d, %d descriptors of %d", peak, h.memory, h.descriptors, h.limit)
 	if peak > h.memory*memoryFactor {
 		h.t.Errorf("peak memory %d MB is over %d MB", peak, h.memory*memoryFactor)
@@ -148,23 +150,13 @@
 	}
 }
 
-// shortLines returns at most size bytes of header lines with short names.
-func shortLines(size int) []byte {
-	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
-	var b bytes.Buffer
-	for i := 0; b.Len()+6 <= size; i++ {
-		b.Write([]byte{letters[i%26], letters[i/26%36], ':', 'v', '\r', '\n'})
-	}
-	return b.Bytes()
-}
-
 const hostileStart = "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: h-%d\r\nDeadline-Milliseconds: 3000\r\n"
 
 // Guards against heads of allowed size whose many lines cost far more than their bytes
 // while they are not complete.
 func TestUnfinishedHeadsOfManyLines(t *testing.T) {
 	h := newHostileSystem(t, 0)
-	lines := shortLines(hostileHead - 128)
+	lines := crowd.ShortLines(hostileHead - 128)
 	h.attack(func(c net.Conn, n int) {
 		_, _ = fmt.Fprintf(c, hostileStart, n)
 		_, _ = c.Write(lines)
@@ -175,7 +167,7 @@
 // Guards against the same heads in complete requests that run at once.
 func TestRequestsOfManyLines(t *testing.T) {
 	h := newHostileSystem(t, time.Second)
-	lines := shortLines(hostileHead - 128)
+	lines := crowd.ShortLines(hostileHead - 128)
 	h.attack(func(c net.Conn, n int) {
 		for range 3 {
 			_, err := fmt.Fprintf(c, hostileStart+"%s\r\n", n, lines)
@@ -191,7 +183,7 @@
 // Guards against heads over the limit that never end.
 func TestHeadsWithoutEnd(t *testing.T) {
 	h := newHostileSystem(t, 0)
-	lines := shortLines(hostileHead)
+	lines := crowd.ShortLines(hostileHead)
 	h.attack(func(c net.Conn, n int) {
 		_, _ = fmt.Fprintf(c, hostileStart, n)
 		for range 64 {
--- a/internal/tier/operator_test.go
+++ b/internal/tier/operator_test.go
@@ -5,12 +5,12 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/jujubethread/jujubethread/internal/crowd"
 	"github.com/jujubethread/jujubethread/platform"
 )
 
@@ -28,18 +28,19 @@
 	t.Helper()
 	s := newSystem(t, 0)
 	is.New(t).Equal(s.putDocument(s.controls[0], document(5, "/x/")), http.StatusOK)
-	settings := filepath.Join(t.TempDir(), "settings")
-	is.New(t).NoErr(os.WriteFile(settings, fmt.Appendf(nil, "memory %d\ndescriptors %d\nlog-level error\n", operatorMemory, operatorDescriptors), 0o600))
 	h := &hostileSystem{
 		system:  s,
 		t:       t,
 		address: freeAddress(t),
+		metrics: freeAddress(t),
+		link:    fmt.Sprint("127.0.9.41:", s.port),
 		clients: operatorClients,
 		memory:  operatorMemory,
 		limit:   operatorDescriptors,
 	}
-	h.daemon = startDaemon(t, "control", "-config", settings, "-name", "hostile", "-domain", "a", "-ip", "127.0.9.41", "-ports", fmt.Sprint(s.port),
-		"-seeds", "127.0.9.1:1,127.0.9.2:1,127.0.9.3:1", "-operator", h.address, "-folder", t.TempDir(), "-list", s.list.Listener.Addr().String())
+	h.daemon = startDaemon(t, "control", "-config", hostileSettings(t, operatorMemory, operatorDescriptors), "-name", "hostile", "-domain", "a", "-ip", "127.0.9.41", "-ports", fmt.Sprint(s.port),
+		"-seeds", "127.0.9.1:1,127.0.9.2:1,127.0.9.3:1", "-operator", h.address, "-folder", t.TempDir(), "-list", s.list.Listener.Addr().String(),
+		"-metrics", h.metrics)
 	is.New(t).Equal(s.putDocument(h.address, document(6, "/x/")), http.StatusOK)
 	h.ordinary = func() { is.New(t).Equal(s.putDocument(h.address, document(7, "/x/")), http.StatusOK) }
 	return h
@@ -49,7 +50,7 @@
 // against heads of many lines, at a control host.
 func TestHostileOperators(t *testing.T) {
 	body := make([]byte, operatorBody-1)
-	lines := shortLines(48 << 10)
+	lines := crowd.ShortLines(48 << 10)
 	for name, send := range map[string]func(io.Writer){
 		"unfinished bodies": func(w io.Writer) {
 			_, _ = fmt.Fprintf(w, "PUT %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", platform.PathConfiguration, operatorBody)
@@ -74,3 +75,12 @@
 		})
 	}
 }
+
+// Guards against a document of the largest size that is refused while nothing else is
+// sent.
+func TestLargestDocumentIsStored(t *testing.T) {
+	h := newHostileControl(t)
+	doc := document(8, "/x/")
+	largest := doc + strings.Repeat(" ", operatorBody-1-len(doc))
+	is.New(t).Equal(h.putDocument(h.address, largest), http.StatusOK)
+}
--- a/internal/tier/option_test.go
+++ b/internal/tier/option_test.go
@@ -61,7 +61,7 @@
 			if o.LinkPort < 1 || o.LinkPort > 65535 || o.Grace < 0 || o.MaxDiskFailures < 0 {
 				t.Errorf("%s: port %d, grace %s, %d disks", command, o.LinkPort, o.Grace, o.MaxDiskFailures)
 			}
-			if o.Memory < 0 || o.Descriptors < 0 || guard.Bounds(o.Memory, o.Descriptors).Bytes <= 0 {
+			if o.Memory < 0 || o.Descriptors < 0 || guard.CallerBounds(o.Memory, o.Descriptors).Bytes <= 0 {
 				t.Errorf("%s: %d MB, %d descriptors", command, o.Memory, o.Descriptors)
 			}
 			if text := string(o.Name) + string(o.Domain); !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl) {
--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -4,7 +4,9 @@
 //
 // It is designed for some thousand connections, of which most may be hostile: a scan
 // of all of them is made only when a bound is exceeded, and then frees more than is
-// needed, from connections that are in arrears.
+// needed, from connections that are in arrears. A part of the memory is kept for
+// connections that hold little, so that ordinary requests are served while large ones
+// hold the rest.
 package memory
 
 import (
@@ -64,9 +66,12 @@
 	// every further byte causes a scan.
 	spareFraction = 16
 
-	// closingFraction is the part of the connections that may be closing in addition
-	// to those that are open.
+	// closingFraction is the part of a bound that connections which are closing may use
+	// in addition to those that are open.
 	closingFraction = 4
+
+	// reservedFraction is the part of the memory that only small connections may use.
+	reservedFraction = 4
 )
 
 // Config holds the bounds. All must be positive.
@@ -77,6 +82,9 @@
 	Connections int
 	// ConnectionBytes is what a connection holds without a request.
 	ConnectionBytes int64
+	// SmallBytes is what a connection with an ordinary request holds at most; 0 means
+	// that no memory is kept for such connections.
+	SmallBytes int64
 }
 
 type stage uint8
@@ -115,11 +123,16 @@
 type Budget struct {
 	cfg     Config
 	entries map[ID]*entry
-	// open counts the entries that are connections, closing the connections that were
-	// dropped and are not closed yet.
-	open    int
-	closing int
-	used    int64
+	// open counts the entries that are connections.
+	open int
+	// used is what all entries hold, large what those hold that are not small.
+	used  int64
+	large int64
+	// closing has what connections hold that were dropped and are not closed yet,
+	// closingBytes their sum, and closingSmall that of the small ones.
+	closing      map[ID]int64
+	closingBytes int64
+	closingSmall int64
 }
 
 // New returns a Budget without connections.
@@ -127,6 +140,7 @@
 	return &Budget{
 		cfg:     cfg,
 		entries: make(map[ID]*entry),
+		closing: make(map[ID]int64),
 	}
 }
 
@@ -136,26 +150,35 @@
 // Open returns the number of connections that were not dropped.
 func (b *Budget) Open() int { return b.open }
 
+// Closing returns the bytes that dropped connections hold until Close.
+func (b *Budget) Closing() int64 { return b.closingBytes }
+
+// Crowded reports whether a further connection would be dropped at once since too many
+// are closing. It should wait in the accept queue until one is closed.
+func (b *Budget) Crowded() bool {
+	return len(b.closing) > 0 && b.open+len(b.closing) >= b.cfg.Connections+b.cfg.Connections/closingFraction
+}
+
 // Accept adds a connection. If it is dropped itself, it must be closed at once.
 func (b *Budget) Accept(now ident.Instant, id ID) []Drop {
-	b.entries[id] = &entry{
+	e := &entry{
 		id:    id,
 		since: now,
-		held:  b.cfg.ConnectionBytes,
 	}
+	b.entries[id] = e
 	b.open++
-	b.used += b.cfg.ConnectionBytes
-	if b.open+b.closing > b.cfg.Connections+b.cfg.Connections/closingFraction {
+	b.set(e, b.cfg.ConnectionBytes)
+	if b.open+len(b.closing) > b.cfg.Connections+b.cfg.Connections/closingFraction {
 		return []Drop{b.drop(id, Full)}
 	}
 	var drops []Drop
 	if b.open > b.cfg.Connections {
 		spare := b.cfg.Connections / spareFraction
-		drops = b.dropAmong(now, func() bool { return b.open > b.cfg.Connections-spare }, func(e *entry) bool { return e.isSlow(now) }, byArrears)
+		drops = b.dropAmong(now, func(*entry) bool { return b.open > b.cfg.Connections-spare }, func(e *entry) bool { return e.isSlow(now) }, byArrears)
 		// A fresh connection is among those that give way, since an ordinary request is
 		// whole within milliseconds: else callers that stall for less than stallTime, and
 		// then connect again, would keep all others out.
-		over := func() bool { return b.open > b.cfg.Connections }
+		over := func(*entry) bool { return b.open > b.cfg.Connections }
 		drops = append(drops, b.dropAmong(now, over, func(e *entry) bool { return e.id != id && (e.stage == silent || e.stage == reading) }, byArrears)...)
 		drops = append(drops, b.dropUnused(id, over)...)
 	}
@@ -205,7 +228,7 @@
 // Release ends what Admit reserved.
 func (b *Budget) Release(id ID) {
 	if e := b.entries[id]; e != nil {
-		b.used -= e.held
+		b.set(e, 0)
 		delete(b.entries, id)
 	}
 }
@@ -217,13 +240,11 @@
 	if e == nil {
 		return nil
 	}
-	e.held += hold
-	b.used += hold
-	if b.used <= b.cfg.Bytes {
-		e.stage, e.since, e.progress = writing, now, 0
-		return nil
+	b.set(e, e.held+hold)
+	var drops []Drop
+	if b.over(e) {
+		drops = b.makeRoomFor(now, e)
 	}
-	drops := b.makeRoomFor(now, e)
 	e.stage, e.since, e.progress = writing, now, 0
 	return drops
 }
@@ -235,14 +256,14 @@
 	}
 }
 
-// Finish records that a request was answered and its connection is idle.
-func (b *Budget) Finish(now ident.Instant, id ID) {
+// Finish records that a request was answered and its connection is idle. The connection
+// retains some bytes, such as buffers that have grown.
+func (b *Budget) Finish(now ident.Instant, id ID, retained int64) {
 	e := b.entries[id]
 	if e == nil {
 		return
 	}
-	b.used += b.cfg.ConnectionBytes - e.held
-	e.held = b.cfg.ConnectionBytes
+	b.set(e, b.cfg.ConnectionBytes+retained)
 	e.stage, e.since, e.progress = idle, now, 0
 }
 
@@ -250,17 +271,61 @@
 func (b *Budget) Close(id ID) {
 	e := b.entries[id]
 	if e == nil {
-		b.closing--
+		b.closingBytes -= b.closing[id]
+		if b.closing[id] <= b.cfg.SmallBytes {
+			b.closingSmall -= b.closing[id]
+		}
+		delete(b.closing, id)
 		return
 	}
-	b.used -= e.held
+	b.set(e, 0)
 	b.open--
 	delete(b.entries, id)
 }
 
+// set changes what an entry holds.
+func (b *Budget) set(e *entry, held int64) {
+	if b.isLarge(e) {
+		b.large -= e.held
+	}
+	b.used += held - e.held
+	e.held = held
+	if b.isLarge(e) {
+		b.large += held
+	}
+}
+
+// isLarge reports whether an entry may not use the memory kept for small ones.
+func (b *Budget) isLarge(e *entry) bool { return e.held > b.cfg.SmallBytes }
+
+// largeBytes bounds what large entries hold.
+func (b *Budget) largeBytes() int64 { return b.cfg.Bytes - b.reservedBytes() }
+
+// reservedBytes is the memory kept for small entries.
+func (b *Budget) reservedBytes() int64 {
+	if b.cfg.SmallBytes == 0 {
+		return 0
+	}
+	return b.cfg.Bytes / reservedFraction
+}
+
+// over reports whether a bound that applies to an entry is exceeded.
+func (b *Budget) over(e *entry) bool {
+	return b.used > b.cfg.Bytes || b.isLarge(e) && b.large > b.largeBytes()
+}
+
+// closingOver reports whether connections that are closing still hold the memory that an
+// entry needs. For small entries only small ones count, so that ordinary requests are not
+// refused while large ones close: together these hold at most the bound once more.
+func (b *Budget) closingOver(e *entry) bool {
+	if !b.isLarge(e) {
+		return b.used-b.large+b.closingSmall > b.cfg.Bytes
+	}
+	return b.used+b.closingBytes > b.cfg.Bytes+b.cfg.Bytes/closingFraction
+}
+
 func (b *Budget) hold(now ident.Instant, e *entry, bytes int64) []Drop {
-	e.held += bytes
-	b.used += bytes
+	b.set(e, e.held+bytes)
 	return b.makeRoom(now, e.id)
 }
 
@@ -268,33 +333,34 @@
 // connection that needs the memory is dropped.
 func (b *Budget) makeRoom(now ident.Instant, id ID) []Drop {
 	e := b.entries[id]
-	if b.used <= b.cfg.Bytes || e == nil {
+	if e == nil {
 		return nil
 	}
-	drops := b.makeRoomFor(now, e)
-	if b.used > b.cfg.Bytes && b.entries[id] != nil {
+	var drops []Drop
+	if b.over(e) {
+		drops = b.makeRoomFor(now, e)
+	}
+	if b.entries[id] != nil && (b.over(e) || b.closingOver(e)) {
 		drops = append(drops, b.drop(id, Full))
 	}
 	return drops
 }
 
+// makeRoomFor drops what gives way to an entry. If only the bound of large entries is
+// exceeded, these are the only ones to give way.
 func (b *Budget) makeRoomFor(now ident.Instant, e *entry) []Drop {
-	over := func() bool { return b.used > b.cfg.Bytes }
-	drops := b.dropSlow(now, func() bool { return b.used > b.cfg.Bytes-b.cfg.Bytes/spareFraction })
-	if over() {
-		drops = append(drops, b.dropUnfinished(now, over)...)
+	isLarge := b.isLarge(e)
+	over := func(spare int64) func(*entry) bool {
+		return func(other *entry) bool {
+			return b.used > b.cfg.Bytes-spare || isLarge && b.isLarge(other) && b.large > b.largeBytes()-spare
+		}
 	}
-	return append(drops, b.dropUnused(e.id, over)...)
-}
-
-// dropSlow drops connections in arrears while more is wanted.
-func (b *Budget) dropSlow(now ident.Instant, more func() bool) []Drop {
-	return b.dropAmong(now, more, func(e *entry) bool { return e.isSlow(now) }, bySize)
-}
-
-// dropUnfinished drops any connections whose requests or answers are not whole.
-func (b *Budget) dropUnfinished(now ident.Instant, more func() bool) []Drop {
-	return b.dropAmong(now, more, func(e *entry) bool { return e.stage == reading || e.stage == writing }, bySize)
+	drops := b.dropAmong(now, over(b.cfg.Bytes/spareFraction), func(other *entry) bool { return other.isSlow(now) }, bySize)
+	if b.over(e) {
+		unfinished := func(other *entry) bool { return other.stage == reading || other.stage == writing }
+		drops = append(drops, b.dropAmong(now, over(0), unfinished, bySize)...)
+	}
+	return append(drops, b.dropUnused(e.id, over(0))...)
 }
 
 // order is the order in which connections give way: those with the least progress for
@@ -307,11 +373,8 @@
 	bySize
 )
 
-// dropAmong drops some connections in this order while more is wanted.
-func (b *Budget) dropAmong(now ident.Instant, more func() bool, among func(*entry) bool, by order) []Drop {
-	if !more() {
-		return nil
-	}
+// dropAmong drops some connections in this order for which more still holds then.
+func (b *Budget) dropAmong(now ident.Instant, more, among func(*entry) bool, by order) []Drop {
 	var list []*entry
 	var sum int64
 	for _, e := range b.entries {
@@ -331,20 +394,16 @@
 	})
 	var drops []Drop
 	for _, e := range list {
-		if !more() {
-			break
+		if more(e) {
+			drops = append(drops, b.drop(e.id, Slow))
 		}
-		drops = append(drops, b.drop(e.id, Slow))
 	}
 	return drops
 }
 
 // dropUnused drops connections without a request: first those that never had one, then
 // those that have been idle the longest.
-func (b *Budget) dropUnused(except ID, more func() bool) []Drop {
-	if !more() {
-		return nil
-	}
+func (b *Budget) dropUnused(except ID, more func(*entry) bool) []Drop {
 	var list []*entry
 	for _, e := range b.entries {
 		if e.id != except && (e.stage == silent || e.stage == idle) {
@@ -356,21 +415,24 @@
 	})
 	var drops []Drop
 	for _, e := range list {
-		if !more() {
-			break
+		if more(e) {
+			drops = append(drops, b.drop(e.id, Unused))
 		}
-		drops = append(drops, b.drop(e.id, Unused))
 	}
 	return drops
 }
 
 func (b *Budget) drop(id ID, why Reason) Drop {
 	e := b.entries[id]
-	b.used -= e.held
 	if !e.admitted {
 		b.open--
-		b.closing++
+		b.closing[id] = e.held
+		b.closingBytes += e.held
+		if !b.isLarge(e) {
+			b.closingSmall += e.held
+		}
 	}
+	b.set(e, 0)
 	delete(b.entries, id)
 	return Drop{
 		Connection: id,
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -75,7 +75,7 @@
 			}
 			b.Read(at(0), 2, 1, 1)
 			b.Complete(at(0), 2, 0)
-			b.Finish(at(0), 2) // idle
+			b.Finish(at(0), 2, 0) // idle
 			c.before(b)
 			b.Accept(at(now), 9)
 			b.Read(at(now), 9, 1, 1)
@@ -96,7 +96,7 @@
 		}
 	}
 	b.Complete(at(0), 3, 0)
-	b.Finish(at(0), 3)
+	b.Finish(at(0), 3, 0)
 	is.Equal(b.Accept(at(0), 10), []memory.Drop{{Connection: 1, Reason: memory.Slow}})
 	is.Equal(b.Accept(at(0), 11), []memory.Drop{{Connection: 2, Reason: memory.Slow}})
 	// Two connections are still closing: that is all that may be open beside the others.
@@ -152,8 +152,8 @@
 				drops, same = b.Answer(now, own, size), twin.Answer(now, own, size)
 			case kind == 4:
 				delete(whole, own)
-				b.Finish(now, own)
-				twin.Finish(now, own)
+				b.Finish(now, own, 0)
+				twin.Finish(now, own, 0)
 			case kind == 5:
 				delete(open, own)
 				delete(whole, own)
