Bound the clients of readiness checks and metrics

Callers saw: a process ended, out of memory or descriptors, while clients sent heads of legal size, whole bodies or nothing to the listener for readiness checks or metrics; ordinary requests at the callers' listener were lost with it.

Cause: these listeners had an http.Server with a head timeout and no other limit. Each connection was accepted and its head of up to 1 MB parsed.

Change: each has a guard of its own with 32 connections, 2 MB, heads of up to 8 KB and no bodies; a page of metrics reserves 128 KB while it is written. The platform's checks and a few readers of metrics are far below that. The metrics paths at the listeners of callers and operators reserve the same.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -522,13 +522,13 @@
 		c.log.Error("metrics are not served; free the port or set another", "Address", c.cfg.Metrics, "Error", err.Error())
 		return nil
 	}
-	srv := &http.Server{
-		Handler:           c.host.Metrics(),
-		ReadHeaderTimeout: changeTimeout,
-	}
+	bounds := guard.CheckBounds("metrics", c.cfg.Descriptors)
+	bounds.Log = c.log
+	guarded := guard.New(bounds).Wrap(lis)
+	srv := guard.CheckServer(guarded, guard.MetricsBytes, c.host.Metrics())
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(guarded); !errors.Is(err, http.ErrServerClosed) {
 		c.log.Error("metrics are not served any more", "Error", err.Error())
 	}
 	return nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -258,10 +258,8 @@
 	srv := f.server()
 	callers := f.guard.Wrap(lis)
 	srv.ConnState = callers.ConnState(lis.ConnState)
-	checks := &http.Server{
-		Handler:           http.HandlerFunc(f.serveReady),
-		ReadHeaderTimeout: readyTimeout,
-	}
+	readyGuard := f.newGuard(guard.CheckBounds("checks", f.cfg.Descriptors)).Wrap(ready)
+	checks := guard.CheckServer(readyGuard, 0, http.HandlerFunc(f.serveReady))
 	// Serving continues after ctx ends until the requests in progress are answered.
 	tctx, end := context.WithCancel(context.WithoutCancel(ctx))
 	g, tctx := errgroup.WithContext(tctx)
@@ -271,7 +269,7 @@
 	g.Go(func() error { return f.pingPeers(tctx) })
 	g.Go(func() error { return f.serveMetrics(tctx) })
 	g.Go(func() error { return serveError(srv.Serve(callers), "callers") })
-	g.Go(func() error { return serveError(checks.Serve(ready), "readiness checks") })
+	g.Go(func() error { return serveError(checks.Serve(readyGuard), "readiness checks") })
 	g.Go(func() error {
 		defer end()
 		select {
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubethread/jujubethread/internal/gauge"
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/pkg/gather"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
@@ -130,12 +131,10 @@
 		f.log.Error("metrics are not served; free the port or set another", "Address", f.cfg.Metrics, "Error", err.Error())
 		return nil
 	}
-	srv := &http.Server{
-		Handler:           f.gauge,
-		ReadHeaderTimeout: readyTimeout,
-	}
+	guarded := f.newGuard(guard.CheckBounds("metrics", f.cfg.Descriptors)).Wrap(lis)
+	srv := guard.CheckServer(guarded, guard.MetricsBytes, f.gauge)
 	go f.setGauges(ctx, srv)
-	if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(guarded); !errors.Is(err, http.ErrServerClosed) {
 		f.log.Error("metrics are not served any more", "Error", err.Error())
 	}
 	return nil
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	readyTimeout = 2 * time.Second
-
 	// maxBody applies if the configuration sets no limit.
 	maxBody = 1 << 20 // bytes
 
--- a/internal/guard/bounds.go
+++ b/internal/guard/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"runtime/debug"
 	"syscall"
+	"time"
 )
 
 // The smallest settings with which a process serves requests of the usual limits.
@@ -29,6 +30,14 @@
 
 	// defaultDescriptors applies if the limit of the process is unknown.
 	defaultDescriptors = 1024
+
+	// checkConnections and checkBytes bound what clients of readiness checks, and those
+	// of metrics, hold of a process. Of each there are a few, with one request at a time.
+	checkConnections = 32
+	checkBytes       = 2 << 20
+	// checkHeadBytes bounds the heads of their requests.
+	checkHeadBytes   = 8 << 10
+	checkHeadTimeout = 2 * time.Second
 )
 
 // SetMemoryLimit lets the garbage collector keep the process below its memory in MB, if
@@ -67,6 +76,22 @@
 	}
 }
 
+// CheckBounds returns the Config for a listener that answers short requests without a
+// body, such as readiness checks or metrics; of names its clients.
+func CheckBounds(of string, descriptors int) Config {
+	return Config{
+		Of:          of,
+		Bytes:       checkBytes,
+		Connections: max(1, min(checkConnections, countDescriptors(descriptors)/16)),
+		Limits: func() Limits {
+			return Limits{
+				HeadBytes:   checkHeadBytes,
+				HeadTimeout: checkHeadTimeout,
+			}
+		},
+	}
+}
+
 // share returns a part of the memory that a process does not use itself.
 func share(memory int, part int64) int64 {
 	if memory <= 0 {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -78,7 +78,7 @@
 
 // Config holds the bounds of the connections of one kind.
 type Config struct {
-	// Of names the clients in logs: callers or operators.
+	// Of names the clients in logs: callers, operators, checks or metrics.
 	Of string
 	// Bytes bounds what clients hold, Connections their number.
 	Bytes       int64
@@ -344,6 +344,43 @@
 	return c
 }
 
+// MetricsBytes is what a page of metrics needs in memory.
+const MetricsBytes = 128 << 10
+
+// CheckServer returns a server for the connections of a listener with CheckBounds, whose
+// answers need some bytes each. Requests with a body are refused unread.
+func CheckServer(l *Listener, bytes int, next http.Handler) *http.Server {
+	return &http.Server{
+		Handler:        refuseBodies(Reserve(bytes, next)),
+		MaxHeaderBytes: MaxHeaderBytes, // the guard has the limits and timeouts
+		ConnState:      l.ConnState(nil),
+		ConnContext:    ConnContext,
+	}
+}
+
+func refuseBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header()["Connection"] = []string{"close"}
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Reserve returns a handler for requests without a body that need some bytes each while
+// they are served, such as those for metrics.
+func Reserve(bytes int, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !Of(r).Complete(bytes) {
+			Refuse(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Handler returns a handler that marks requests without a body as whole, for handlers
 // that use ReadBody only for some of their requests.
 func Handler(next http.Handler) http.Handler {
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -23,7 +23,7 @@
 	mux.HandleFunc("POST "+wire.PathFilings, h.handleFiling)
 	mux.HandleFunc("GET "+wire.PathHealth, h.handleHealth)
 	mux.HandleFunc("GET "+wire.PathStatus, h.handleStatus)
-	mux.Handle("GET "+wire.PathMetrics, h.config.Stats)
+	mux.Handle("GET "+wire.PathMetrics, guard.Reserve(guard.MetricsBytes, h.config.Stats))
 	mux.Handle("GET "+pathTraces, h.config.Tracer)
 	mux.HandleFunc(wire.PathSearch, h.wrongMethod)
 	mux.HandleFunc(wire.PathFilings, h.wrongMethod)
--- a/internal/tier/crowd_test.go
+++ b/internal/tier/crowd_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
@@ -49,6 +51,25 @@
 	}
 }
 
+// get sends ordinary requests to a URL until one is answered with 200.
+func (h *hostileSystem) get(url string) {
+	h.t.Helper()
+	client := &http.Client{Timeout: waitTimeout}
+	defer client.CloseIdleConnections()
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		res, err := client.Get(url)
+		if err != nil {
+			continue
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		if err == nil && res.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	h.t.Errorf("no answer from %s", url)
+}
+
 // callerStart is the start of a request that the entry hosts serve.
 const callerStart = "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: crowd\r\nDeadline-Milliseconds: 3000\r\n"
 
@@ -58,6 +79,36 @@
 	h.face(h.address, crowd.HTTP(callerStart, hostileHead, hostileBody))
 }
 
+// Guards against crowds at the listeners that are meant for the platform: readiness
+// checks and metrics of an entry host, and metrics of a control host.
+func TestCrowdsAtChecks(t *testing.T) {
+	for name, start := range map[string]func(*testing.T) (h *hostileSystem, address, path string){
+		"readiness": func(t *testing.T) (*hostileSystem, string, string) {
+			h := newHostileSystem(t, 0)
+			return h, h.ready, "/-/readiness"
+		},
+		"metrics of an entry host": func(t *testing.T) (*hostileSystem, string, string) {
+			h := newHostileSystem(t, 0)
+			return h, h.metrics, "/metrics"
+		},
+		"metrics of a control host": func(t *testing.T) (*hostileSystem, string, string) {
+			h := newHostileControl(t)
+			h.clients = hostileClients
+			return h, h.metrics, "/metrics"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, address, path := start(t)
+			served := h.ordinary
+			h.ordinary = func() {
+				served()
+				h.get("http://" + address + path)
+			}
+			h.face(address, crowd.HTTP("GET "+path+" HTTP/1.1\r\nHost: a\r\n", checkHead, hostileBody))
+		})
+	}
+}
+
 // Guards against crowds of operators that connect again at once after each refusal.
 func TestCrowdsOfOperators(t *testing.T) {
 	h := newHostileControl(t)
