Bound what clients hold of the product's own processes

Callers saw: entry and control hosts of the product (jujubethread entry, jujubethread control) grew without bound under clients that connect again at once, and ended when the machine had no more memory.

Cause: the product's commands had no setting for memory or descriptors, so callers could hold 512 MB; the listeners of operators and other hosts had no guard at all, nor had those with certificates. A filing that was refused while it was read was copied by the decoder first: buffers that grow leave several times its size as garbage, for each client that connects again.

The listeners of operators and other hosts have guards; with certificates they count encrypted bytes below TLS. guard.Body yields no data of a body that could not be read.

--- a/internal/ctrl/const.go
+++ b/internal/ctrl/const.go
@@ -43,7 +43,8 @@
 	// of the metrics.
 	metricsInterval = time.Second
 
-	maxBodyBytes    = 1 << 20
+	// MaxBodyBytes bounds the body of an operator's request.
+	MaxBodyBytes    = 1 << 20
 	readTimeout     = 5 * time.Second
 	idleTimeout     = time.Minute
 	shutdownTimeout = 5 * time.Second
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -62,7 +62,8 @@
 	// API returns the handler that replaces the operator API, if set.
 	API func(*Host) http.Handler `json:"-"`
 	// Guard bounds the connections of operators, if set. It has the limits and timeouts
-	// then. It does not work with certificates, since it counts bytes in plaintext.
+	// then. With certificates it counts the encrypted bytes only, since operators who
+	// have none are refused before their requests are read.
 	Guard *guard.Guard `json:"-"`
 
 	ElectionTimeout time.Duration
@@ -174,6 +175,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "cannot listen for operators on %s", h.cfg.Listen)
 	}
+	if h.cfg.Guard != nil && h.cfg.Link.Keys.IsSet() {
+		lis = h.cfg.Guard.WrapRaw(lis)
+	}
 	if h.listener, err = link.Secure(h.cfg.Link, lis); err != nil {
 		return err
 	}
@@ -221,7 +225,11 @@
 		IdleTimeout:       idleTimeout,
 	}
 	listener := h.listener
-	if h.cfg.Guard != nil {
+	switch {
+	case h.cfg.Guard == nil:
+	case h.cfg.Link.Keys.IsSet():
+		srv.ConnState = link.ReportState
+	default:
 		guarded := h.cfg.Guard.Wrap(h.listener)
 		listener = guarded
 		srv.Handler = guard.Handler(handler)
--- a/internal/ctrl/http.go
+++ b/internal/ctrl/http.go
@@ -4,10 +4,12 @@
 	"crypto/x509"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 
+	"github.com/pkg/errors"
+
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/pkg/config"
 )
 
@@ -31,7 +33,7 @@
 	mux.HandleFunc("POST "+PathFilings, h.serveResolve)
 	mux.HandleFunc("GET "+PathConfig, h.serveConfig)
 	mux.HandleFunc("GET "+PathStatus, h.serveStatus)
-	mux.Handle("GET "+PathMetrics, h.meters.handler)
+	mux.Handle("GET "+PathMetrics, guard.Reserve(guard.MetricsBytes, h.meters.handler))
 	return requireOperatorRole(mux)
 }
 
@@ -109,9 +111,17 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := guard.ReadBody(w, r, MaxBodyBytes)
+	if err == nil && !guard.Of(r).Complete(len(body)) {
+		err = guard.ErrNoMemory
+	}
+	if errors.Is(err, guard.ErrNoMemory) {
+		w.Header().Set("Connection", "close")
+		writeRefusal(w, http.StatusServiceUnavailable, err.Error())
+		return nil, false
+	}
 	if err != nil {
-		writeRefusal(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("body cannot be read or is over %d bytes: %v", maxBodyBytes, err))
+		writeRefusal(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("body cannot be read or is over %d bytes: %v", MaxBodyBytes, err))
 		return nil, false
 	}
 	return body, true
--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -54,8 +54,9 @@
 }
 
 // Body reads the body of a request as ReadBody does, for handlers that decode it from a
-// stream and have set a limit and a deadline. The reader ends with the error of the body,
-// if any. release must follow.
+// stream and have set a limit and a deadline. A body that could not be read yields only
+// its error, so that decoders don't copy what was read of it; one over the limit yields
+// the limit first. release must follow.
 func Body(r *http.Request) (whole io.Reader, release func()) {
 	b := bodyBuffer{
 		conn: Of(r),
@@ -65,8 +66,13 @@
 	if err == nil && !b.hold(0, int64(b.size)) {
 		err = ErrNoMemory
 	}
-	if err == nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
 		err = io.EOF
+	case !errors.As(err, &tooLarge):
+		b.release()
+		return errReader{err}, b.release
 	}
 	parts := []io.Reader{bytes.NewReader(b.first)}
 	for i := range b.blocks {
--- a/internal/guard/bounds.go
+++ b/internal/guard/bounds.go
@@ -1,7 +1,11 @@
 package guard
 
 import (
+	"fmt"
+	"os"
 	"runtime/debug"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -17,8 +21,8 @@
 	// configuration and the state of a few hundred upstreams. 16 to 28 MB were measured.
 	baseBytes = 24 << 20
 
-	// programBytes is the size of the program in memory.
-	programBytes = 12 << 20
+	// minProgramBytes is the size of the smallest program.
+	minProgramBytes = 12 << 20
 	// defaultBytes is what callers may hold without a memory setting. No ordinary callers
 	// reach it.
 	defaultBytes = 512 << 20
@@ -50,7 +54,27 @@
 
 // collectorLimit leaves a margin for what the collector does not count: the pages of the
 // program, and memory that it frees late.
-func collectorLimit(memory int) int64 { return int64(memory)<<20*95/100 - programBytes }
+func collectorLimit(memory int) int64 { return int64(memory)<<20*95/100 - programBytes() }
+
+// programBytes returns the size of the program in memory, all of whose pages may be in use.
+var programBytes = sync.OnceValue(func() int64 {
+	program, err := os.Readlink("/proc/self/exe")
+	if err != nil {
+		return minProgramBytes
+	}
+	maps, err := os.ReadFile("/proc/self/maps")
+	if err != nil {
+		return minProgramBytes
+	}
+	size := int64(0)
+	for line := range strings.Lines(string(maps)) {
+		var from, to int64
+		if _, err := fmt.Sscanf(line, "%x-%x", &from, &to); err == nil && strings.HasSuffix(strings.TrimSpace(line), " "+program) {
+			size += to - from
+		}
+	}
+	return max(size, minProgramBytes)
+})
 
 // CallerBounds returns the Config for the callers of a process with some memory in MB and
 // descriptors; 0 means that they are not set. Callers get half of the descriptors, and a
--- a/internal/launch/control.go
+++ b/internal/launch/control.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 
 	"github.com/jujubethread/jujubethread/internal/ctrl"
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/keys"
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/logs"
@@ -28,11 +30,15 @@
 		return err
 	}
 	go j.logHangups(log)
+	guard.SetMemoryLimit(o.Memory)
+	bounds := guard.OperatorBounds(o.Memory, o.Descriptors, ctrl.MaxBodyBytes)
+	bounds.Log = log
 	cfg := ctrl.Config{
 		Folder:       o.Data,
 		Listen:       o.Listen,
 		Address:      o.LinkListen,
-		Link:         j.linkConfig(),
+		Link:         j.guardedLink(log, true),
+		Guard:        guard.New(bounds),
 		NewGroup:     o.NewGroup,
 		PlatformList: o.PlatformList,
 		Log:          log,
@@ -63,6 +69,15 @@
 	return nil
 }
 
+// guardedLink returns linkConfig with bounds on what other hosts hold of this process.
+func (j *job) guardedLink(log *slog.Logger, control bool) link.Config {
+	bounds := guard.HostBounds(j.opt.Memory, j.opt.Descriptors, link.DefaultMaxMessage, control)
+	bounds.Log = log
+	cfg := j.linkConfig()
+	cfg.Guard = guard.New(bounds)
+	return cfg
+}
+
 func (j *job) linkConfig() link.Config {
 	return link.Config{
 		Keys: keys.Files{
--- a/internal/launch/entry.go
+++ b/internal/launch/entry.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/jujubethread/jujubethread/internal/agent"
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/internal/host"
 	"github.com/jujubethread/jujubethread/internal/logs"
 	"github.com/jujubethread/jujubethread/internal/replay"
@@ -34,6 +35,7 @@
 		return err
 	}
 	go j.logHangups(log)
+	guard.SetMemoryLimit(o.Memory)
 	controlAgent, err := agent.New(agent.Config{
 		Host:      o.Host,
 		Domain:    o.Domain,
@@ -41,7 +43,7 @@
 		Advertise: o.Advertise,
 		Controls:  sources(o.Controls),
 		Peers:     sources(o.Peers),
-		Link:      j.linkConfig(),
+		Link:      j.guardedLink(log, false),
 		Log:       log,
 	})
 	if err != nil {
@@ -76,6 +78,9 @@
 		Tracer:   tracer,
 		Log:      log,
 		Depths:   host.DepthsOf(queryEngine),
+
+		Memory:      o.Memory,
+		Descriptors: o.Descriptors,
 	})
 	if err != nil {
 		return err
--- a/internal/link/secure.go
+++ b/internal/link/secure.go
@@ -4,6 +4,8 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+
+	"github.com/jujubethread/jujubethread/internal/guard"
 )
 
 // Secure wraps lis with mutual TLS if certificates are configured, which are
@@ -32,6 +34,34 @@
 	}
 }
 
+// ReportState is the ConnState hook of an http.Server whose listener was secured and whose
+// connections are bounded below that by guard.WrapRaw: it tells the guard when requests
+// are served.
+func ReportState(c net.Conn, s http.ConnState) {
+	held := rawConnOf(c)
+	switch s {
+	case http.StateActive:
+		held.Begin()
+	case http.StateIdle:
+		held.End()
+	case http.StateNew, http.StateClosed, http.StateHijacked:
+	}
+}
+
+// rawConnOf returns the bounded connection below TLS, or nil.
+func rawConnOf(c net.Conn) *guard.RawConn {
+	t, ok := c.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	own, ok := t.NetConn().(*callerConn)
+	if !ok {
+		return nil
+	}
+	held, _ := own.Conn.(*guard.RawConn)
+	return held
+}
+
 // HTTPClient returns an HTTP client that presents the configured certificate,
 // and the URL scheme to use: https, or http if no certificates are configured.
 // The certificate is not reloaded.
--- a/internal/option/check.go
+++ b/internal/option/check.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
@@ -108,6 +109,9 @@
 	f.require(o.Domain != "", "-domain is empty: name the failure domain of this host")
 	f.address("listen", o.Listen)
 	f.address("link-listen", o.LinkListen)
+	f.require(o.Memory == 0 || o.Memory >= guard.MinMemory, "-memory is too small: use "+strconv.Itoa(guard.MinMemory)+" MB or more, or 0 for the default")
+	f.require(o.Descriptors == 0 || o.Descriptors >= guard.MinDescriptors,
+		"-descriptors is too small: use "+strconv.Itoa(guard.MinDescriptors)+" or more, or 0 for the default")
 	f.require(o.Cert != "" || o.AllowPlaintext || (isLoopback(o.Listen) && isLoopback(o.LinkListen)),
 		"addresses other than loopback need TLS: give -ca, -cert and -key, or -allow-plaintext")
 }
--- a/internal/option/option.go
+++ b/internal/option/option.go
@@ -50,6 +50,10 @@
 	LinkListen string
 	Advertise  string
 	LogLevel   string
+	// Memory is the memory of this host in MB, and Descriptors the number of its
+	// descriptors; 0 means the defaults of package guard.
+	Memory      int
+	Descriptors int
 
 	Controls   []string
 	Peers      []string
@@ -153,6 +157,8 @@
 	fs.StringVar(&o.LinkListen, "link-listen", "", "")
 	fs.StringVar(&o.Advertise, "advertise", "", "")
 	fs.StringVar(&o.LogLevel, "log-level", "info", "")
+	fs.IntVar(&o.Memory, "memory", 0, "")
+	fs.IntVar(&o.Descriptors, "descriptors", 0, "")
 	fs.StringVar(&t.controls, "control", o.defaultControl(), "")
 	fs.StringVar(&t.peers, "peers", "", "")
 	fs.DurationVar(&o.Grace, "grace", defaultGrace, "")
--- a/internal/option/option_test.go
+++ b/internal/option/option_test.go
@@ -61,3 +61,30 @@
 	_, err = option.Parse(append(args, "-allow-plaintext"))
 	is.NoErr(err)
 }
+
+// Guards against limits below which a host cannot serve a single request, and against
+// large numbers that are taken for such ones.
+func TestLimitsOfHost(t *testing.T) {
+	args := []string{"control", "-host", "c1", "-domain", "d1", "-data", "x", "-listen", "127.0.0.1:1", "-link-listen", "127.0.0.1:2"}
+	for _, c := range []struct {
+		memory, descriptors string
+		wrong               string
+	}{
+		{memory: "0", descriptors: "0"},
+		{memory: "48", descriptors: "64"},
+		{memory: "1000000", descriptors: "1000000"},
+		{memory: "47", descriptors: "64", wrong: "-memory"},
+		{memory: "-1", descriptors: "64", wrong: "-memory"},
+		{memory: "48", descriptors: "63", wrong: "-descriptors"},
+		{memory: "48", descriptors: "-1", wrong: "-descriptors"},
+	} {
+		is := is.New(t)
+		_, err := option.Parse(append(args, "-memory", c.memory, "-descriptors", c.descriptors))
+		if c.wrong == "" {
+			is.NoErr(err)
+			continue
+		}
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), c.wrong+" is too small"))
+	}
+}
--- a/internal/option/usage.go
+++ b/internal/option/usage.go
@@ -37,6 +37,10 @@
   -link-listen IP:PORT   address for other processes of jujubethread
   -advertise IP:PORT     link address that others use (default: -link-listen)
   -log-level LEVEL       debug, info, warn or error
+  -memory MB             memory of this host (entry, control); bounds what clients
+                         and other hosts hold
+  -descriptors N         descriptors of this host (entry, control); default: the
+                         limit of the process
 
 Entry host
   -control LIST          link addresses of control hosts
