--- a/internal/tier/crowd_test.go
+++ b/internal/tier/crowd_test.go
@@ -16,6 +16,7 @@
 	"github.com/jujubethread/jujubethread/internal/crowd"
 	"github.com/jujubethread/jujubethread/internal/front"
 	"github.com/jujubethread/jujubethread/internal/link"
+	"github.com/jujubethread/jujubethread/internal/pipe"
 	"github.com/jujubethread/jujubethread/internal/watch"
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/ident"
@@ -184,6 +185,72 @@
 	h.face(h.address, crowd.HTTP(start, checkHead, operatorBody-1))
 }
 
+// Guards against datagrams from elsewhere, at both kinds of hosts.
+func TestCrowdsOfDatagrams(t *testing.T) {
+	for name, start := range map[string]func(*testing.T) *hostileSystem{
+		"entry host":   func(t *testing.T) *hostileSystem { return newHostileSystem(t, 0) },
+		"control host": newHostileControl,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := start(t)
+			c, err := net.Dial("udp", h.link)
+			is.New(t).NoErr(err)
+			defer func() { _ = c.Close() }()
+			const datagrams, kinds = 40_000, 8
+			b := make([]byte, 1400)
+			for n := range datagrams {
+				copy(b, fmt.Sprintf("%c\x83\xf5%d", n%kinds, n))
+				_, _ = c.Write(b[:1+n%len(b)])
+			}
+			h.check()
+		})
+	}
+}
+
+// answerStart is the start of an answer of an upstream to a request of TestCrowdsOfAnswers.
+const answerStart = "HTTP/1.1 200 OK\r\nRequest-Id: crowd\r\nServer-Stamp: s.crowd\r\n"
+
+// Guards against answers of upstreams that cost more than their bytes while many
+// ordinary requests run.
+func TestCrowdsOfAnswers(t *testing.T) {
+	const clients, rounds = 60, 20
+	h := newHostileSystem(t, 0)
+	ask := crowd.Shape{
+		Name: "ordinary requests",
+		Send: func(c net.Conn, _ int) { _, _ = io.WriteString(c, callerStart+"Connection: close\r\n\r\n") },
+	}
+	for _, s := range crowd.HTTP(answerStart, pipe.MaxHead-1024, pipe.MaxAnswer) {
+		h.hostileUpstreams.Store(&s)
+		h.watch(func() {
+			for _, c := range crowd.Run(crowd.Config{
+				Address: h.address,
+				Clients: clients,
+				Time:    crowdTime,
+				Rounds:  rounds,
+			}, ask) {
+				_ = c.Close()
+			}
+		})
+		h.hostileUpstreams.Store(nil)
+		h.t.Log(s.Name)
+		h.check()
+		h.process().ResetPeak()
+		h.descriptors = 0
+	}
+}
+
+// Guards against pages of the list of upstreams that cost more than their bytes.
+func TestHostileList(t *testing.T) {
+	const reads = 1500 * time.Millisecond // more than one read of the list
+	h := newHostileControl(t)
+	for _, s := range crowd.HTTP("HTTP/1.1 200 OK\r\n", pipe.MaxHead-1024, 1<<20) {
+		h.hostileList.Store(&s)
+		h.watch(func() { time.Sleep(reads) })
+	}
+	h.hostileList.Store(nil)
+	h.check()
+}
+
 // hostileSettings writes the settings file of a hostile system and returns its path.
 func hostileSettings(t *testing.T, memory, descriptors int) string {
 	t.Helper()
--- a/internal/tier/tier_test.go
+++ b/internal/tier/tier_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jujubethread/jujubethread/internal/core"
+	"github.com/jujubethread/jujubethread/internal/crowd"
 	"github.com/jujubethread/jujubethread/internal/front"
 	"github.com/jujubethread/jujubethread/internal/ports"
 	"github.com/jujubethread/jujubethread/pkg/budget"
@@ -45,6 +46,9 @@
 	calledA atomic.Int64
 	calledB atomic.Int64
 	ended   []chan struct{}
+	// hostile is what upstreams, or the list, send instead of their answers, if set.
+	hostileUpstreams atomic.Pointer[crowd.Shape]
+	hostileList      atomic.Pointer[crowd.Shape]
 }
 
 // largePath is a query that all shards but shard-3 answer at once, with largeSize
@@ -58,6 +62,9 @@
 // some work, unless its caller leaves, and returns its address.
 func (s *system) startUpstream(name string, work time.Duration) string {
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if sendHostile(w, &s.hostileUpstreams) {
+			return
+		}
 		s.atWork.Add(1)
 		defer s.atWork.Add(-1)
 		if strings.HasSuffix(name, "-a") {
@@ -87,6 +94,24 @@
 	return srv.Listener.Addr().String()
 }
 
+// sendHostile sends a hostile answer if one is set, and keeps the connection open until
+// its peer closes it or waitTimeout has passed.
+func sendHostile(w http.ResponseWriter, by *atomic.Pointer[crowd.Shape]) bool {
+	shape := by.Load()
+	if shape == nil {
+		return false
+	}
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(waitTimeout))
+	shape.Send(c, 0)
+	_, _ = io.Copy(io.Discard, c)
+	return true
+}
+
 func newSystem(t *testing.T, work time.Duration) *system { return newSystemIn(t, work, "a", "a", "b") }
 
 // newSystemIn starts a system with one entry host in each of some domains, which stop
@@ -107,6 +132,9 @@
 		}
 	}
 	s.list = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if sendHostile(w, &s.hostileList) {
+			return
+		}
 		_ = json.NewEncoder(w).Encode(map[string]any{
 			"Instances":     entries,
 			"NextPageToken": nil,
