--- a/internal/guard/bounds.go
+++ b/internal/guard/bounds.go
@@ -84,7 +84,7 @@
 // half of the processor time.
 func CallerBounds(memory, descriptors int) Config {
 	return Config{
-		Of:          "callers",
+		Clients:     "callers",
 		Bytes:       max(share(memory, 3), requestBytes(usualBodyBytes, usualHeadBytes)),
 		Connections: max(1, countDescriptors(descriptors)/2),
 	}
@@ -94,7 +94,7 @@
 // of up to some bytes. One such body always finds room, with its copies.
 func OperatorBounds(memory, descriptors int, body int64) Config {
 	return Config{
-		Of:          "operators",
+		Clients:     "operators",
 		Bytes:       max(share(memory, 3), requestBytes(body, defaultHeadBytes)),
 		Connections: max(1, countDescriptors(descriptors)/4),
 	}
@@ -106,7 +106,7 @@
 // for them, a control host, which all entry hosts poll, half.
 func HostBounds(memory, descriptors int, message int64, control bool) Config {
 	c := Config{
-		Of:          "hosts",
+		Clients:     "hosts",
 		Bytes:       max(share(memory, 6), withReserve(rawCopies*message+connectionBytes)),
 		Connections: max(1, countDescriptors(descriptors)/4),
 	}
@@ -117,10 +117,10 @@
 }
 
 // CheckBounds returns the Config for a listener that answers short requests without a
-// body, such as readiness checks or metrics; of names its clients.
-func CheckBounds(of string, descriptors int) Config {
+// body, such as readiness checks or metrics; clients names those who connect.
+func CheckBounds(clients string, descriptors int) Config {
 	return Config{
-		Of:          of,
+		Clients:     clients,
 		Bytes:       checkBytes,
 		Connections: max(1, min(checkConnections, countDescriptors(descriptors)/16)),
 		Limits: func() Limits {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -79,8 +79,8 @@
 
 // Config holds the bounds of the connections of one kind.
 type Config struct {
-	// Of names the clients in logs: callers, operators, hosts, checks or metrics.
-	Of string
+	// Clients names those who connect, in logs: callers, operators, hosts, checks or metrics.
+	Clients string
 	// Bytes bounds what clients hold, Connections their number.
 	Bytes       int64
 	Connections int
@@ -194,7 +194,7 @@
 		c.evict()
 	}
 	if report {
-		g.cfg.Log.Warn("callers give way", "Of", g.cfg.Of, "Slow", counts[memory.Slow], "Unused", counts[memory.Unused], "Full", counts[memory.Full],
+		g.cfg.Log.Warn("callers give way", "Clients", g.cfg.Clients, "Slow", counts[memory.Slow], "Unused", counts[memory.Unused], "Full", counts[memory.Full],
 			"Connections", open, "HeldBytes", used, "ClosingBytes", closing)
 	}
 	return kept
