Serve the revision of the evacuated domains as a metric

A host that has not heard of an order, one that has lost it and one that ignores it since it follows a higher revision all showed the same tier_evacuated_domains.

Change: tier_evacuation_revision and control_evacuation_revision. A lower value than elsewhere is a host that lags, a higher one a host that ignores what the others have.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -259,7 +259,9 @@
 		case <-tick.C:
 		}
 		c.watchState.Sweep()
-		c.host.SetGauge("evacuated_domains", float64(len(c.watchState.Evacuation().Domains)))
+		evacuated := c.watchState.Evacuation()
+		c.host.SetGauge("evacuated_domains", float64(len(evacuated.Domains)))
+		c.host.SetGauge("evacuation_revision", float64(evacuated.Revision))
 		asked := c.watchState.Now()
 		s, ok := c.status(ctx)
 		if !ok {
--- a/internal/front/evacuation.go
+++ b/internal/front/evacuation.go
@@ -44,6 +44,7 @@
 		f.log.Info("evacuated domains are in force", "Revision", uint64(v.set.Revision), "Domains", v.set.Domains, "Confirmed", confirmed, "Source", p.source)
 		f.inputs <- input{event: relay.Evacuated{Domains: v.set.Domains}}
 		f.evacuated.Store(int64(len(v.set.Domains)))
+		f.evacuationRevision.Store(int64(v.set.Revision))
 	}
 	if !becomesKnown {
 		return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -140,7 +140,7 @@
 	endsAt atomic.Int64
 	// The values of the gauges; listReadAt, and confirmedAt of the configuration,
 	// are in Unix nanoseconds.
-	requestsRunning, upstreams, evacuated, hosts, limited, suspects, leaving, paused, listReadAt, confirmedAt atomic.Int64
+	requestsRunning, upstreams, evacuated, evacuationRevision, hosts, limited, suspects, leaving, paused, listReadAt, confirmedAt atomic.Int64
 	// gate is the state of the engine's gate; gateLow and gateLoggedAt are what was last
 	// logged of it, and when. Only the loop uses these.
 	gate         atomic.Pointer[gate.Status]
--- a/internal/front/observe.go
+++ b/internal/front/observe.go
@@ -165,6 +165,7 @@
 		f.gauge.Running.Update(float64(f.requestsRunning.Load()))
 		f.gauge.Upstreams.Update(float64(f.upstreams.Load()))
 		f.gauge.Evacuated.Update(float64(f.evacuated.Load()))
+		f.gauge.Evacuation.Update(float64(f.evacuationRevision.Load()))
 		f.gauge.Limited.Update(float64(f.limited.Load()))
 		f.gauge.Suspects.Update(float64(f.suspects.Load()))
 		f.gauge.Leaving.Update(float64(f.leaving.Load()))
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -54,6 +54,7 @@
 //	| list_age_seconds  | gauge     |             | age of the list of upstreams                  |
 //	| upstreams         | gauge     |             | upstreams in the list                         |
 //	| evacuated_domains | gauge     |             | evacuated domains, whether listed or not      |
+//	| evacuation_revision | gauge   |             | revision of that set                          |
 //	| hosts             | gauge     |             | entry hosts that share the budgets            |
 //	| ready             | gauge     |             | 1 while readiness checks get 200              |
 //	| log_lines_dropped | gauge     |             | log lines dropped since the process started   |
@@ -151,6 +152,7 @@
 	ListAge     tally.Gauge
 	Upstreams   tally.Gauge
 	Evacuated   tally.Gauge
+	Evacuation  tally.Gauge
 	Hosts       tally.Gauge
 	Ready       tally.Gauge
 	Dropped     tally.Gauge
@@ -204,6 +206,7 @@
 		ListAge:        scope.Gauge("list_age_seconds"),
 		Upstreams:      scope.Gauge("upstreams"),
 		Evacuated:      scope.Gauge("evacuated_domains"),
+		Evacuation:     scope.Gauge("evacuation_revision"),
 		Hosts:          scope.Gauge("hosts"),
 		Ready:          scope.Gauge("ready"),
 		Dropped:        scope.Gauge("log_lines_dropped"),
