--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,7 @@
 	"github.com/jujubethread/jujubethread/internal/watch"
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/evac"
 	"github.com/jujubethread/jujubethread/pkg/follow"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
@@ -110,10 +111,12 @@
 	log        *slog.Logger
 	self       board.Host
 	watchState *watch.State
-	host       *ctrl.Host
-	client     *link.Client
-	lister     *platform.Lister
-	planner    *roster.Planner
+	// evacuations belongs to the goroutine that applies the log.
+	evacuations *evacuationPart
+	host        *ctrl.Host
+	client      *link.Client
+	lister      *platform.Lister
+	planner     *roster.Planner
 
 	seeds atomic.Pointer[[]string]
 	// leaders receives the link addresses of leaders that announce themselves.
@@ -154,6 +157,10 @@
 		planner:    roster.NewPlanner(),
 		leaders:    make(chan string, 1),
 	}
+	c.evacuations = &evacuationPart{
+		watchState: c.watchState,
+		log:        cfg.Log,
+	}
 	c.seeds.Store(&cfg.Seeds)
 	c.namedLeader.Store(new(string))
 	bounds := guard.HostBounds(cfg.Memory, cfg.Descriptors, link.DefaultMaxMessage, true)
@@ -170,10 +177,7 @@
 				watchState: c.watchState,
 				log:        cfg.Log,
 			},
-			&evacuationPart{
-				watchState: c.watchState,
-				log:        cfg.Log,
-			},
+			c.evacuations,
 		},
 		Extend: c.register,
 		API:    c.api,
@@ -231,10 +235,17 @@
 // status returns this member's view of the group; ok is false while the
 // goroutine that owns it is busy or has stopped.
 func (c *Core) status(ctx context.Context) (s quorum.Status, ok bool) {
+	s, _, ok = c.statusAndEvacuation(ctx)
+	return s, ok
+}
+
+// statusAndEvacuation is status with the set of evacuated domains that this member has
+// applied in the same state.
+func (c *Core) statusAndEvacuation(ctx context.Context) (s quorum.Status, applied evac.Set, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	s, err := c.host.Quorum(ctx)
-	return s, err == nil
+	err := c.host.View(ctx, func(q quorum.Status) { s, applied = q, c.evacuations.set })
+	return s, applied, err == nil
 }
 
 func leaderAddress(s quorum.Status) string {
@@ -263,7 +274,7 @@
 		c.host.SetGauge("evacuated_domains", float64(len(evacuated.Domains)))
 		c.host.SetGauge("evacuation_revision", float64(evacuated.Revision))
 		asked := c.watchState.Now()
-		s, ok := c.status(ctx)
+		s, applied, ok := c.statusAndEvacuation(ctx)
 		if !ok {
 			continue
 		}
@@ -274,7 +285,7 @@
 			c.watchState.RecordHeartbeat(c.self)
 		}
 		if s.Lease {
-			c.watchState.ConfirmOwn(asked)
+			c.watchState.ConfirmOwn(applied, asked)
 		}
 		if address != leader {
 			c.log.Info("leader changed", "Leader", address, "Term", uint64(s.Term), "Leading", leading, "Members", len(s.Members))
@@ -455,7 +466,7 @@
 		Follows: logHasLeader,
 		AtOnce:  atOnce,
 
-		Evacuation: c.watchState.Evacuation().Revision,
+		Evacuation: c.watchState.StatedEvacuation(),
 	}
 	directHosts, directDigest := c.watchState.DirectHosts()
 	if request.DirectDigest = directDigest; directDigest != c.confirmedDigest {
@@ -471,13 +482,10 @@
 	if r.Document != nil && c.watchState.SetDocument(*r.Document) {
 		c.log.Info("configuration was received", "Version", r.Document.Version, "Source", address)
 	}
-	if r.Evacuated != nil && c.watchState.SetEvacuation(*r.Evacuated) {
-		logEvacuation(c.log, *r.Evacuated, address)
+	if c.watchState.Confirm(r.Version, r.Evacuations(sentAt)) {
+		logEvacuation(c.log, c.watchState.Evacuation(), address)
 	}
 	confirmedAt, confirmed := r.ConfirmedAt(sentAt)
-	if confirmed {
-		c.watchState.Confirm(r.Version, r.EvacuationRevision, confirmedAt)
-	}
 	newList, ok := r.NewList(list)
 	c.resync = !ok && r.ListDelta != nil
 	switch readAt, read := r.ListReadAt(sentAt); {
--- a/internal/core/document.go
+++ b/internal/core/document.go
@@ -9,6 +9,7 @@
 	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/internal/watch"
 	"github.com/jujubethread/jujubethread/pkg/board"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
 // documentPartName is the name of the replicated part in commands and snapshots.
@@ -35,7 +36,7 @@
 func (p *documentPart) Name() string { return documentPartName }
 
 // Apply implements state.Part. The result of a read is the active document.
-func (p *documentPart) Apply(command []byte) ([]byte, error) {
+func (p *documentPart) Apply(_ quorum.Index, command []byte) ([]byte, error) {
 	var c documentCommand
 	if err := proto.Unmarshal(command, &c); err != nil {
 		return nil, errors.Wrap(err, "document command cannot be decoded: update this host")
@@ -57,7 +58,7 @@
 }
 
 // Restore implements state.Part.
-func (p *documentPart) Restore(data []byte) error {
+func (p *documentPart) Restore(_ quorum.Index, data []byte) error {
 	var d board.Document
 	if err := proto.Unmarshal(data, &d); err != nil {
 		return err
@@ -67,6 +68,9 @@
 	return nil
 }
 
+// Reset implements state.Part.
+func (p *documentPart) Reset() { p.active = board.Document{} }
+
 // distribute passes the active document to the hosts that poll this one.
 func (p *documentPart) distribute() {
 	if p.watchState.SetDocument(p.active) {
--- a/internal/core/evacuation.go
+++ b/internal/core/evacuation.go
@@ -13,6 +13,7 @@
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/evac"
 	"github.com/jujubethread/jujubethread/pkg/ident"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 	"github.com/jujubethread/jujubethread/platform"
 )
 
@@ -34,6 +35,16 @@
 	Full     bool `cbor:",omitempty"`
 }
 
+// evacuationSnapshot is the encoded state of the part.
+type evacuationSnapshot struct {
+	// Changes is the revision of earlier releases, which members counted for
+	// themselves, so that they may disagree on it.
+	Changes evac.Revision `cbor:"Revision,omitempty"`
+	// Position is the revision of the set.
+	Position evac.Revision  `cbor:",omitempty"`
+	Domains  []ident.Domain `cbor:",omitempty"`
+}
+
 // evacuationPart replicates the set of evacuated domains.
 type evacuationPart struct {
 	set        evac.Set
@@ -47,7 +58,7 @@
 func (p *evacuationPart) Name() string { return evacuationPartName }
 
 // Apply implements state.Part. The result is an evacuationResult.
-func (p *evacuationPart) Apply(command []byte) ([]byte, error) {
+func (p *evacuationPart) Apply(at quorum.Index, command []byte) ([]byte, error) {
 	var c evacuationCommand
 	if err := proto.Unmarshal(command, &c); err != nil {
 		return nil, errors.Wrap(err, "evacuation command cannot be decoded: update this host")
@@ -55,11 +66,11 @@
 	next, r := p.set, evacuationResult{}
 	if c.Start != "" {
 		var err error
-		next, err = p.set.Start(c.Start)
+		next, err = p.set.Start(c.Start, evac.Revision(at))
 		r.Full = err != nil
 	}
 	if c.End != "" {
-		next = next.End(c.End)
+		next = next.End(c.End, evac.Revision(at))
 	}
 	p.replace(next)
 	r.Revision = next.Revision
@@ -73,20 +84,33 @@
 		if set.Revision == 0 {
 			return nil, nil
 		}
-		return proto.Marshal(set)
+		return proto.Marshal(evacuationSnapshot{
+			Position: set.Revision,
+			Domains:  set.Domains,
+		})
 	}
 }
 
-// Restore implements state.Part.
-func (p *evacuationPart) Restore(data []byte) error {
-	var s evac.Set
+// Restore implements state.Part. A snapshot of an earlier release does not say where the
+// set last changed; it was not after the snapshot.
+func (p *evacuationPart) Restore(at quorum.Index, data []byte) error {
+	var s evacuationSnapshot
 	if err := proto.Unmarshal(data, &s); err != nil {
 		return err
 	}
-	p.replace(s)
+	if s.Changes > 0 {
+		s.Position = evac.Revision(at)
+	}
+	p.replace(evac.Set{
+		Revision: s.Position,
+		Domains:  s.Domains,
+	})
 	return nil
 }
 
+// Reset implements state.Part.
+func (p *evacuationPart) Reset() { p.set = evac.Set{} }
+
 // replace replaces the set and passes it to the hosts that poll this one.
 func (p *evacuationPart) replace(s evac.Set) {
 	p.set = s
--- a/internal/core/evacuation_test.go
+++ b/internal/core/evacuation_test.go
@@ -134,20 +134,28 @@
 	return r, err == nil
 }
 
-// await waits until a host offers the set, with a current copy.
-func (g *group) await(m *member, within time.Duration, want string) {
+// await waits until hosts offer the domains, with current copies of the same revision,
+// which it returns.
+func (g *group) await(within time.Duration, want string, hosts ...*member) evac.Revision {
 	g.t.Helper()
-	got := ""
 	for end := time.Now().Add(within); ; time.Sleep(20 * time.Millisecond) {
-		r, ok := g.poll(m, 0)
-		if got = fmt.Sprint(ok, " ", r.Age >= 0, " none"); r.Evacuated != nil {
-			got = fmt.Sprint(ok, " ", r.Age >= 0, " ", r.Evacuated.Revision, r.Evacuated.Domains)
+		var got []string
+		same, revision := true, evac.Revision(0)
+		for i, m := range hosts {
+			r, ok := g.poll(m, 0)
+			offered := fmt.Sprint(ok, " ", r.Age >= 0, " none")
+			if r.Evacuated != nil {
+				offered = fmt.Sprint(ok, " ", r.Age >= 0, " ", r.Evacuated.Domains)
+			}
+			same = same && offered == "true true "+want && (i == 0 || r.EvacuationRevision == revision)
+			revision = r.EvacuationRevision
+			got = append(got, fmt.Sprint(m.cfg.Link, ": ", offered, " at ", revision))
 		}
-		if got == "true true "+want {
-			return
+		if same {
+			return revision
 		}
 		if time.Now().After(end) {
-			g.t.Fatalf("%s offers %q, not %q, after %s", m.cfg.Link, got, want, within)
+			g.t.Fatalf("%q, not %s at one revision, after %s", got, want, within)
 		}
 	}
 }
@@ -174,23 +182,24 @@
 	is := is.New(t)
 	g := newGroup(t, 1)
 	g.acknowledge(g.hosts[0], http.MethodPost, "a")
+	first := g.await(waitTimeout, "[a]", g.hosts...)
 	for _, m := range g.hosts { // repeated at each host, also one outside the log
 		g.acknowledge(m, http.MethodPost, "a")
 		g.acknowledge(m, http.MethodDelete, "unknown")
 	}
-	for _, m := range g.hosts {
-		g.await(m, waitTimeout, "1 [a]")
-	}
+	is.Equal(g.await(waitTimeout, "[a]", g.hosts...), first)
 	g.acknowledge(g.hosts[3], http.MethodPost, "b%2Dc")
+	second := g.await(reachTime, "[a b-c]", g.hosts...)
+	is.True(second > first)
 	for _, m := range g.hosts {
-		g.await(m, reachTime, "2 [a b-c]")
 		g.awaitMetric(m, "control_evacuated_domains 2\n")
+		g.awaitMetric(m, fmt.Sprintf("control_evacuation_revision %d\n", second))
 	}
 	g.acknowledge(g.hosts[1], http.MethodDelete, "a")
+	third := g.await(reachTime, "[b-c]", g.hosts...)
 	g.acknowledge(g.hosts[2], http.MethodDelete, "a")
-	for _, m := range g.hosts {
-		g.await(m, reachTime, "3 [b-c]")
-	}
+	is.True(third > second)
+	is.Equal(g.await(reachTime, "[b-c]", g.hosts...), third)
 	for _, bad := range []string{"", "a/b", "a%2Fb", "a%20b", "%00", strings.Repeat("x", evac.MaxName+1)} {
 		is.Equal(g.hosts[0].order(http.MethodPost, bad), http.StatusBadRequest)
 		is.Equal(g.hosts[3].order(http.MethodDelete, bad), http.StatusBadRequest)
@@ -205,6 +214,7 @@
 	g.acknowledge(g.hosts[0], http.MethodPost, "a")
 	g.acknowledge(g.hosts[0], http.MethodPost, "b")
 	g.acknowledge(g.hosts[0], http.MethodDelete, "a")
+	last := g.await(waitTimeout, "[b]", g.hosts...)
 	g.stopAll()
 	for _, m := range g.hosts {
 		g.start(m)
@@ -216,14 +226,12 @@
 			if !ok || r.Age < 0 {
 				continue // an entry host that starts does not take it
 			}
-			if seen++; r.EvacuationRevision != 3 {
+			if seen++; r.EvacuationRevision != last {
 				t.Fatalf("%s confirms revision %d after its restart", m.cfg.Link, r.EvacuationRevision)
 			}
 		}
 	}
-	for _, m := range g.hosts {
-		g.await(m, waitTimeout, "3 [b]")
-	}
+	is.New(t).Equal(g.await(waitTimeout, "[b]", g.hosts...), last)
 }
 
 // Guards against an order that a new leader does not know, or that is lost with a disk,
@@ -232,7 +240,7 @@
 	is := is.New(t)
 	g := newGroup(t, 0)
 	g.acknowledge(g.hosts[0], http.MethodPost, "a")
-	g.await(g.hosts[0], waitTimeout, "1 [a]")
+	g.await(waitTimeout, "[a]", g.hosts...)
 	r, _ := g.poll(g.hosts[0], 0)
 	leader, others := 0, []*member{}
 	for n, m := range g.hosts {
@@ -247,20 +255,18 @@
 	lost.stop()
 	g.acknowledge(others[0], http.MethodPost, "a")
 	g.acknowledge(others[1], http.MethodPost, "b")
-	for _, m := range others {
-		g.await(m, waitTimeout, "2 [a b]")
-	}
+	second := g.await(waitTimeout, "[a b]", others...)
 	is.NoErr(os.RemoveAll(lost.cfg.Folder))
 	is.NoErr(os.Mkdir(lost.cfg.Folder, 0o700))
 	lost.cfg.First = false
 	g.start(lost)
-	g.await(lost, waitTimeout, "2 [a b]")
+	is.Equal(g.await(waitTimeout, "[a b]", g.hosts...), second) // also on the empty disk
 	g.awaitVoter(lost)
 
 	g.acknowledge(lost, http.MethodDelete, "a")
 	others[0].stop() // the wiped member and one other are a majority
 	g.acknowledge(others[1], http.MethodPost, "c")
-	g.await(lost, waitTimeout, "4 [b c]")
+	g.await(waitTimeout, "[b c]", lost, others[1])
 	others[1].stop()
 	status := lost.order(http.MethodPost, "d")
 	is.True(status == http.StatusServiceUnavailable || status == 0)
@@ -279,54 +285,101 @@
 	g.t.Fatalf("%s does not vote again", m.cfg.Link)
 }
 
-// Guards against a member that restarts from a snapshot and the rest of the log and has
-// another set than one that has applied all of it, and against one that distributes an
-// older set after a restart than it did before.
+// Guards against a member that applies its log in another way, from a snapshot or again
+// after a disk fault, and has another set or revision than one that has applied each entry
+// once, and against one that distributes an older set than it did before.
 func TestSnapshotAndReplayAgree(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		boards := []*watch.State{watch.NewState(), watch.NewState()}
-		whole, restored := state.NewSet(core.NewEvacuationPart(boards[0])), state.NewSet(core.NewEvacuationPart(boards[1]))
-		apply := func(s *state.Set, command []byte) {
+		part := core.NewEvacuationPart(boards[1])
+		whole, other := state.NewSet(core.NewEvacuationPart(boards[0])), state.NewSet(part)
+		apply := func(s *state.Set, at int, command []byte) {
 			raw, err := proto.Marshal(state.Command{Part: "evacuation", Data: command})
 			if err == nil {
-				_, err = s.Apply(raw)
+				_, err = s.Apply(quorum.Index(at), raw)
 			}
 			if err != nil {
 				rt.Fatal(err)
 			}
 		}
-		n := rapid.IntRange(0, 20).Draw(rt, "orders")
-		at := rapid.IntRange(0, n).Draw(rt, "snapshot")
-		last := evac.Revision(0)
-		for i := range n + 1 {
-			if i == at {
-				raw, err := whole.Freeze()()
-				if err != nil {
-					rt.Fatal(err)
-				}
-				if err := restored.Restore(raw); err != nil {
-					rt.Fatal(err)
-				}
-			}
-			if i == n {
-				break
-			}
-			command, err := core.EvacuationCommand(rapid.Bool().Draw(rt, "start"), ident.Domain(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain")))
+		// The log has a command at each position, after the first snapshot at 0. The
+		// other member has applied it up to a position, and has snapshots of these ones.
+		log := [][]byte{nil}
+		snapshots := make(map[int][]byte)
+		takeSnapshot := func(s *state.Set, at int) {
+			raw, err := s.Freeze()()
 			if err != nil {
 				rt.Fatal(err)
 			}
-			apply(whole, command)
-			if i >= at {
-				apply(restored, command)
+			snapshots[at] = raw
+		}
+		takeSnapshot(whole, 0)
+		applied, last := 0, evac.Revision(0)
+		catchUp := func(to int) {
+			for applied < to {
+				applied++
+				apply(other, applied, log[applied])
 			}
-			if r := boards[0].Evacuation().Revision; r < last {
+			if r := boards[1].Evacuation().Revision; r < last {
 				rt.Fatalf("revision %d follows %d", r, last)
 			}
-			last = boards[0].Evacuation().Revision
+			last = boards[1].Evacuation().Revision
 		}
+		for range rapid.IntRange(0, 30).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			case 0:
+				command, err := core.EvacuationCommand(rapid.Bool().Draw(rt, "start"), ident.Domain(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain")))
+				if err != nil {
+					rt.Fatal(err)
+				}
+				log = append(log, command)
+				apply(whole, len(log)-1, command)
+			case 1:
+				catchUp(rapid.IntRange(applied, len(log)-1).Draw(rt, "applied"))
+			case 2: // by either member, which may then send it to the other
+				takeSnapshot(whole, len(log)-1)
+				takeSnapshot(other, applied)
+			case 3: // a disk fault, or an installed snapshot
+				var at []int
+				for i := range snapshots {
+					at = append(at, i)
+				}
+				slices.Sort(at)
+				applied = rapid.SampledFrom(at).Draw(rt, "snapshot")
+				other = state.NewSet(part)
+				if err := other.Restore(quorum.Index(applied), snapshots[applied]); err != nil {
+					rt.Fatal(err)
+				}
+			}
+		}
+		catchUp(len(log) - 1)
 		a, b := boards[0].Evacuation(), boards[1].Evacuation()
 		if a.Revision != b.Revision || !slices.Equal(a.Domains, b.Domains) {
-			rt.Fatalf("%v, but %v after a snapshot", a, b)
+			rt.Fatalf("%v, but %v for a member that has applied the log in another way", a, b)
 		}
 	})
 }
+
+// Guards against a member that comes from the release before with a snapshot in which it
+// has counted the changes for itself: its set must count as newer than any before it, and
+// as older than the next one.
+func TestSnapshotOfTheReleaseBefore(t *testing.T) {
+	is := is.New(t)
+	counted, err := proto.Marshal(struct {
+		Revision uint64
+		Domains  []ident.Domain `cbor:",omitempty"`
+	}{
+		Revision: 90,
+		Domains:  []ident.Domain{"a"},
+	})
+	is.NoErr(err)
+	w := watch.NewState()
+	part := core.NewEvacuationPart(w)
+	is.NoErr(part.Restore(40, counted))
+	is.Equal(w.Evacuation(), evac.Set{Revision: 40, Domains: []ident.Domain{"a"}})
+	command, err := core.EvacuationCommand(false, "a")
+	is.NoErr(err)
+	_, err = part.Apply(41, command)
+	is.NoErr(err)
+	is.Equal(w.Evacuation().Revision, evac.Revision(41))
+}
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -291,10 +291,16 @@
 // log.
 func (h *Host) Now() ident.Instant { return h.now() }
 
+// View passes this member's view of the group to read, on the goroutine that applies the
+// log: read may look at the parts that this host was given, in the same state.
+func (h *Host) View(ctx context.Context, read func(quorum.Status)) error {
+	return h.runOnOwner(ctx, func(o *owner) { read(o.node.Status(h.now())) })
+}
+
 // Quorum returns this member's view of the replicated log and its group.
 func (h *Host) Quorum(ctx context.Context) (quorum.Status, error) {
 	var s quorum.Status
-	err := h.runOnOwner(ctx, func(o *owner) { s = o.node.Status(h.now()) })
+	err := h.View(ctx, func(q quorum.Status) { s = q })
 	return s, err
 }
 
--- a/internal/ctrl/effect.go
+++ b/internal/ctrl/effect.go
@@ -28,7 +28,7 @@
 				install: &e.Snapshot,
 			})
 		case quorum.Restore:
-			if err := o.parts.Restore(e.Snapshot.Data); err != nil {
+			if err := o.parts.Restore(e.Snapshot.Meta.Index, e.Snapshot.Data); err != nil {
 				o.fatal = err
 			}
 		case quorum.Apply:
@@ -59,7 +59,7 @@
 	if a.Entry.Kind != quorum.Command {
 		return
 	}
-	data, err := o.parts.Apply(a.Entry.Data)
+	data, err := o.parts.Apply(a.Entry.Index, a.Entry.Data)
 	if err != nil {
 		o.fatal = errors.Wrapf(err, "entry %d cannot be applied", a.Entry.Index)
 		return
--- a/internal/ctrl/meter.go
+++ b/internal/ctrl/meter.go
@@ -35,7 +35,8 @@
 //	| disk_failed       | gauge     |               | 1 while the data folder cannot be used         |
 //	| entry_hosts_live  | gauge     |               | entry hosts that send heartbeats; leader only  |
 //	| evacuated_domains | gauge     |               | evacuated domains; on the platform only        |
-//	| evacuation_revision | gauge   |               | revision of that set; on the platform only     |
+//	| evacuation_revision | gauge   |               | position in the log of their last change; on   |
+//	|                   |           |               | the platform only                              |
 type meters struct {
 	scope     tally.Scope
 	closer    io.Closer
--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -128,8 +128,8 @@
 			stored.Snapshot = snap
 		}
 	}
-	if stored.Snapshot.Meta.Index > 0 {
-		if err := o.parts.Restore(stored.Snapshot.Data); err != nil {
+	if at := stored.Snapshot.Meta.Index; at > 0 {
+		if err := o.parts.Restore(at, stored.Snapshot.Data); err != nil {
 			return err
 		}
 	}
--- a/internal/front/evacuation.go
+++ b/internal/front/evacuation.go
@@ -5,7 +5,6 @@
 
 	"github.com/jujubethread/jujubethread/pkg/board"
 	"github.com/jujubethread/jujubethread/pkg/evac"
-	"github.com/jujubethread/jujubethread/pkg/follow"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 )
@@ -18,9 +17,7 @@
 
 // evacuation is the set of evacuated domains that a watcher holds.
 type evacuation struct {
-	set evac.Set
-	// copy is the age of the set.
-	copy follow.Copy[evac.Revision]
+	held evac.Copy
 	// answered is set since the first answer of a control host, at answeredAt.
 	answered   bool
 	answeredAt ident.Instant
@@ -29,22 +26,23 @@
 // applyEvacuation takes the evacuated domains in an answer if they are newer. The first
 // answer of a source whose copy was ever confirmed makes them known; one without any
 // is of a system in which no evacuation has been ordered.
-func (w *watcher) applyEvacuation(r *board.Reply, p *poll, confirmed bool) {
+func (w *watcher) applyEvacuation(r *board.Reply, p *poll) {
 	f, v := w.front, &w.evacuation
 	if !v.answered {
 		v.answered, v.answeredAt = true, w.now()
 	}
-	newer := r.Evacuated != nil && r.Evacuated.Revision > v.set.Revision
-	if newer {
-		v.set = *r.Evacuated
-		v.copy.Hold(v.set.Revision)
+	before, answer := v.held.Set().Revision, r.Evacuations(p.sentAt)
+	changed := v.held.Update(w.now(), answer)
+	set := v.held.Set()
+	if set.Revision < before {
+		f.log.Warn("evacuated domains of another log were given up", "Revision", uint64(before), "Confirmed", uint64(set.Revision), "Source", p.source)
 	}
-	becomesKnown := !f.knowsEvacuation.Load() && (confirmed || w.now().Sub(v.answeredAt) > unconfirmedWait)
-	if newer || becomesKnown {
-		f.log.Info("evacuated domains are in force", "Revision", uint64(v.set.Revision), "Domains", v.set.Domains, "Confirmed", confirmed, "Source", p.source)
-		f.inputs <- input{event: relay.Evacuated{Domains: v.set.Domains}}
-		f.evacuated.Store(int64(len(v.set.Domains)))
-		f.evacuationRevision.Store(int64(v.set.Revision))
+	becomesKnown := !f.knowsEvacuation.Load() && (answer.Confirmed || w.now().Sub(v.answeredAt) > unconfirmedWait)
+	if changed || becomesKnown {
+		f.log.Info("evacuated domains are in force", "Revision", uint64(set.Revision), "Domains", set.Domains, "Confirmed", answer.Confirmed, "Source", p.source)
+		f.inputs <- input{event: relay.Evacuated{Domains: set.Domains}}
+		f.evacuated.Store(int64(len(set.Domains)))
+		f.evacuationRevision.Store(int64(set.Revision))
 	}
 	if !becomesKnown {
 		return
--- a/internal/front/evacuation_test.go
+++ b/internal/front/evacuation_test.go
@@ -106,3 +106,30 @@
 	other.SetEvacuation(evacuated(3, "b"))
 	is.True(waitFor(t, applyTimeout, served))
 }
+
+// Guards against an entry host that ignores each later set since it has once got one with
+// too high a revision: from a control host that counted an evacuation twice, or from a
+// group that has been made anew.
+func TestEntryHostGivesUpARevisionOfAnotherLog(t *testing.T) {
+	is := is.New(t)
+	wrong, right := startControlHost(t, "a"), startControlHost(t, "b")
+	list, calls := startUpstream(t)
+	for _, c := range []*controlHost{wrong, right} {
+		c.SetRoster([]board.Host{wrong.host, right.host})
+		c.SetList(list, c.Now())
+		c.SetDocument(document(t, 1, "/x/"))
+	}
+	wrong.SetEvacuation(evacuated(1000))
+	right.SetEvacuation(evacuated(7))
+	hasRoute, _ := startEntryHost(t, wrong.host.Link)
+	served := func() bool {
+		before := calls.Load()
+		return hasRoute("/x/") && calls.Load() > before
+	}
+	is.True(waitFor(t, applyTimeout, served))
+	wrong.lostLeader.Store(true)
+	right.SetEvacuation(evacuated(8, "a"))
+	is.True(waitFor(t, applyTimeout, func() bool { return !served() }))
+	right.SetEvacuation(evacuated(9))
+	is.True(waitFor(t, applyTimeout, served))
+}
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -159,7 +159,7 @@
 		Roster:  w.roster,
 		AtOnce:  e.AtOnce,
 
-		Evacuation: w.evacuation.set.Revision,
+		Evacuation: w.evacuation.held.StatedRevision(),
 	}
 	go func() {
 		end := pollEnd{attempt: e.Attempt}
@@ -194,13 +194,12 @@
 	}
 	r := &e.reply
 	confirmedAt, confirmed := r.ConfirmedAt(p.sentAt)
-	w.applyEvacuation(r, p, confirmed)
+	w.applyEvacuation(r, p)
 	if r.Document != nil {
 		w.install(*r.Document, p.source)
 	}
 	if confirmed {
 		w.copy.Confirm(r.Version, confirmedAt)
-		w.evacuation.copy.Confirm(r.EvacuationRevision, confirmedAt)
 	}
 	w.applyList(r, p)
 	controls, changed := w.applyRoster(r, p)
@@ -219,7 +218,7 @@
 func (w *watcher) reportAge() {
 	f := w.front
 	age, known := w.copy.Age(w.now())
-	evacuationAge, evacuationKnown := w.evacuation.copy.Age(w.now())
+	evacuationAge, evacuationKnown := w.evacuation.held.Age(w.now())
 	if !known || !evacuationKnown {
 		return
 	}
--- a/internal/front/watch_test.go
+++ b/internal/front/watch_test.go
@@ -65,7 +65,8 @@
 		defer tick.Stop()
 		for {
 			if !c.lostLeader.Load() {
-				c.ConfirmOwn(c.Now())
+				at := c.Now()
+				c.ConfirmOwn(c.Evacuation(), at)
 			}
 			c.Sweep()
 			select {
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -54,7 +54,8 @@
 //	| list_age_seconds  | gauge     |             | age of the list of upstreams                  |
 //	| upstreams         | gauge     |             | upstreams in the list                         |
 //	| evacuated_domains | gauge     |             | evacuated domains, whether listed or not      |
-//	| evacuation_revision | gauge   |             | revision of that set                          |
+//	| evacuation_revision | gauge   |             | position in the log of control hosts of their |
+//	|                   |           |             | last change                                   |
 //	| hosts             | gauge     |             | entry hosts that share the budgets            |
 //	| ready             | gauge     |             | 1 while readiness checks get 200              |
 //	| log_lines_dropped | gauge     |             | log lines dropped since the process started   |
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -8,6 +8,7 @@
 	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/pkg/config"
 	"github.com/jujubethread/jujubethread/pkg/follow"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
 // ConfigName is the name of the configuration part.
@@ -25,11 +26,14 @@
 
 func newConfigPart() *configPart {
 	p := &configPart{}
-	p.reset(config.NewMachine(config.NewState()))
+	p.Reset()
 	return p
 }
 
-func (p *configPart) reset(m *config.Machine) {
+// Reset implements Part.
+func (p *configPart) Reset() { p.replace(config.NewMachine(config.NewState())) }
+
+func (p *configPart) replace(m *config.Machine) {
 	p.machine = m
 	p.deltas = []follow.Delta{{
 		Version: m.State.Version,
@@ -42,7 +46,7 @@
 
 // Apply implements Part. It decodes a config.Command and returns an encoded
 // config.Outcome.
-func (p *configPart) Apply(command []byte) ([]byte, error) {
+func (p *configPart) Apply(_ quorum.Index, command []byte) ([]byte, error) {
 	var c config.Command
 	if err := proto.Unmarshal(command, &c); err != nil {
 		return nil, errors.Wrap(err, "configuration command cannot be decoded: update this host")
@@ -73,7 +77,7 @@
 }
 
 // Restore implements Part.
-func (p *configPart) Restore(data []byte) error {
+func (p *configPart) Restore(_ quorum.Index, data []byte) error {
 	m := &config.Machine{}
 	if err := proto.Unmarshal(data, m); err != nil {
 		return err
@@ -84,7 +88,7 @@
 	if err := m.State.Verify(); err != nil {
 		return err
 	}
-	p.reset(m)
+	p.replace(m)
 	return nil
 }
 
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -8,6 +8,7 @@
 	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/ledger"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
 // LedgerName is the name of the ledger part.
@@ -34,7 +35,7 @@
 
 // Apply implements Part. It decodes a filingCommand and returns an encoded
 // ledger.Result.
-func (p *ledgerPart) Apply(command []byte) ([]byte, error) {
+func (p *ledgerPart) Apply(_ quorum.Index, command []byte) ([]byte, error) {
 	var c filingCommand
 	if err := proto.Unmarshal(command, &c); err != nil {
 		return nil, err
@@ -49,7 +50,7 @@
 }
 
 // Restore implements Part.
-func (p *ledgerPart) Restore(data []byte) error {
+func (p *ledgerPart) Restore(_ quorum.Index, data []byte) error {
 	var s ledger.Snapshot
 	if err := proto.Unmarshal(data, &s); err != nil {
 		return err
@@ -62,6 +63,9 @@
 	return nil
 }
 
+// Reset implements Part.
+func (p *ledgerPart) Reset() { p.machine = ledger.NewMachine(0) }
+
 // StartLeading implements Proposer. The clock continues from the last applied
 // timestamp.
 func (p *ledgerPart) StartLeading(now ident.Instant) {
--- a/internal/state/part.go
+++ b/internal/state/part.go
@@ -11,6 +11,7 @@
 	"github.com/jujubethread/jujubethread/pkg/follow"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/ledger"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
 // Part is one replicated state machine. All methods are called from one
@@ -19,16 +20,20 @@
 type Part interface {
 	// Name identifies the part in log entries and snapshots.
 	Name() string
-	// Apply applies one committed command and returns its encoded result.
-	Apply(command []byte) ([]byte, error)
+	// Apply applies one committed command, the entry of the log at position at, and
+	// returns its encoded result.
+	Apply(at quorum.Index, command []byte) ([]byte, error)
 	// Freeze captures the state and returns a function that encodes it. The
 	// function may run in another goroutine while the part changes. A state of no
 	// bytes is left out of snapshots, as members that do not know the part cannot
 	// restore them.
 	Freeze() func() ([]byte, error)
-	// Restore replaces the state by an encoded one. It is not called for a snapshot
-	// that leaves the part out.
-	Restore(data []byte) error
+	// Restore replaces the state by an encoded one from a snapshot of the log up to
+	// position at.
+	Restore(at quorum.Index, data []byte) error
+	// Reset replaces the state by that of a new group, which a snapshot that leaves
+	// the part out stands for. What the part has passed on is not taken back.
+	Reset()
 }
 
 // Proposer is a Part that completes the commands that the leader proposes for
@@ -67,10 +72,14 @@
 }
 
 // NewSet returns the initial state of a new group: the configuration, the
-// ledger and the extra parts.
+// ledger and the extra parts. These are reset, since they outlive a set that is
+// built again after a disk fault.
 func NewSet(extra ...Part) *Set {
 	c := newConfigPart()
 	l := newLedgerPart()
+	for _, part := range extra {
+		part.Reset()
+	}
 	return &Set{
 		config: c,
 		ledger: l,
@@ -88,9 +97,9 @@
 	return nil, errors.Errorf("command is for part %q, which this host does not know: update this host", name)
 }
 
-// Apply decodes the command in the data of a log entry, applies it to its part
-// and returns the encoded result.
-func (s *Set) Apply(data []byte) ([]byte, error) {
+// Apply decodes the command in the data of the log entry at position at, applies it to
+// its part and returns the encoded result.
+func (s *Set) Apply(at quorum.Index, data []byte) ([]byte, error) {
 	var c Command
 	if err := proto.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "command cannot be decoded: update this host")
@@ -99,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return part.Apply(c.Data)
+	return part.Apply(at, c.Data)
 }
 
 // Freeze captures the state of all parts. The returned function encodes it and
@@ -130,18 +139,22 @@
 	}
 }
 
-// Restore replaces the state of the parts by that of an encoded snapshot.
-func (s *Set) Restore(data []byte) error {
+// Restore replaces the state of all parts by that of an encoded snapshot of the log up
+// to position at.
+func (s *Set) Restore(at quorum.Index, data []byte) error {
 	var states []partState
 	if err := proto.Unmarshal(data, &states); err != nil {
 		return errors.Wrap(err, "snapshot cannot be decoded: update this host")
 	}
+	for _, part := range s.all {
+		part.Reset()
+	}
 	for _, ps := range states {
 		part, err := s.Find(ps.Part)
 		if err != nil {
 			return err
 		}
-		if err := part.Restore(ps.Data); err != nil {
+		if err := part.Restore(at, ps.Data); err != nil {
 			return errors.Wrapf(err, "state of part %q cannot be restored", ps.Part)
 		}
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -68,7 +68,7 @@
 // SetEvacuation replaces the evacuated domains and returns true, unless the revision
 // is not newer.
 func (s *State) SetEvacuation(set evac.Set) (replaced bool) {
-	return s.update(func(_ ident.Instant, b *board.Board) bool { return b.SetEvacuation(set) })
+	return s.update(func(now ident.Instant, b *board.Board) bool { return b.SetEvacuation(now, set) })
 }
 
 // Evacuation returns the newest set of evacuated domains.
@@ -78,16 +78,30 @@
 	return s.board.Evacuation()
 }
 
-// ConfirmOwn records that this host, which leads, held the newest document and set of
-// evacuated domains at the given time.
-func (s *State) ConfirmOwn(at ident.Instant) {
-	s.update(func(_ ident.Instant, b *board.Board) bool { return b.ConfirmOwn(at) })
+// StatedEvacuation returns the revision of the evacuated domains that a poll of this host
+// states.
+func (s *State) StatedEvacuation() evac.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.board.StatedEvacuation()
+}
+
+// ConfirmOwn records that this host, which leads, held the newest document at the given
+// time, and that set is the set of evacuated domains in its log.
+func (s *State) ConfirmOwn(set evac.Set, at ident.Instant) {
+	s.update(func(now ident.Instant, b *board.Board) bool { return b.ConfirmOwn(now, set, at) })
 }
 
-// Confirm records that v was the newest version of the document, and r the newest
-// revision of the evacuated domains, at the given time.
-func (s *State) Confirm(v rules.Version, r evac.Revision, at ident.Instant) {
-	s.update(func(_ ident.Instant, b *board.Board) bool { return b.Confirm(v, r, at) })
+// Confirm takes what another host says of the newest version of the document and of the
+// evacuated domains. It returns true if the evacuated domains were replaced.
+func (s *State) Confirm(v rules.Version, a evac.Answer) (replaced bool) {
+	s.update(func(now ident.Instant, b *board.Board) bool {
+		before := b.Evacuation().Revision
+		changed := b.Confirm(now, v, a)
+		replaced = b.Evacuation().Revision != before
+		return changed
+	})
+	return replaced
 }
 
 // Document returns the newest document, with version 0 if there is none.
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -41,9 +41,8 @@
 	document Document
 	// copy is the age of the document, and of the roster.
 	copy follow.Copy[rules.Version]
-	// evacuation is the newest set of evacuated domains, evacuationCopy its age.
-	evacuation     evac.Set
-	evacuationCopy follow.Copy[evac.Revision]
+	// evacuation is the newest set of evacuated domains.
+	evacuation evac.Copy
 	// wasStale is whether the board was stale at the last Sweep.
 	wasStale bool
 	// settled tells which documents the members of the replicated log must have.
@@ -98,47 +97,54 @@
 
 // SetEvacuation replaces the evacuated domains and returns true, unless the revision
 // is not newer.
-func (b *Board) SetEvacuation(s evac.Set) (replaced bool) {
-	if s.Revision <= b.evacuation.Revision {
-		return false
-	}
-	b.evacuation = s
-	b.evacuationCopy.Hold(s.Revision)
-	return true
+func (b *Board) SetEvacuation(now ident.Instant, s evac.Set) (replaced bool) {
+	return b.evacuation.Take(now, s)
 }
 
 // Evacuation returns the newest set of evacuated domains.
-func (b *Board) Evacuation() evac.Set { return b.evacuation }
-
-// ConfirmOwn records that this host, which leads, held the newest document and set of
-// evacuated domains at the given time. It returns true if the age of these was unknown
-// before.
-func (b *Board) ConfirmOwn(at ident.Instant) (first bool) {
-	return b.Confirm(b.document.Version, b.evacuation.Revision, at)
+func (b *Board) Evacuation() evac.Set { return b.evacuation.Set() }
+
+// StatedEvacuation returns the revision of the evacuated domains that a poll of this host
+// states.
+func (b *Board) StatedEvacuation() evac.Revision { return b.evacuation.StatedRevision() }
+
+// ConfirmOwn records that this host, which leads, held the newest document at the given
+// time, and that s is the set of evacuated domains in its log. It returns true if waiting
+// polls have something new: the set is not the one on this board, or the age of what this
+// host holds was unknown before.
+func (b *Board) ConfirmOwn(now ident.Instant, s evac.Set, at ident.Instant) (changed bool) {
+	return b.Confirm(now, b.document.Version, evac.Answer{
+		Revision:    s.Revision,
+		Set:         &s,
+		Confirmed:   true,
+		ConfirmedAt: at,
+	})
 }
 
-// Confirm records that v was the newest version of the document, and r the newest
-// revision of the evacuated domains, at the given time. It returns true if the age of
-// what this host holds was unknown before and is known now.
-func (b *Board) Confirm(v rules.Version, r evac.Revision, at ident.Instant) (first bool) {
-	_, known := b.Age(at)
-	b.copy.Confirm(v, at)
-	b.evacuationCopy.Confirm(r, at)
-	_, knownNow := b.Age(at)
-	return knownNow && !known
+// Confirm takes what another host says of the newest version of the document and of the
+// evacuated domains. It returns true if the evacuated domains have changed, or if the age
+// of what this host holds was unknown before and is known now.
+func (b *Board) Confirm(now ident.Instant, v rules.Version, a evac.Answer) (changed bool) {
+	_, known := b.Age(now)
+	if a.Confirmed {
+		b.copy.Confirm(v, a.ConfirmedAt)
+	}
+	changed = b.evacuation.Update(now, a)
+	_, knownNow := b.Age(now)
+	return changed || knownNow && !known
 }
 
 // Age returns the time since the document and the evacuated domains were known to be
 // the newest, or false if they never were.
 func (b *Board) Age(now ident.Instant) (time.Duration, bool) {
 	age, known := b.copy.Age(now)
-	evacuationAge, evacuationKnown := b.evacuationCopy.Age(now)
+	evacuationAge, evacuationKnown := b.evacuation.Age(now)
 	return max(age, evacuationAge), known && evacuationKnown
 }
 
 // stale reports whether what this host holds is older than other hosts accept.
 func (b *Board) stale(now ident.Instant) bool {
-	return b.copy.Stale(now) || b.evacuationCopy.Stale(now)
+	return b.copy.Stale(now) || b.evacuation.Stale(now)
 }
 
 // Document returns the newest document, with version 0 if there is none.
--- a/pkg/board/delta_test.go
+++ b/pkg/board/delta_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jujubethread/jujubethread/pkg/board"
+	"github.com/jujubethread/jujubethread/pkg/evac"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/relay"
 )
@@ -40,7 +41,7 @@
 	is := is.New(t)
 	state := board.New()
 	poll := poller(state)
-	state.ConfirmOwn(0)
+	state.ConfirmOwn(0, evac.Set{}, 0)
 	rng := rand.New(rand.NewPCG(1, 1))
 	var current []board.Host
 	digest := uint64(0)
--- a/pkg/board/event.go
+++ b/pkg/board/event.go
@@ -57,9 +57,9 @@
 	ListAge int64 `cbor:",omitempty"`
 	// Roster is the digest of its roster, 0 to request a full copy.
 	Roster uint64
-	// Evacuation is the revision of its set of evacuated domains. Hosts of the
-	// release before refuse messages that have this field or those of the reply;
-	// both are absent until the first evacuation.
+	// Evacuation is the revision of its set of evacuated domains, 0 to request the
+	// set whatever its revision. Hosts of releases without evacuations refuse messages
+	// that have this field or those of the reply; both are absent until the first one.
 	Evacuation evac.Revision `cbor:",omitempty"`
 	// DirectDigest is the digest of the hosts that poll the polling host itself,
 	// and DirectHosts lists them unless the last reply confirmed that digest.
@@ -148,6 +148,17 @@
 	return sentAt.Add(time.Duration(r.Waited-r.Age) * time.Millisecond), true
 }
 
+// Evacuations returns what the answer says of the evacuated domains, to a poll that was
+// sent at sentAt.
+func (r *Reply) Evacuations(sentAt ident.Instant) evac.Answer {
+	a := evac.Answer{
+		Revision: r.EvacuationRevision,
+		Set:      r.Evacuated,
+	}
+	a.ConfirmedAt, a.Confirmed = r.ConfirmedAt(sentAt)
+	return a
+}
+
 // ListReadAt returns when the list of the control host was read, in the same way.
 func (r *Reply) ListReadAt(sentAt ident.Instant) (ident.Instant, bool) {
 	if r.ListAge < 0 {
--- a/pkg/board/poll.go
+++ b/pkg/board/poll.go
@@ -59,14 +59,13 @@
 		Leader:       b.leader,
 		DirectDigest: b.reports[in.From.ID].digest,
 
-		EvacuationRevision: b.evacuation.Revision,
+		EvacuationRevision: b.evacuation.Set().Revision,
 	}
 	if known {
 		r.Age = age.Milliseconds()
 	}
 	// A set is small: a host that follows the log gets it here as well.
-	if b.evacuation.Revision > in.Evacuation {
-		s := b.evacuation
+	if s := b.evacuation.Set(); s.Revision > in.Evacuation {
 		r.Evacuated, due = &s, true
 	}
 	if b.listRead {
--- a/pkg/board/poll_test.go
+++ b/pkg/board/poll_test.go
@@ -91,7 +91,7 @@
 	is := is.New(t)
 	b := board.New()
 	b.SetDocument(0, board.Document{Version: 3})
-	b.ConfirmOwn(0)
+	b.ConfirmOwn(0, evac.Set{}, 0)
 	p := b.Open(ident.Instant(follow.StaleAge), &board.Request{Version: 3})
 	_, due := b.Answer(ident.Instant(follow.StaleAge), p)
 	is.True(!due)
@@ -142,14 +142,15 @@
 	_, known := r.ConfirmedAt(0)
 	is.True(!known)
 	leader.SetDocument(at(0), board.Document{Version: 3})
-	leader.ConfirmOwn(at(100))
+	leader.ConfirmOwn(at(100), evac.Set{}, at(100))
 	r, _ = leader.Answer(at(900), leader.Open(at(600), &board.Request{}))
 	confirmedAt, known := r.ConfirmedAt(at(7000)) // on another clock; the poll waited 300 ms
 	is.True(known)
 	is.Equal(confirmedAt, at(7000+300-800))
+	is.Equal(r.Evacuations(at(7000)).ConfirmedAt, confirmedAt)
 
 	follower := board.New()
-	follower.Confirm(r.Version, r.EvacuationRevision, confirmedAt)
+	follower.Confirm(at(7400), r.Version, r.Evacuations(at(7000)))
 	_, known = follower.Age(at(8000))
 	is.True(!known) // it does not have the version yet
 	follower.SetDocument(at(8100), board.Document{Version: 3})
@@ -158,6 +159,16 @@
 	is.Equal(age, 1700*time.Millisecond)
 }
 
+// newest returns the answer of a control host that is known to have had the newest set,
+// of the given revision, at some time.
+func newest(r evac.Revision, at ident.Instant) evac.Answer {
+	return evac.Answer{
+		Revision:    r,
+		Confirmed:   true,
+		ConfirmedAt: at,
+	}
+}
+
 func evacuated(r evac.Revision, domains ...ident.Domain) evac.Set {
 	return evac.Set{
 		Revision: r,
@@ -177,9 +188,9 @@
 		r, due := b.Answer(0, p)
 		is.True(!due)
 		is.True(r.Evacuated == nil)
-		is.True(b.SetEvacuation(evacuated(2, "a")))
-		is.True(!b.SetEvacuation(evacuated(2, "b")))
-		is.True(!b.SetEvacuation(evacuated(1)))
+		is.True(b.SetEvacuation(0, evacuated(2, "a")))
+		is.True(!b.SetEvacuation(0, evacuated(2, "b")))
+		is.True(!b.SetEvacuation(0, evacuated(1)))
 		is.Equal(b.Evacuation(), evacuated(2, "a"))
 		r, due = b.Answer(1, p)
 		is.True(due)
@@ -201,25 +212,25 @@
 	is := is.New(t)
 	b := board.New()
 	b.SetDocument(0, board.Document{Version: 3})
-	is.True(!b.Confirm(3, 5, 100))
+	is.True(!b.Confirm(100, 3, newest(5, 100)))
 	_, known := b.Age(200)
 	is.True(!known)
 	p := b.Open(200, &board.Request{Version: 3, Evacuation: 5})
 	_, due := b.Answer(200, p)
 	is.True(!due)
-	b.SetEvacuation(evacuated(5, "a"))
+	b.SetEvacuation(250, evacuated(5, "a"))
 	r, due := b.Answer(300, p)
 	is.True(due) // an entry host that starts waits for the first confirmation
 	is.Equal(r.Age, int64(0))
 
 	now := ident.Instant(follow.StaleAge)
-	is.True(!b.Confirm(3, 6, now))
+	is.True(!b.Confirm(now, 3, newest(6, now)))
 	p = b.Open(now+50, &board.Request{Version: 3, Evacuation: 5})
 	is.True(b.Sweep(now + 101)) // revision 6 is missing for StaleAge
 	r, due = b.Answer(now+101, p)
 	is.True(due)
 	is.Equal(r.Age, follow.StaleAge.Milliseconds())
-	b.SetEvacuation(evacuated(6))
+	b.SetEvacuation(now+101, evacuated(6))
 	age, known := b.Age(now + 101)
 	is.True(known)
 	is.Equal(age, 101*time.Nanosecond)
@@ -240,14 +251,14 @@
 			case 0: // an order, at one host first
 				s := history[len(history)-1]
 				if s.Contains("a") {
-					s = s.End("a")
+					s = s.End("a", evac.Revision(len(history)))
 				} else {
-					s, _ = s.Start("a")
+					s, _ = s.Start("a", evac.Revision(len(history)))
 				}
 				history = append(history, s)
-				boards[i].SetEvacuation(s)
+				boards[i].SetEvacuation(now, s)
 			case 1: // a replay of the log, from any snapshot on
-				boards[i].SetEvacuation(history[rapid.IntRange(0, len(history)-1).Draw(rt, "state")])
+				boards[i].SetEvacuation(now, history[rapid.IntRange(0, len(history)-1).Draw(rt, "state")])
 			case 2: // a restart
 				boards[i] = board.New()
 			case 3:
--- a/pkg/evac/evac.go
+++ b/pkg/evac/evac.go
@@ -1,7 +1,8 @@
 // Package evac decides which failure domains are evacuated: which get no calls to
 // their upstreams because an operator says so. A Set is an immutable value whose
-// revision rises by one with each change, so that the newer of two sets is known
-// without a clock. It is made for a few orders a minute and up to MaxDomains domains.
+// revision is the position of its last change in the replicated log, so that the newer
+// of two sets is known without a clock. A Copy is what a host that gets sets from others
+// holds. Both are made for a few orders a minute and up to MaxDomains domains.
 package evac
 
 import (
@@ -25,8 +26,10 @@
 // ErrFull reports a set that has MaxDomains domains.
 var ErrFull = errors.Errorf("%d domains are evacuated, which is the most: withdraw one first", MaxDomains)
 
-// Revision numbers the changes of a set. 0 is the empty set of a system in which no
-// evacuation has been ordered yet.
+// Revision is the position in the replicated log at which a set last changed, on which
+// all members agree. A number that each member counts for itself would differ once one
+// of them applies the log again. 0 is the empty set of a system in which no evacuation
+// has been ordered yet.
 type Revision uint64
 
 // Set is the evacuated domains at one revision. It is immutable: changes return
@@ -37,9 +40,9 @@
 	Domains []ident.Domain `cbor:",omitempty"`
 }
 
-// Start returns the set with an evacuated domain more. It is the same set if the
-// domain is evacuated already. The error is ErrFull.
-func (s Set) Start(d ident.Domain) (Set, error) {
+// Start returns the set with an evacuated domain more, by an order at the given position.
+// It is the same set if the domain is evacuated already. The error is ErrFull.
+func (s Set) Start(d ident.Domain, at Revision) (Set, error) {
 	i, found := slices.BinarySearch(s.Domains, d)
 	switch {
 	case found:
@@ -48,20 +51,20 @@
 		return s, ErrFull
 	}
 	return Set{
-		Revision: s.Revision + 1,
+		Revision: at,
 		Domains:  slices.Insert(slices.Clone(s.Domains), i, d),
 	}, nil
 }
 
-// End returns the set without a domain. It is the same set if the domain is not
-// evacuated.
-func (s Set) End(d ident.Domain) Set {
+// End returns the set without a domain, by an order at the given position. It is the same
+// set if the domain is not evacuated.
+func (s Set) End(d ident.Domain, at Revision) Set {
 	i, found := slices.BinarySearch(s.Domains, d)
 	if !found {
 		return s
 	}
 	return Set{
-		Revision: s.Revision + 1,
+		Revision: at,
 		Domains:  slices.Delete(slices.Clone(s.Domains), i, i+1),
 	}
 }
--- a/pkg/evac/evac_test.go
+++ b/pkg/evac/evac_test.go
@@ -13,7 +13,8 @@
 	"github.com/jujubethread/jujubethread/pkg/ident"
 )
 
-// Guards against an order that is lost or counted twice when it is repeated.
+// Guards against an order that is lost, or that changes the revision when it is repeated.
+// The orders are at the positions 10, 11 and so on.
 func TestOrders(t *testing.T) {
 	for _, row := range []struct {
 		name   string
@@ -21,51 +22,53 @@
 		want   evac.Set
 	}{
 		{"nothing", "", evac.Set{}},
-		{"one", "+a", evac.Set{Revision: 1, Domains: []ident.Domain{"a"}}},
-		{"repeated start", "+a +a", evac.Set{Revision: 1, Domains: []ident.Domain{"a"}}},
-		{"two, sorted", "+b +a", evac.Set{Revision: 2, Domains: []ident.Domain{"a", "b"}}},
-		{"withdrawn", "+a -a", evac.Set{Revision: 2, Domains: []ident.Domain{}}},
-		{"repeated end", "+a -a -a", evac.Set{Revision: 2, Domains: []ident.Domain{}}},
+		{"one", "+a", evac.Set{Revision: 10, Domains: []ident.Domain{"a"}}},
+		{"repeated start", "+a +a", evac.Set{Revision: 10, Domains: []ident.Domain{"a"}}},
+		{"two, sorted", "+b +a", evac.Set{Revision: 11, Domains: []ident.Domain{"a", "b"}}},
+		{"withdrawn", "+a -a", evac.Set{Revision: 11, Domains: []ident.Domain{}}},
+		{"repeated end", "+a -a -a", evac.Set{Revision: 11, Domains: []ident.Domain{}}},
 		{"end without a start", "-a", evac.Set{}},
-		{"one of two withdrawn", "+a +b -a", evac.Set{Revision: 3, Domains: []ident.Domain{"b"}}},
+		{"one of two withdrawn", "+a +b -a", evac.Set{Revision: 12, Domains: []ident.Domain{"b"}}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
 			var s evac.Set
-			for order := range strings.FieldsSeq(row.orders) {
-				s = apply(t, s, order[0] == '+', ident.Domain(order[1:]))
+			for i, order := range strings.Fields(row.orders) {
+				s = apply(t, s, order[0] == '+', ident.Domain(order[1:]), evac.Revision(10+i))
 			}
 			is.Equal(s, row.want)
 		})
 	}
 }
 
-func apply(t rapid.TB, s evac.Set, start bool, d ident.Domain) evac.Set {
+func apply(t rapid.TB, s evac.Set, start bool, d ident.Domain, at evac.Revision) evac.Set {
 	t.Helper()
 	if !start {
-		return s.End(d)
+		return s.End(d, at)
 	}
-	s, err := s.Start(d)
+	s, err := s.Start(d, at)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return s
 }
 
-// Guards against a revision that falls, stays at a change or rises without one, and
+// Guards against a revision other than the position of the last change, and
 // against sets that change after they were handed out, such as to a snapshot.
 func TestRevisionOrdersTheSets(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var s evac.Set
 		evacuated := make(map[ident.Domain]bool)
 		var earlier, copies []evac.Set
+		position := evac.Revision(0)
 		for range rapid.IntRange(0, 40).Draw(rt, "orders") {
+			position += evac.Revision(rapid.IntRange(1, 5).Draw(rt, "other entries"))
 			start := rapid.Bool().Draw(rt, "start")
 			d := ident.Domain(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(rt, "domain"))
-			next := apply(rt, s, start, d)
+			next := apply(rt, s, start, d, position)
 			want := s.Revision
 			if evacuated[d] != start {
-				want++
+				want = position
 			}
 			evacuated[d] = start
 			if next.Revision != want || next.Contains(d) != start || !slices.IsSorted(next.Domains) {
@@ -93,14 +96,14 @@
 	is := is.New(t)
 	var s evac.Set
 	for i := range evac.MaxDomains {
-		s = apply(t, s, true, ident.Domain(fmt.Sprint("d", i)))
+		s = apply(t, s, true, ident.Domain(fmt.Sprint("d", i)), evac.Revision(i+1))
 	}
-	full, err := s.Start("one-more")
+	full, err := s.Start("one-more", 1000)
 	is.Equal(err, evac.ErrFull)
 	is.Equal(full, s)
-	_, err = s.Start("d7") // a repetition is acknowledged all the same
+	_, err = s.Start("d7", 1000) // a repetition is acknowledged all the same
 	is.NoErr(err)
-	_, err = s.End("d7").Start("one-more")
+	_, err = s.End("d7", 1000).Start("one-more", 1001)
 	is.NoErr(err)
 }
 
