Let no late copy of an order undo later ones

Callers saw: the withdrawal of an evacuation, held up between two control hosts, took effect after the operator had given up on it, had sent it again elsewhere and had evacuated the domain again. The same happened with an order that was held up between the operator and the control host.

Cause: an order said neither when nor after what it was given. Whoever got a copy, however late, ran it: the deadline in a forwarded message counts from its arrival, and the end of the connection arrives after the message.

Change: a control host redirects an order to the same URL with the position in the log of the last order for the domain. Only a caller that still waits follows. The order names that position in the log, and has no effect if it would change the set and another order for the domain was accepted in between (evac.Log); the caller is then redirected to the new position. Members compare in the replicated state, so it needs no clock, and holds for connections, queues, paused processes and former leaders alike. An order that changes nothing is acknowledged, as a copy of the newest one, and supersedes those for the other direction.

Orders of the release before, in a log, have no position and run as before.

The soak no longer waits for late copies of withdrawals, and evacuates a domain when all faults have ended, which all hosts must obey.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -244,7 +244,7 @@
 func (c *Core) statusAndEvacuation(ctx context.Context) (s quorum.Status, applied evac.Set, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	err := c.host.View(ctx, func(q quorum.Status) { s, applied = q, c.evacuations.set })
+	err := c.host.View(ctx, func(q quorum.Status) { s, applied = q, c.evacuations.orders.Set })
 	return s, applied, err == nil
 }
 
--- a/internal/core/evacuation.go
+++ b/internal/core/evacuation.go
@@ -1,8 +1,11 @@
 package core
 
 import (
+	"cmp"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -22,32 +25,40 @@
 // names it, so neither exists before the first evacuation.
 const evacuationPartName = "evacuation"
 
-// evacuationCommand starts or ends the evacuation of one domain.
+// evacuationCommand is one order. Start and End are those of the release before, which
+// had no positions.
 type evacuationCommand struct {
 	Start ident.Domain `cbor:",omitempty"`
 	End   ident.Domain `cbor:",omitempty"`
+	Order *evac.Order  `cbor:",omitempty"`
 }
 
-// evacuationResult is the outcome of a command: the revision of the set after it.
-// Full is set if the command was refused since the set is full.
+// evacuationResult is the outcome of a command. Revision is that of the set after it, and
+// Last the position of the last order for the domain. Full is what the release before
+// reads.
 type evacuationResult struct {
 	Revision evac.Revision
-	Full     bool `cbor:",omitempty"`
+	Full     bool          `cbor:",omitempty"`
+	Outcome  evac.Outcome  `cbor:",omitempty"`
+	Last     evac.Revision `cbor:",omitempty"`
 }
 
 // evacuationSnapshot is the encoded state of the part.
 type evacuationSnapshot struct {
-	// Changes is the revision of earlier releases, which members counted for
-	// themselves, so that they may disagree on it.
+	// Changes is the revision of the release before, which each member counted for
+	// itself, so that they may disagree on it.
 	Changes evac.Revision `cbor:"Revision,omitempty"`
 	// Position is the revision of the set.
 	Position evac.Revision  `cbor:",omitempty"`
 	Domains  []ident.Domain `cbor:",omitempty"`
+	// Last and Forgotten are those of an evac.Log.
+	Last      []evac.LastOrder `cbor:",omitempty"`
+	Forgotten evac.Revision    `cbor:",omitempty"`
 }
 
-// evacuationPart replicates the set of evacuated domains.
+// evacuationPart replicates the orders.
 type evacuationPart struct {
-	set        evac.Set
+	orders     evac.Log
 	watchState *watch.State
 	log        *slog.Logger
 }
@@ -63,35 +74,43 @@
 	if err := proto.Unmarshal(command, &c); err != nil {
 		return nil, errors.Wrap(err, "evacuation command cannot be decoded: update this host")
 	}
-	next, r := p.set, evacuationResult{}
-	if c.Start != "" {
-		var err error
-		next, err = p.set.Start(c.Start, evac.Revision(at))
-		r.Full = err != nil
+	apply := p.orders.ApplyUnnumbered
+	o := evac.Order{
+		Domain: c.Start,
 	}
-	if c.End != "" {
-		next = next.End(c.End, evac.Revision(at))
+	switch {
+	case c.Order != nil:
+		apply, o = p.orders.Apply, *c.Order
+	case c.End != "":
+		o.Domain, o.End = c.End, true
 	}
+	next, outcome := apply(o, evac.Revision(at))
 	p.replace(next)
-	r.Revision = next.Revision
-	return proto.Marshal(r)
+	return proto.Marshal(evacuationResult{
+		Revision: next.Set.Revision,
+		Full:     outcome == evac.Full,
+		Outcome:  outcome,
+		Last:     next.LastFor(o.Domain),
+	})
 }
 
 // Freeze implements state.Part. There is no state before the first evacuation.
 func (p *evacuationPart) Freeze() func() ([]byte, error) {
-	set := p.set
+	orders := p.orders
 	return func() ([]byte, error) {
-		if set.Revision == 0 {
+		if orders.Empty() {
 			return nil, nil
 		}
 		return proto.Marshal(evacuationSnapshot{
-			Position: set.Revision,
-			Domains:  set.Domains,
+			Position:  orders.Set.Revision,
+			Domains:   orders.Set.Domains,
+			Last:      orders.Last,
+			Forgotten: orders.Forgotten,
 		})
 	}
 }
 
-// Restore implements state.Part. A snapshot of an earlier release does not say where the
+// Restore implements state.Part. A snapshot of the release before does not say where the
 // set last changed; it was not after the snapshot.
 func (p *evacuationPart) Restore(at quorum.Index, data []byte) error {
 	var s evacuationSnapshot
@@ -101,21 +120,25 @@
 	if s.Changes > 0 {
 		s.Position = evac.Revision(at)
 	}
-	p.replace(evac.Set{
-		Revision: s.Position,
-		Domains:  s.Domains,
+	p.replace(evac.Log{
+		Set: evac.Set{
+			Revision: s.Position,
+			Domains:  s.Domains,
+		},
+		Last:      s.Last,
+		Forgotten: s.Forgotten,
 	})
 	return nil
 }
 
 // Reset implements state.Part.
-func (p *evacuationPart) Reset() { p.set = evac.Set{} }
+func (p *evacuationPart) Reset() { p.orders = evac.Log{} }
 
-// replace replaces the set and passes it to the hosts that poll this one.
-func (p *evacuationPart) replace(s evac.Set) {
-	p.set = s
-	if p.watchState.SetEvacuation(s) {
-		logEvacuation(p.log, s, evacuationPartName)
+// replace replaces the state and passes the set to the hosts that poll this one.
+func (p *evacuationPart) replace(l evac.Log) {
+	p.orders = l
+	if p.watchState.SetEvacuation(l.Set) {
+		logEvacuation(p.log, l.Set, evacuationPartName)
 	}
 }
 
@@ -123,7 +146,15 @@
 	log.Info("evacuated domains were received", "Revision", uint64(s.Revision), "Domains", s.Domains, "Source", source)
 }
 
-// serveEvacuation orders or withdraws the evacuation of the domain in the path.
+// afterParameter is the query parameter of an order with the position of the last order for
+// its domain.
+const afterParameter = "after"
+
+// serveEvacuation orders or withdraws the evacuation of the domain in the path. An order
+// without a position is redirected to the same order with that of the last one for the
+// domain, which only a caller follows that still wants it: a copy that was held up on its
+// way to this host has no effect. The position then keeps a copy that is held up on its way
+// to the leader from undoing later orders.
 func (c *Core) serveEvacuation(h *ctrl.Host, w http.ResponseWriter, r *http.Request) {
 	domain := ident.Domain(r.PathValue(platform.EvacuationDomain))
 	if err := evac.CheckName(domain); err != nil {
@@ -134,26 +165,52 @@
 	if c.redirect(w, r) {
 		return
 	}
-	cmd := evacuationCommand{Start: domain}
-	if r.Method == http.MethodDelete {
-		cmd = evacuationCommand{End: domain}
+	o := evac.Order{
+		Domain: domain,
+		End:    r.Method == http.MethodDelete,
 	}
-	a := c.submit(r.Context(), h, evacuationPartName, cmd)
+	after, err := strconv.ParseUint(r.URL.Query().Get(afterParameter), 10, 64)
+	if err != nil {
+		c.redirectAfterLast(h, w, r, o)
+		return
+	}
+	o.After = evac.Revision(after)
+	a := c.submit(r.Context(), h, evacuationPartName, evacuationCommand{Order: &o})
 	var result evacuationResult
-	var err error
+	err = nil
 	if a.Kind == config.Accepted {
 		err = proto.Unmarshal(a.Data, &result)
 	}
-	c.log.Info("evacuation was ordered", "Evacuated", string(domain), "Withdrawn", cmd.End != "", "Outcome", a.Kind, "Remedy", a.Remedy,
-		"Revision", uint64(result.Revision), "Full", result.Full)
+	c.log.Info("evacuation was ordered", "Evacuated", string(domain), "Withdrawn", o.End, "Outcome", a.Kind, "Remedy", a.Remedy,
+		"After", after, "Last", uint64(result.Last), "Revision", uint64(result.Revision), "Full", result.Full, "Superseded", result.Outcome == evac.Superseded)
 	switch {
 	case a.Kind != config.Accepted:
 		writeError(w, http.StatusServiceUnavailable, a.Remedy)
 	case err != nil:
 		writeError(w, http.StatusServiceUnavailable, err.Error())
-	case result.Full:
+	case result.Outcome == evac.Superseded:
+		c.redirectAfter(w, r, result.Last)
+	case result.Outcome == evac.Full:
 		writeError(w, http.StatusConflict, evac.ErrFull.Error())
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
 }
+
+// redirectAfterLast redirects to the same order after the last one for its domain that
+// this member has applied. If the leader has a later one, it redirects once more.
+func (c *Core) redirectAfterLast(h *ctrl.Host, w http.ResponseWriter, r *http.Request, o evac.Order) {
+	var last evac.Revision
+	if err := h.View(r.Context(), func(quorum.Status) { last = c.evacuations.orders.LastFor(o.Domain) }); err != nil {
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	c.log.Info("evacuation order must be confirmed", "Evacuated", string(o.Domain), "Withdrawn", o.End, "Last", uint64(last))
+	c.redirectAfter(w, r, last)
+}
+
+// redirectAfter redirects to the same order after the given position, at this host.
+func (c *Core) redirectAfter(w http.ResponseWriter, r *http.Request, last evac.Revision) {
+	w.Header()["Location"] = []string{fmt.Sprintf("http://%s%s?%s=%d", cmp.Or(r.Host, c.cfg.Operator), r.URL.EscapedPath(), afterParameter, last)}
+	w.WriteHeader(http.StatusTemporaryRedirect)
+}
--- a/internal/core/evacuation_test.go
+++ b/internal/core/evacuation_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/jujubethread/jujubethread/internal/core"
+	"github.com/jujubethread/jujubethread/internal/fault"
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/internal/state"
@@ -176,6 +178,106 @@
 	g.t.Fatalf("the metrics of %s have no line %q", m.cfg.Link, line)
 }
 
+// heldUpOrder returns the URL to which a host redirects an order, as a caller has it that
+// gives up before it follows, or whose copy of the order is held up.
+func (m *member) heldUpOrder(t *testing.T, method, domain string) string {
+	t.Helper()
+	is := is.New(t)
+	status, location := m.send(t, method, "http://"+m.cfg.Operator+"/-/evacuation/"+domain)
+	is.Equal(status, http.StatusTemporaryRedirect)
+	return location
+}
+
+// send sends one request and follows no redirect.
+func (m *member) send(t *testing.T, method, url string) (status int, location string) {
+	t.Helper()
+	is := is.New(t)
+	req, err := http.NewRequest(method, url, http.NoBody)
+	is.NoErr(err)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	res, err := transport.RoundTrip(req)
+	is.NoErr(err)
+	_ = res.Body.Close()
+	return res.StatusCode, res.Header.Get("Location")
+}
+
+// Guards against an order that undoes later ones, in both directions: a copy that was held
+// up on its way to a control host, in it or on its way to the leader, and whose caller has
+// given up and has had other orders acknowledged since.
+func TestLateOrderUndoesNothing(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 1)
+	g.acknowledge(g.hosts[0], http.MethodPost, "b")
+	for _, row := range []struct{ late, latest, want string }{
+		{http.MethodDelete, http.MethodPost, "[a b]"},
+		{http.MethodPost, http.MethodDelete, "[b]"},
+	} {
+		g.acknowledge(g.hosts[0], row.latest, "a")
+		g.await(waitTimeout, row.want, g.hosts...)
+		heldUp := g.hosts[1].heldUpOrder(t, row.late, "a")
+		g.acknowledge(g.hosts[2], row.late, "a") // the caller sends it again elsewhere
+		newest := g.hosts[2].heldUpOrder(t, row.latest, "a")
+		g.acknowledge(g.hosts[2], row.latest, "a")
+		g.acknowledge(g.hosts[2], row.late, "c")
+		for _, m := range g.hosts[:3] {
+			status, location := m.send(t, row.late, strings.Replace(heldUp, g.hosts[1].cfg.Operator, m.cfg.Operator, 1))
+			is.Equal(status, http.StatusTemporaryRedirect) // a caller that is still there may confirm it
+			is.True(location != heldUp)
+			status, _ = m.send(t, row.late, "http://"+m.cfg.Operator+"/-/evacuation/a")
+			is.Equal(status, http.StatusTemporaryRedirect)
+		}
+		// A copy of the newest order itself is acknowledged.
+		status, _ := g.hosts[2].send(t, row.latest, newest)
+		is.Equal(status, http.StatusOK)
+		g.acknowledge(g.hosts[0], http.MethodDelete, "c")
+		g.await(reachTime, row.want, g.hosts...)
+	}
+}
+
+// Guards against an order that undoes later ones since it was held up between its caller
+// and a control host, or in a control host that was paused: nothing in it tells that its
+// caller has given up, and the end of the connection arrives after it.
+func TestOrderHeldUpBeforeAControlHostUndoesNothing(t *testing.T) {
+	const (
+		rounds   = 5
+		patience = 100 * time.Millisecond
+		settle   = 500 * time.Millisecond
+	)
+	is := is.New(t)
+	g := newGroup(t, 0)
+	g.acknowledge(g.hosts[0], http.MethodPost, "a")
+	proxy, err := fault.New(fault.Config{
+		Name:   "operator",
+		Listen: "127.0.0.1:0",
+		Target: g.hosts[1].cfg.Operator,
+	})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- proxy.Run(ctx) }()
+	defer func() {
+		cancel()
+		is.NoErr(<-ended)
+	}()
+	for range rounds {
+		is.NoErr(proxy.Set(fault.Rules{Forward: fault.Path{Blackhole: true}}))
+		impatient := &http.Client{
+			Timeout:   patience,
+			Transport: &http.Transport{DisableKeepAlives: true},
+		}
+		req, err := http.NewRequest(http.MethodDelete, "http://"+proxy.Address()+"/-/evacuation/a", http.NoBody)
+		is.NoErr(err)
+		_, err = impatient.Do(req)
+		is.True(err != nil)
+		g.acknowledge(g.hosts[2], http.MethodDelete, "a")
+		g.acknowledge(g.hosts[2], http.MethodPost, "a")
+		is.NoErr(proxy.Set(fault.Rules{}))
+		time.Sleep(settle)
+		g.await(reachTime, "[a]", g.hosts...)
+	}
+}
+
 // Guards against an order that is lost, counted twice or refused although it is valid,
 // and against one that does not reach a control host outside the replicated log.
 func TestEvacuationIsAcknowledgedOnce(t *testing.T) {
@@ -242,6 +344,9 @@
 	g.acknowledge(g.hosts[0], http.MethodPost, "a")
 	g.await(waitTimeout, "[a]", g.hosts...)
 	r, _ := g.poll(g.hosts[0], 0)
+	for end := time.Now().Add(waitTimeout); r.Leader == "" && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		r, _ = g.poll(g.hosts[0], 0) // a host names the leader up to 100 ms after it has heard from it
+	}
 	leader, others := 0, []*member{}
 	for n, m := range g.hosts {
 		if m.cfg.Link == r.Leader {
@@ -328,7 +433,15 @@
 		for range rapid.IntRange(0, 30).Draw(rt, "steps") {
 			switch rapid.IntRange(0, 3).Draw(rt, "event") {
 			case 0:
-				command, err := core.EvacuationCommand(rapid.Bool().Draw(rt, "start"), ident.Domain(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain")))
+				end, d := rapid.Bool().Draw(rt, "end"), ident.Domain(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain"))
+				command, err := core.EvacuationCommand(!end, d)
+				if rapid.Bool().Draw(rt, "numbered") {
+					command, err = core.OrderCommand(evac.Order{
+						Domain: d,
+						End:    end,
+						After:  evac.Revision(rapid.IntRange(0, len(log)-1).Draw(rt, "after")),
+					})
+				}
 				if err != nil {
 					rt.Fatal(err)
 				}
--- a/internal/core/export_test.go
+++ b/internal/core/export_test.go
@@ -7,6 +7,7 @@
 	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/internal/state"
 	"github.com/jujubethread/jujubethread/internal/watch"
+	"github.com/jujubethread/jujubethread/pkg/evac"
 	"github.com/jujubethread/jujubethread/pkg/ident"
 	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
@@ -23,7 +24,13 @@
 	}
 }
 
-// EvacuationCommand returns the command that starts or ends an evacuation.
+// OrderCommand returns the command for an order.
+func OrderCommand(o evac.Order) ([]byte, error) {
+	return proto.Marshal(evacuationCommand{Order: &o})
+}
+
+// EvacuationCommand returns the command of the release before that starts or ends an
+// evacuation.
 func EvacuationCommand(start bool, d ident.Domain) ([]byte, error) {
 	if start {
 		return proto.Marshal(evacuationCommand{Start: d})
--- a/internal/soak/evacuation_test.go
+++ b/internal/soak/evacuation_test.go
@@ -16,10 +16,6 @@
 	// touch may still call upstreams of the domain.
 	evacuationTime = 5 * time.Second
 
-	// lateOrderTime is how long after its operator gave up on it an order may still be
-	// carried out.
-	lateOrderTime = 5 * time.Second
-
 	// orderLimit is how long operators repeat an order.
 	orderLimit = 15 * time.Second
 )
@@ -74,23 +70,22 @@
 }
 
 // orderEvacuation sends an order to random control hosts until one acknowledges it. It
-// returns false after the time limit. doubtful is set if another attempt may still be
-// carried out.
-func (cl *cluster) orderEvacuation(ctx context.Context, rng *rand.Rand, method, domain string) (acknowledged, doubtful bool) {
+// returns false after the time limit. Copies of attempts without an answer may still be on
+// their way; they must not undo what is acknowledged later.
+func (cl *cluster) orderEvacuation(ctx context.Context, rng *rand.Rand, method, domain string) (acknowledged bool) {
 	for end := time.Now().Add(orderLimit); ctx.Err() == nil && time.Now().Before(end); {
 		c := cl.controls[rng.IntN(len(cl.controls))]
 		status, _ := call(ctx, method, fmt.Sprintf("http://%s:%d/-/evacuation/%s", c.bound, operatorPort, domain), "")
 		switch status {
 		case http.StatusOK:
-			return true, doubtful
+			return true
 		case http.StatusBadRequest, http.StatusConflict:
 			cl.history.violation(ruleEvacuation, "%s %s was refused with status %d", method, domain, status)
-			return false, doubtful
+			return false
 		}
-		doubtful = true
 		pause(ctx, 100*time.Millisecond)
 	}
-	return false, true
+	return false
 }
 
 // evacuate evacuates a domain and withdraws that, at random, until ctx ends. The domain
@@ -102,20 +97,41 @@
 			return
 		}
 		start := time.Now()
-		acknowledged, _ := cl.orderEvacuation(ctx, rng, http.MethodPost, domain)
-		if acknowledged {
+		if cl.orderEvacuation(ctx, rng, http.MethodPost, domain) {
 			cl.evacuations.set(domain, true)
 		} else if ctx.Err() == nil && cl.controlFaultFree() > settleTime+ackTime {
 			cl.history.violation(ruleEvacuation, "the evacuation of %s was not acknowledged in %s by a control group without faults", domain, time.Since(start))
 		}
 		pause(ctx, randomDuration(rng, evacuationTime/2, 2*evacuationTime))
 		cl.evacuations.set(domain, false)
-		if _, doubtful := cl.orderEvacuation(cl.ctx, rng, http.MethodDelete, domain); doubtful {
-			pause(ctx, lateOrderTime)
+		cl.orderEvacuation(cl.ctx, rng, http.MethodDelete, domain)
+	}
+}
+
+// checkLastEvacuation evacuates a domain when all faults have ended: whatever they were,
+// all hosts must obey. It uses a caller that no other goroutine uses.
+func (cl *cluster) checkLastEvacuation(c *caller, rng *rand.Rand, domain string) {
+	if !cl.orderEvacuation(cl.ctx, rng, http.MethodPost, domain) {
+		cl.history.violation(ruleEvacuation, "the last evacuation of %s was not acknowledged", domain)
+		return
+	}
+	cl.evacuations.set(domain, true)
+	cl.evacuations.beStrict()
+	pause(cl.ctx, evacuationTime)
+	for _, h := range cl.entries {
+		for range 5 {
+			c.send(cl.ctx, h, search, false)
 		}
 	}
 }
 
+// beStrict lets calls count although hosts have had faults.
+func (e *evacuations) beStrict() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.strict = true
+}
+
 // Guards against hosts that call an evacuated domain after a restart of all processes,
 // since they serve before they know of the evacuation or take an older state for the
 // newest, and against an acknowledged evacuation that the restart undoes.
@@ -128,15 +144,13 @@
 			{http.MethodPost, "b"},
 			{http.MethodDelete, "a"},
 		} {
-			if ok, _ := cl.orderEvacuation(cl.ctx, rng, order[0], order[1]); !ok {
+			if !cl.orderEvacuation(cl.ctx, rng, order[0], order[1]) {
 				t.Fatal("not acknowledged: ", order)
 			}
 		}
 		cl.evacuations.set("b", true)
 		pause(cl.ctx, evacuationTime)
-		cl.evacuations.mu.Lock()
-		cl.evacuations.strict = true
-		cl.evacuations.mu.Unlock()
+		cl.evacuations.beStrict()
 		all := append(append([]*host{}, cl.controls...), cl.entries...)
 		for _, h := range all {
 			h.recordFault(0, false)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -264,6 +264,7 @@
 	cl.awaitHealthy(prober, rng, recoveryLimit)
 	stop()
 	group.Wait()
+	cl.checkLastEvacuation(prober, rng, "b")
 	cl.restartAll(prober, rng)
 	cl.history.checkTotals(extraRatio, extraSlack, extraWindow)
 	cl.history.checkGone()
