Refuse changes of the members that are based on an older list

A change of the control group's members that was held up, at the host that took it or on its way to the leader, took effect after its operator had given up on it, sent it again elsewhere and had the opposite acknowledged.

Cause: such a change says nothing of the member list that it is based on.

Change: POST /v1/members is redirected to itself with the term and index of the entry that set the member list, which identify it on all members. The leader refuses a change that names another entry than that of its list.

--- a/internal/ctrl/http.go
+++ b/internal/ctrl/http.go
@@ -11,6 +11,7 @@
 
 	"github.com/jujubethread/jujubethread/internal/guard"
 	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/quorum"
 )
 
 // Paths of the operator API.
@@ -85,6 +86,12 @@
 		writeRefusal(w, http.StatusBadRequest, "name exactly one of Add, Remove and Replace")
 		return
 	}
+	var after quorum.Position
+	if _, err := fmt.Sscanf(r.URL.Query().Get(afterParameter), "%d.%d", &after.Term, &after.Index); err != nil {
+		h.redirectAfterMembers(w, r)
+		return
+	}
+	m.After = &after
 	a := h.Submit(r.Context(), Request{Members: &m})
 	writeOutcome(w, config.Outcome{
 		Kind:   a.Kind,
@@ -92,6 +99,26 @@
 	})
 }
 
+// afterParameter is the query parameter of an order with what it is based on. An order
+// without it is redirected to the same order with it, which only a caller follows that
+// still wants it: a copy that arrives late undoes no later order.
+const afterParameter = "after"
+
+// redirectAfterMembers redirects to the same order with the position of the member list.
+func (h *Host) redirectAfterMembers(w http.ResponseWriter, r *http.Request) {
+	s, err := h.Quorum(r.Context())
+	if err != nil {
+		writeRefusal(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	redirectAfter(w, r, fmt.Sprintf("%d.%d", s.MembersAt.Term, s.MembersAt.Index))
+}
+
+func redirectAfter(w http.ResponseWriter, r *http.Request, position string) {
+	w.Header()["Location"] = []string{r.URL.EscapedPath() + "?" + afterParameter + "=" + position}
+	w.WriteHeader(http.StatusTemporaryRedirect)
+}
+
 func (h *Host) serveConfig(w http.ResponseWriter, r *http.Request) {
 	s, err := h.Config(r.Context())
 	if err != nil {
--- a/internal/ctrl/owner.go
+++ b/internal/ctrl/owner.go
@@ -387,6 +387,7 @@
 		Now:    o.host.now(),
 		ID:     id,
 		Change: c,
+		After:  m.After,
 	})
 }
 
--- a/internal/peer/request.go
+++ b/internal/peer/request.go
@@ -42,8 +42,12 @@
 }
 
 // MembersRequest requests one change of the control group's members. Exactly
-// one field must be set.
+// one of Add, Remove and Replace must be set.
 type MembersRequest struct {
+	// After, if set, is the position of the member list that the change is based on. A
+	// copy that arrives after another change is refused.
+	After *quorum.Position `json:"-" cbor:",omitempty"`
+
 	Add     *AddMember     `json:"Add,omitempty"`
 	Remove  *RemoveMember  `json:"Remove,omitempty"`
 	Replace *ReplaceMember `json:"Replace,omitempty"`
--- a/internal/replay/sealed.go
+++ b/internal/replay/sealed.go
@@ -115,7 +115,7 @@
 	out.WriteByte('{')
 	for i := range v.NumField() {
 		f := v.Type().Field(i)
-		if !f.IsExported() {
+		if !f.IsExported() || omitted(f, v.Field(i)) {
 			continue
 		}
 		raw, err := marshal(v.Field(i))
@@ -132,6 +132,13 @@
 	return out.Bytes(), nil
 }
 
+// omitted reports whether a field is left out: a zero value with the option omitzero, so
+// that records from before the field was added stay as they are.
+func omitted(f reflect.StructField, v reflect.Value) bool {
+	_, options, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return options == "omitzero" && v.IsZero()
+}
+
 // variants are the types that interface fields may contain, by name.
 type variants map[string]reflect.Type
 
--- a/pkg/quorum/change.go
+++ b/pkg/quorum/change.go
@@ -18,6 +18,9 @@
 		return
 	}
 	next, reason := n.membersAfter(ev.Change)
+	if ev.After != nil && *ev.After != n.membersAt() {
+		reason = "the members have changed since: list them with the status command and send it again if it is still wanted"
+	}
 	if reason != "" {
 		n.effects = append(n.effects, Reply{
 			Proposal: ev.ID,
--- a/pkg/quorum/event.go
+++ b/pkg/quorum/event.go
@@ -44,6 +44,9 @@
 	Now    ident.Instant
 	ID     ProposalID
 	Change MemberChange
+	// After, if set, is the Status.MembersAt that the change is based on. The change is
+	// refused if the member list has changed since.
+	After *Position `json:",omitzero"`
 }
 
 // MemberChange is one change of the member list.
--- a/pkg/quorum/quorum.go
+++ b/pkg/quorum/quorum.go
@@ -28,6 +28,12 @@
 // Index is the position of an entry in the log, counted from 1.
 type Index uint64
 
+// Position identifies an entry of the log: no two entries have the same index and term.
+type Position struct {
+	Index Index
+	Term  Term
+}
+
 // ProposalID is the caller's handle for one proposal. It is local to the
 // process and not replicated.
 type ProposalID uint64
--- a/pkg/quorum/status.go
+++ b/pkg/quorum/status.go
@@ -16,6 +16,8 @@
 	Lease    bool
 	Failed   bool
 	Members  []Member
+	// MembersAt is the entry that set Members, or the last one that the log leaves out.
+	MembersAt Position
 	// Peers is filled on the leader only.
 	Peers []PeerStatus
 }
@@ -35,17 +37,18 @@
 // Status returns the state of the node at now.
 func (n *Node) Status(now ident.Instant) Status {
 	s := Status{
-		ID:       n.cfg.ID,
-		Role:     n.role,
-		Term:     n.hardState.Term,
-		Leader:   n.leader,
-		Last:     n.log.lastIndex(),
-		Commit:   n.commit,
-		Applied:  n.applied,
-		Snapshot: n.snapshot.Meta.Index,
-		Lease:    n.Lease(now),
-		Failed:   n.diskFailed,
-		Members:  n.members,
+		ID:        n.cfg.ID,
+		Role:      n.role,
+		Term:      n.hardState.Term,
+		Leader:    n.leader,
+		Last:      n.log.lastIndex(),
+		Commit:    n.commit,
+		Applied:   n.applied,
+		Snapshot:  n.snapshot.Meta.Index,
+		Lease:     n.Lease(now),
+		Failed:    n.diskFailed,
+		Members:   n.members,
+		MembersAt: n.membersAt(),
 	}
 	for _, p := range n.leadership.peers {
 		if p.id == n.cfg.ID {
@@ -61,6 +64,14 @@
 	return s
 }
 
+func (n *Node) membersAt() Position {
+	t, _ := n.log.term(n.membersIndex)
+	return Position{
+		Index: n.membersIndex,
+		Term:  t,
+	}
+}
+
 // Meta returns the log position of the applied state, for a snapshot of it.
 func (n *Node) Meta() Meta {
 	t, _ := n.log.term(n.applied)
