Let a decision on a filing name its reservation

A decision that a filing has not run, held up for over 30 s while the filing was reserved and sent again and became Unknown again, ended the second reservation as well: the filing could then run a second time.

Cause: a decision names the filing, not the reservation that the operator has looked at.

Change: POST /v1/filings is redirected to itself with the fence of the last reservation, which the command names. The ledger refuses it if the filing was reserved again since. Commands of the release before, in a log, name none and decide as before.

Evidence: TestDecisionIsOnOneReservation, without the comparison: the late decision is applied to the second reservation; now it is refused. TestLateDecisionIsNotOnALaterReservation covers the operators' interface.

--- a/internal/ctrl/filing.go
+++ b/internal/ctrl/filing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 
 	"github.com/jujubethread/jujubethread/internal/link"
 	"github.com/jujubethread/jujubethread/internal/proto"
@@ -111,10 +112,16 @@
 		writeRefusal(w, http.StatusBadRequest, "request cannot be decoded: send Request, Status and Receipt: "+err.Error())
 		return
 	}
+	fence, err := strconv.ParseUint(r.URL.Query().Get(afterParameter), 10, 64)
+	if err != nil || fence == 0 {
+		h.redirectAfterReservation(w, r, in.Request)
+		return
+	}
 	a := h.SubmitFiling(r.Context(), ledger.Resolve{
 		Request: in.Request,
 		Status:  in.Status,
 		Receipt: in.Receipt,
+		Fence:   fence,
 	})
 	status := http.StatusOK
 	switch {
@@ -127,3 +134,25 @@
 	}
 	writeJSON(w, status, a)
 }
+
+// redirectAfterReservation redirects a decision to itself with the fence of the last
+// reservation of the filing.
+func (h *Host) redirectAfterReservation(w http.ResponseWriter, r *http.Request, id ident.RequestID) {
+	var f ledger.Filing
+	var known bool
+	if err := h.runOnOwner(r.Context(), func(o *owner) { f, known = o.parts.Ledger().Find(id) }); err != nil {
+		writeRefusal(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	if !known {
+		writeJSON(w, http.StatusConflict, proto.FilingAnswer{
+			Kind: proto.FilingApplied,
+			Result: ledger.Result{
+				Kind:   ledger.Refused,
+				Remedy: "the request id is not known: list the Unknown filings",
+			},
+		})
+		return
+	}
+	redirectAfter(w, r, strconv.FormatUint(f.Fence, 10))
+}
--- a/internal/ctrl/late_test.go
+++ b/internal/ctrl/late_test.go
@@ -1,6 +1,7 @@
 package ctrl_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,7 +11,9 @@
 	"github.com/matryer/is"
 
 	"github.com/jujubethread/jujubethread/internal/ctrl"
+	"github.com/jujubethread/jujubethread/internal/proto"
 	"github.com/jujubethread/jujubethread/pkg/config"
+	"github.com/jujubethread/jujubethread/pkg/ledger"
 )
 
 // redirected sends an order and returns the URL to which it is redirected, as a caller
@@ -83,3 +86,45 @@
 		})
 	}
 }
+
+// Guards against a decision on a filing that was held up, and that decides on a later
+// reservation of the same filing: one that has run could run again.
+func TestLateDecisionIsNotOnALaterReservation(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 1, nil)
+	g.leader(-1)
+	h := g.hosts[0]
+	url := "http://" + h.Addr() + ctrl.PathFilings
+	reserve := func(attempt uint64) ledger.Result {
+		var a proto.FilingAnswer
+		g.await(10*time.Second, "the filing is reserved", func() bool {
+			a = h.SubmitFiling(t.Context(), ledger.Reserve{
+				Request: "f",
+				Host:    "entry",
+				Attempt: attempt,
+			})
+			return a.Kind == proto.FilingApplied
+		})
+		return a.Result
+	}
+	decision := func(status ledger.Status) string {
+		return fmt.Sprintf(`{"Request":"f","Status":%q}`, status)
+	}
+	status, _ := sendOnce(t, url, decision(ledger.NotRun))
+	is.Equal(status, http.StatusConflict) // not known
+	reservation := reserve(1)
+	heldUp := redirected(t, url, decision(ledger.NotRun))
+	released := h.SubmitFiling(t.Context(), ledger.Release{
+		Request: "f",
+		Fence:   reservation.Fence,
+	})
+	is.Equal(released.Result.Kind, ledger.Applied)
+	is.Equal(reserve(2).Kind, ledger.Granted)
+	res, err := http.Post(heldUp, "application/json", strings.NewReader(decision(ledger.NotRun)))
+	is.NoErr(err)
+	defer res.Body.Close()
+	var a proto.FilingAnswer
+	is.NoErr(json.NewDecoder(res.Body).Decode(&a))
+	is.Equal(res.StatusCode, http.StatusConflict)
+	is.True(strings.Contains(a.Result.Remedy, "reserved again"))
+}
--- a/pkg/ledger/command.go
+++ b/pkg/ledger/command.go
@@ -59,6 +59,10 @@
 	Status  Status `json:"Status"`
 	Receipt string `json:"Receipt"`
 	At      Stamp  `json:"At"`
+	// Fence is that of the reservation which the decision is about, so that a late copy
+	// does not decide on a later one. Commands of the release before have none, and
+	// decide on any.
+	Fence uint64 `json:"Fence,omitempty"`
 }
 
 func (Reserve) isCommand()  {}
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -50,6 +50,24 @@
 	is.Equal(m.Run(ledger.Resolve{Request: "a", Status: ledger.NotRun}).Kind, ledger.Recorded)
 }
 
+// Guards against a second run of a filing since a late copy of a decision, on a reservation
+// that is over, says that the last one has not run.
+func TestDecisionIsOnOneReservation(t *testing.T) {
+	is := is.New(t)
+	m := ledger.NewMachine(2)
+	is.Equal(m.Run(reserve("a", "h1", 1, second)).Fence, uint64(1))
+	m.Run(ledger.Expire{At: 31 * second})
+	notRun := ledger.Resolve{Request: "a", Status: ledger.NotRun, Fence: 1}
+	is.Equal(m.Run(notRun).Kind, ledger.Applied)
+	is.Equal(m.Run(notRun).Kind, ledger.Applied) // a copy of the newest decision
+	is.Equal(m.Run(reserve("a", "h2", 2, 32*second)).Fence, uint64(2))
+	m.Run(ledger.Expire{At: 62 * second})
+	is.Equal(len(m.Unresolved(9)), 1)
+	is.Equal(m.Run(notRun).Kind, ledger.Refused)
+	is.Equal(len(m.Unresolved(9)), 1)
+	is.Equal(m.Run(ledger.Resolve{Request: "a", Status: ledger.NotRun}).Kind, ledger.Applied) // of the release before
+}
+
 // Guards against a full group that deletes a filing which may have run, and
 // against one that refuses filings while it has some that it may delete.
 func TestFullGroupRefuses(t *testing.T) {
--- a/pkg/ledger/machine.go
+++ b/pkg/ledger/machine.go
@@ -225,6 +225,8 @@
 		return refused("an Unknown filing is resolved to Done or NotRun: name one of them")
 	case !ok:
 		return refused("the request id is not known: list the Unknown filings")
+	case c.Fence != 0 && c.Fence != e.Fence:
+		return refused("the filing was reserved again since: list the Unknown filings")
 	case e.Status == c.Status:
 		return Result{Kind: Applied}
 	case e.Status == Reserved:
