--- a/pkg/board/poll_test.go
+++ b/pkg/board/poll_test.go
@@ -236,6 +236,31 @@
 	is.Equal(age, 101*time.Nanosecond)
 }
 
+// Guards against a leader, or a host that follows it, that goes on offering a set with a
+// revision that is not of the present log.
+func TestBoardOffersTheSetOfTheLog(t *testing.T) {
+	is := is.New(t)
+	wrong, right := evacuated(90, "a"), evacuated(40)
+	leader, follower := board.New(), board.New()
+	for _, b := range []*board.Board{leader, follower} {
+		b.SetEvacuation(second(1), wrong)
+	}
+	is.True(leader.ConfirmOwn(second(2), right, second(2)))
+	is.Equal(leader.Evacuation(), right)
+	poll := func(now ident.Instant) (changed bool) {
+		r, _ := leader.Answer(now, leader.Open(now, &board.Request{Evacuation: follower.StatedEvacuation(), AtOnce: true}))
+		return follower.Confirm(now, r.Version, r.Evacuations(now))
+	}
+	leader.ConfirmOwn(second(3), right, second(3))
+	is.True(!poll(second(3)))
+	is.Equal(follower.Evacuation(), wrong)
+	is.Equal(follower.StatedEvacuation(), evac.Revision(0))
+	is.True(poll(second(4)))
+	is.Equal(follower.Evacuation(), right)
+}
+
+func second(n int) ident.Instant { return ident.Instant(n) * ident.Instant(time.Second) }
+
 // Guards against a host that takes back an evacuation, or an end of one, since it polls
 // a control host that has restarted with older state, or several of them in turn.
 func TestNoHostGoesBackToAnOlderEvacuation(t *testing.T) {
