Call the outcome of evacuation orders their state

evac.Log is evac.State, since log is the replicated log elsewhere. Both interfaces of operators share the name of the query parameter. No change of behaviour.

--- a/internal/core/evacuation.go
+++ b/internal/core/evacuation.go
@@ -51,14 +51,14 @@
 	// Position is the revision of the set.
 	Position evac.Revision  `cbor:",omitempty"`
 	Domains  []ident.Domain `cbor:",omitempty"`
-	// Last and Forgotten are those of an evac.Log.
+	// Last and Forgotten are those of an evac.State.
 	Last      []evac.LastOrder `cbor:",omitempty"`
 	Forgotten evac.Revision    `cbor:",omitempty"`
 }
 
 // evacuationPart replicates the orders.
 type evacuationPart struct {
-	orders     evac.Log
+	orders     evac.State
 	watchState *watch.State
 	log        *slog.Logger
 }
@@ -120,7 +120,7 @@
 	if s.Changes > 0 {
 		s.Position = evac.Revision(at)
 	}
-	p.replace(evac.Log{
+	p.replace(evac.State{
 		Set: evac.Set{
 			Revision: s.Position,
 			Domains:  s.Domains,
@@ -132,13 +132,13 @@
 }
 
 // Reset implements state.Part.
-func (p *evacuationPart) Reset() { p.orders = evac.Log{} }
+func (p *evacuationPart) Reset() { p.orders = evac.State{} }
 
 // replace replaces the state and passes the set to the hosts that poll this one.
-func (p *evacuationPart) replace(l evac.Log) {
-	p.orders = l
-	if p.watchState.SetEvacuation(l.Set) {
-		logEvacuation(p.log, l.Set, evacuationPartName)
+func (p *evacuationPart) replace(s evac.State) {
+	p.orders = s
+	if p.watchState.SetEvacuation(s.Set) {
+		logEvacuation(p.log, s.Set, evacuationPartName)
 	}
 }
 
@@ -146,10 +146,6 @@
 	log.Info("evacuated domains were received", "Revision", uint64(s.Revision), "Domains", s.Domains, "Source", source)
 }
 
-// afterParameter is the query parameter of an order with the position of the last order for
-// its domain.
-const afterParameter = "after"
-
 // serveEvacuation orders or withdraws the evacuation of the domain in the path. An order
 // without a position is redirected to the same order with that of the last one for the
 // domain, which only a caller follows that still wants it: a copy that was held up on its
@@ -169,7 +165,7 @@
 		Domain: domain,
 		End:    r.Method == http.MethodDelete,
 	}
-	after, err := strconv.ParseUint(r.URL.Query().Get(afterParameter), 10, 64)
+	after, err := strconv.ParseUint(r.URL.Query().Get(ctrl.AfterParameter), 10, 64)
 	if err != nil {
 		c.redirectAfterLast(h, w, r, o)
 		return
@@ -211,6 +207,6 @@
 
 // redirectAfter redirects to the same order after the given position, at this host.
 func (c *Core) redirectAfter(w http.ResponseWriter, r *http.Request, last evac.Revision) {
-	w.Header()["Location"] = []string{fmt.Sprintf("http://%s%s?%s=%d", cmp.Or(r.Host, c.cfg.Operator), r.URL.EscapedPath(), afterParameter, last)}
+	w.Header()["Location"] = []string{fmt.Sprintf("http://%s%s?%s=%d", cmp.Or(r.Host, c.cfg.Operator), r.URL.EscapedPath(), ctrl.AfterParameter, last)}
 	w.WriteHeader(http.StatusTemporaryRedirect)
 }
--- a/internal/ctrl/filing.go
+++ b/internal/ctrl/filing.go
@@ -112,7 +112,7 @@
 		writeRefusal(w, http.StatusBadRequest, "request cannot be decoded: send Request, Status and Receipt: "+err.Error())
 		return
 	}
-	fence, err := strconv.ParseUint(r.URL.Query().Get(afterParameter), 10, 64)
+	fence, err := strconv.ParseUint(r.URL.Query().Get(AfterParameter), 10, 64)
 	if err != nil || fence == 0 {
 		h.redirectAfterReservation(w, r, in.Request)
 		return
--- a/internal/ctrl/http.go
+++ b/internal/ctrl/http.go
@@ -87,7 +87,7 @@
 		return
 	}
 	var after quorum.Position
-	if _, err := fmt.Sscanf(r.URL.Query().Get(afterParameter), "%d.%d", &after.Term, &after.Index); err != nil {
+	if _, err := fmt.Sscanf(r.URL.Query().Get(AfterParameter), "%d.%d", &after.Term, &after.Index); err != nil {
 		h.redirectAfterMembers(w, r)
 		return
 	}
@@ -99,10 +99,10 @@
 	})
 }
 
-// afterParameter is the query parameter of an order with what it is based on. An order
+// AfterParameter is the query parameter of an order with what it is based on. An order
 // without it is redirected to the same order with it, which only a caller follows that
 // still wants it: a copy that arrives late undoes no later order.
-const afterParameter = "after"
+const AfterParameter = "after"
 
 // redirectAfterMembers redirects to the same order with the position of the member list.
 func (h *Host) redirectAfterMembers(w http.ResponseWriter, r *http.Request) {
@@ -115,7 +115,7 @@
 }
 
 func redirectAfter(w http.ResponseWriter, r *http.Request, position string) {
-	w.Header()["Location"] = []string{r.URL.EscapedPath() + "?" + afterParameter + "=" + position}
+	w.Header()["Location"] = []string{r.URL.EscapedPath() + "?" + AfterParameter + "=" + position}
 	w.WriteHeader(http.StatusTemporaryRedirect)
 }
 
--- a/pkg/evac/evac.go
+++ b/pkg/evac/evac.go
@@ -1,7 +1,7 @@
 // Package evac decides which failure domains are evacuated: which get no calls to
 // their upstreams because an operator says so. A Set is an immutable value whose
 // revision is the position of its last change in the replicated log, so that the newer
-// of two sets is known without a clock. A Log decides which orders take effect. A Copy is what a host that gets sets from others
+// of two sets is known without a clock. A State decides which orders take effect. A Copy is what a host that gets sets from others
 // holds. Both are made for a few orders a minute and up to MaxDomains domains.
 package evac
 
--- a/pkg/evac/order.go
+++ b/pkg/evac/order.go
@@ -38,11 +38,11 @@
 	At     Revision
 }
 
-// Log is the outcome of all orders up to a position: the set, and the position of the last
+// State is the outcome of all orders up to a position: the set, and the position of the last
 // order for each domain. It is immutable, as a Set is. An order that changes the set must
 // name the last order for its domain, so that a copy that is held up anywhere cannot undo
 // an order that was accepted meanwhile. This needs no clock and no number by the sender.
-type Log struct {
+type State struct {
 	Set Set
 	// Last is sorted by domain.
 	Last []LastOrder
@@ -52,30 +52,30 @@
 }
 
 // Empty reports whether no order has been accepted.
-func (l Log) Empty() bool { return l.Set.Revision == 0 && !l.numbered() }
+func (s State) Empty() bool { return s.Set.Revision == 0 && !s.numbered() }
 
-// numbered reports whether the log has positions of orders.
-func (l Log) numbered() bool { return len(l.Last) > 0 || l.Forgotten > 0 }
+// numbered reports whether the state has positions of orders.
+func (s State) numbered() bool { return len(s.Last) > 0 || s.Forgotten > 0 }
 
 // LastFor returns the position of the last accepted order for a domain, 0 if there is
 // none.
-func (l Log) LastFor(d ident.Domain) Revision {
-	if i, ok := l.find(d); ok {
-		return l.Last[i].At
+func (s State) LastFor(d ident.Domain) Revision {
+	if i, ok := s.find(d); ok {
+		return s.Last[i].At
 	}
-	return l.Forgotten
+	return s.Forgotten
 }
 
-func (l Log) find(d ident.Domain) (int, bool) {
-	return slices.BinarySearchFunc(l.Last, d, func(o LastOrder, d ident.Domain) int { return cmp.Compare(o.Domain, d) })
+func (s State) find(d ident.Domain) (int, bool) {
+	return slices.BinarySearchFunc(s.Last, d, func(o LastOrder, d ident.Domain) int { return cmp.Compare(o.Domain, d) })
 }
 
-// Apply returns the log after an order at a position, which is higher than all before.
-func (l Log) Apply(o Order, at Revision) (Log, Outcome) {
-	if l.Set.Contains(o.Domain) == o.End && o.After != l.LastFor(o.Domain) {
-		return l, Superseded
+// Apply returns the state after an order at a position, which is higher than all before.
+func (s State) Apply(o Order, at Revision) (State, Outcome) {
+	if s.Set.Contains(o.Domain) == o.End && o.After != s.LastFor(o.Domain) {
+		return s, Superseded
 	}
-	next, outcome := l.change(o, at)
+	next, outcome := s.change(o, at)
 	if outcome == Accepted {
 		next.remember(o.Domain, at)
 	}
@@ -86,50 +86,50 @@
 // It takes effect in any case. The position is remembered only if there are others:
 // snapshots of that release have none, and members that start with one must agree with
 // members that have applied the log.
-func (l Log) ApplyUnnumbered(o Order, at Revision) (Log, Outcome) {
-	next, outcome := l.change(o, at)
-	if outcome == Accepted && l.numbered() {
+func (s State) ApplyUnnumbered(o Order, at Revision) (State, Outcome) {
+	next, outcome := s.change(o, at)
+	if outcome == Accepted && s.numbered() {
 		next.remember(o.Domain, at)
 	}
 	return next, outcome
 }
 
-func (l Log) change(o Order, at Revision) (Log, Outcome) {
+func (s State) change(o Order, at Revision) (State, Outcome) {
 	if o.End {
-		l.Set = l.Set.End(o.Domain, at)
-		return l, Accepted
+		s.Set = s.Set.End(o.Domain, at)
+		return s, Accepted
 	}
-	next, err := l.Set.Start(o.Domain, at)
+	next, err := s.Set.Start(o.Domain, at)
 	if err != nil {
-		return l, Full
+		return s, Full
 	}
-	l.Set = next
-	return l, Accepted
+	s.Set = next
+	return s, Accepted
 }
 
 // remember records the position of the last order for a domain. If there are too many, it
 // drops the oldest one.
-func (l *Log) remember(d ident.Domain, at Revision) {
+func (s *State) remember(d ident.Domain, at Revision) {
 	order := LastOrder{
 		Domain: d,
 		At:     at,
 	}
-	l.Last = slices.Clone(l.Last)
-	i, ok := l.find(d)
+	s.Last = slices.Clone(s.Last)
+	i, ok := s.find(d)
 	if ok {
-		l.Last[i] = order
+		s.Last[i] = order
 		return
 	}
-	l.Last = slices.Insert(l.Last, i, order)
-	if len(l.Last) <= maxLast {
+	s.Last = slices.Insert(s.Last, i, order)
+	if len(s.Last) <= maxLast {
 		return
 	}
 	oldest := 0
-	for i := range l.Last {
-		if l.Last[i].At < l.Last[oldest].At {
+	for i := range s.Last {
+		if s.Last[i].At < s.Last[oldest].At {
 			oldest = i
 		}
 	}
-	l.Forgotten = max(l.Forgotten, l.Last[oldest].At)
-	l.Last = slices.Delete(l.Last, oldest, oldest+1)
+	s.Forgotten = max(s.Forgotten, s.Last[oldest].At)
+	s.Last = slices.Delete(s.Last, oldest, oldest+1)
 }
--- a/pkg/evac/order_test.go
+++ b/pkg/evac/order_test.go
@@ -38,7 +38,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
-			var l evac.Log
+			var l evac.State
 			var outcome evac.Outcome
 			for i, o := range row.orders {
 				l, outcome = l.Apply(o, evac.Revision(i+1))
@@ -61,7 +61,7 @@
 func TestAcknowledgedOrdersAreNotUndone(t *testing.T) {
 	domains := []ident.Domain{"a", "b"}
 	rapid.Check(t, func(rt *rapid.T) {
-		logs := []evac.Log{{}} // by position
+		logs := []evac.State{{}} // by position
 		copies := make(map[ident.Domain][]heldUp)
 		number := make(map[ident.Domain]int) // of the order that is sent now
 		end := make(map[ident.Domain]bool)   // what it wants
@@ -115,11 +115,11 @@
 	})
 }
 
-// Guards against a log that grows with each domain that was ever named, and against a
+// Guards against a state that grows with each domain that was ever named, and against a
 // position that becomes valid again when it is forgotten.
 func TestPositionsAreBounded(t *testing.T) {
 	is := is.New(t)
-	var l evac.Log
+	var l evac.State
 	at := evac.Revision(0)
 	apply := func(o evac.Order) evac.Outcome {
 		at++
@@ -144,12 +144,12 @@
 // of the release before, which has no positions, and another one has its log.
 func TestOrdersOfTheReleaseBefore(t *testing.T) {
 	is := is.New(t)
-	var replayed evac.Log
+	var replayed evac.State
 	for i, end := range []bool{false, true, false} {
 		replayed, _ = replayed.ApplyUnnumbered(evac.Order{Domain: "a", End: end}, evac.Revision(i+1))
 	}
-	restored := evac.Log{Set: replayed.Set}
-	for _, l := range []evac.Log{replayed, restored} {
+	restored := evac.State{Set: replayed.Set}
+	for _, l := range []evac.State{replayed, restored} {
 		is.Equal(l.LastFor("a"), evac.Revision(0))
 		l, outcome := l.Apply(evac.Order{Domain: "a", End: true}, 4)
 		is.Equal(outcome, evac.Accepted)
